Lay the workspace, the protocol's types and the cores' boards

The whole system is written side by side, so the types that its parts share come first: names, terms, positions, verdicts, session tokens, the two lists, heartbeats with their leases, the control log's records and messages, and for each core its inputs, effects and board.

Weighed: separate leases for terms, keys, shares and permits against one heartbeat exchange whose answer carries all of them.

--- /dev/null
+++ b/crates/cumincart-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings and the two lists: reading, checking and diagnostics.
--- /dev/null
+++ b/crates/cumincart-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control daemon: the operators' interface and the endpoints' announcements.
--- /dev/null
+++ b/crates/cumincart-core/src/entry.rs
@@ -0,0 +1,127 @@
+//! The entry instances' decisions: admission, quota, sessions, routing, pools, fairness, transactions, retries.
+
+pub mod admission;
+pub mod freshness;
+pub mod permits;
+pub mod quota;
+
+use {
+    crate::work::{ConnectionId, Work, WorkDone, WorkError, WorkId},
+    cumincart_protocol::{
+        heartbeat::{Heartbeat, HeartbeatAnswer},
+        name::{DomainName, EndpointName, InstanceName},
+        number::Incarnation,
+        request::{CallerRequest, CallerResult},
+        time::Instant,
+    },
+    rand_chacha::ChaCha20Rng,
+    std::sync::Arc,
+};
+
+/// What an entry instance is told when it starts.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its name.
+    pub instance: InstanceName,
+    /// This run.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The address at which other entry instances reach it, as `ip:port`.
+    pub peer_address: Arc<str>,
+}
+
+/// The identity of a request that the runtime will get an answer for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time passed; comes every `TICK_INTERVAL_MS`.
+    Tick,
+    /// A caller's request, from a caller or passed on by another entry instance.
+    Request(Ticket, Box<CallerRequest>),
+    /// Nobody waits for this request's answer any more.
+    CallerGone(Ticket),
+    /// The answer to a request that was passed on; a lost link gives a refusal here.
+    Forwarded(Ticket, Box<CallerResult>),
+    /// The control leader's answer to a heartbeat.
+    HeartbeatAnswer(Box<HeartbeatAnswer>),
+    /// A connection is open.
+    Opened(ConnectionId),
+    /// A connection could not be opened, or was lost while idle.
+    Closed(ConnectionId),
+    /// A work ended. After a lost connection, `Closed` follows.
+    Done(ConnectionId, WorkId, Result<WorkDone, WorkError>),
+    /// The platform or an operator asks for a planned stop.
+    Stop,
+}
+
+/// Something that the runtime must do, in order.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Answer a request.
+    Answer(Ticket, Box<CallerResult>),
+    /// Pass a request on to another entry instance, and report with `Input::Forwarded`.
+    Forward {
+        /// The request.
+        ticket: Ticket,
+        /// The instance.
+        to: InstanceName,
+        /// Its address, as `ip:port`.
+        address: Arc<str>,
+        /// What to pass on.
+        request: Box<CallerRequest>,
+    },
+    /// Open a connection, and report with `Input::Opened` or `Input::Closed`.
+    Open {
+        /// Its id.
+        connection: ConnectionId,
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The endpoint's address, as `ip:port`.
+        address: Arc<str>,
+    },
+    /// Close a connection; a work on it ends with an error. `Input::Closed` follows.
+    Close(ConnectionId),
+    /// Do a work on a connection, and report with `Input::Done`.
+    Execute(ConnectionId, WorkId, Work),
+    /// Send a heartbeat to the control leader.
+    Heartbeat(Box<Heartbeat>),
+    /// A planned stop is complete: the process may end.
+    Stopped,
+    /// A change of state worth a log line.
+    Note(Arc<str>),
+}
+
+/// All state of an entry instance.
+#[derive(Debug)]
+pub struct Board {
+    /// What it was told at the start.
+    pub settings: Settings,
+    /// Source of random choices and unguessable numbers.
+    pub random: ChaCha20Rng,
+    /// The catalogue, the leases on it and the other entry instances.
+    pub freshness: freshness::Freshness,
+    /// The shares of organisations' rates.
+    pub quota: quota::Quota,
+    /// The permits for connections.
+    pub permits: permits::Permits,
+}
+
+impl Board {
+    /// A board that knows nothing yet.
+    pub fn open(settings: Settings, random: ChaCha20Rng) -> Self {
+        Self {
+            settings,
+            random,
+            freshness: freshness::Freshness::default(),
+            quota: quota::Quota::default(),
+            permits: permits::Permits::default(),
+        }
+    }
+}
+
+/// Takes one input and appends what the runtime must do.
+pub fn step(_board: &mut Board, _now: Instant, _input: Input, _out: &mut Vec<Effect>) {}
--- /dev/null
+++ b/crates/cumincart-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: callers' and the platform's interface.
--- /dev/null
+++ b/crates/cumincart-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiments with named measures and plots.
--- /dev/null
+++ b/crates/cumincart-protocol/src/change.rs
@@ -0,0 +1,72 @@
+//! Operators' changes and their outcomes.
+
+use {
+    crate::{
+        lists::Lists,
+        name::{DomainName, InstanceName},
+        number::{ListsRevision, Revision},
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// The identifier of a change; an operator's resend carries the same one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ChangeId(pub Arc<str>);
+
+/// A change that an operator asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// The same id again gets the first outcome.
+    pub id: ChangeId,
+    /// What to change.
+    pub action: Action,
+}
+
+/// What an operator can change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Replace both lists.
+    Apply {
+        /// The revision of the lists that the edit was based on.
+        base: ListsRevision,
+        /// The new lists, already checked.
+        lists: Arc<Lists>,
+    },
+    /// Take a failure domain out of service, or bring it back.
+    SetDomain {
+        /// The failure domain.
+        domain: DomainName,
+        /// True to take it out.
+        out: bool,
+    },
+    /// Take an instance out of service, or bring it back.
+    SetInstance {
+        /// The instance.
+        instance: InstanceName,
+        /// True to take it out.
+        out: bool,
+    },
+}
+
+/// What became of a change. There is exactly one for each change id.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The change was committed.
+    Accepted {
+        /// The catalogue revision from which on it holds.
+        revision: Revision,
+        /// The revision of the lists after it.
+        lists_revision: ListsRevision,
+    },
+    /// The lists had changed since the base of this edit.
+    Conflict {
+        /// The base that the change named.
+        base: ListsRevision,
+        /// The revision of the lists when it was refused.
+        current: ListsRevision,
+    },
+}
--- /dev/null
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -0,0 +1,199 @@
+//! Heartbeats of entry instances to the control leader, and the leases that answer them.
+//!
+//! One exchange carries everything that control costs an entry instance: the freshness lease, changes of the
+//! catalogue, shares of rates, permits for connections and reports on endpoints.
+
+use {
+    crate::{
+        catalogue::{Catalogue, Group},
+        lists::Lists,
+        name::{DomainName, EndpointName, InstanceName, OrganisationName},
+        number::{ControlTerm, Incarnation, ListsRevision, Revision},
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// What an entry instance tells the control leader, a few times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub instance: InstanceName,
+    /// The sender's run.
+    pub incarnation: Incarnation,
+    /// The sender's failure domain.
+    pub domain: DomainName,
+    /// The address at which other entry instances reach it, as `ip:port`.
+    pub peer_address: Arc<str>,
+    /// The sender's clock when it asked; comes back in the answer.
+    pub asked_at: Instant,
+    /// The catalogue revision that is in force at the sender.
+    pub revision: Revision,
+    /// Whether the sender is stopping and gives back all that it holds.
+    pub leaving: bool,
+    /// What the sender saw of endpoints since its last heartbeat; only the ones with news.
+    pub endpoints: Vec<EndpointReport>,
+    /// What the sender holds and needs of organisations' rates; only the ones with traffic or holdings.
+    pub shares: Vec<ShareReport>,
+    /// What the sender holds and needs of endpoints' connections.
+    pub permits: Vec<PermitReport>,
+}
+
+/// What an entry instance saw of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointReport {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Whether its last attempt to reach the endpoint succeeded.
+    pub reachable: bool,
+    /// For how long that has been so.
+    pub since_ms: u64,
+}
+
+/// A part of an organisation's rate and burst.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Thousandths of a request a second.
+    pub rate_milli_per_s: u64,
+    /// Thousandths of a request: the bucket's capacity.
+    pub burst_milli: u64,
+}
+
+/// What an entry instance holds and needs of one organisation's rate.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShareReport {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// The number of the last grant that is in force at the sender; older ones can't come back.
+    pub grant_number: u64,
+    /// The share that the sender holds.
+    pub held: Share,
+    /// Requests that arrived in the last second or so, admitted or not, in thousandths a second.
+    pub demand_milli_per_s: u64,
+    /// Requests that are waiting for a token now.
+    pub waiting: u32,
+    /// Thousandths of tokens that the sender holds and does not need; it has taken them out of its bucket.
+    pub returned_milli: u64,
+}
+
+/// A share that the control leader grants. It replaces the one before.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShareGrant {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// Grows with every grant to this instance for this organisation.
+    pub grant_number: u64,
+    /// The share.
+    pub share: Share,
+    /// Thousandths of tokens that come with it, out of what was returned or kept in reserve.
+    pub tokens_milli: u64,
+}
+
+/// What an entry instance holds and needs of one endpoint's connections.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitReport {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The number of the last grant that is in force at the sender.
+    pub grant_number: u64,
+    /// Connections that the sender may still have open: the greater of its permits and its connections.
+    pub held: u32,
+    /// Connections that it could use.
+    pub wanted: u32,
+}
+
+/// How many connections an instance may hold to an endpoint. It replaces the grant before.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitGrant {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Grows with every grant to this instance for this endpoint.
+    pub grant_number: u64,
+    /// The number of connections.
+    pub permits: u32,
+}
+
+/// The leader's answer to a heartbeat: a lease and what has changed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeartbeatAnswer {
+    /// The holder's clock when it asked; every lease in this answer counts from here.
+    pub asked_at: Instant,
+    /// The run that asked; an answer to an earlier run is dropped.
+    pub incarnation: Incarnation,
+    /// The leader's election term.
+    pub control_term: ControlTerm,
+    /// The revision that a quorum confirmed as current after the question came.
+    pub revision: Revision,
+    /// How long the holder may act on `revision` as current: terms, service state.
+    pub term_lease_ms: u64,
+    /// How long the holder may act on keys, plans, shares and permits of `revision`.
+    pub freshness_lease_ms: u64,
+    /// What brings the holder from its revision to `revision`.
+    pub update: CatalogueUpdate,
+    /// Shares that change.
+    pub shares: Vec<ShareGrant>,
+    /// Permits that change.
+    pub permits: Vec<PermitGrant>,
+    /// Other entry instances, where the list changed.
+    pub instances: Option<Vec<InstanceEntry>>,
+}
+
+/// An entry instance that holds a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceEntry {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The address for other entry instances.
+    pub peer_address: Arc<str>,
+}
+
+impl Keyed for InstanceEntry {
+    type Key = InstanceName;
+
+    fn key(&self) -> &InstanceName {
+        &self.name
+    }
+}
+
+/// Brings a catalogue forward.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CatalogueUpdate {
+    /// The holder is at the current revision.
+    None,
+    /// Changes to apply in order, from the holder's revision on.
+    Deltas(Vec<CatalogueDelta>),
+    /// The whole catalogue, where the gap is too long.
+    Snapshot(Arc<Catalogue>),
+}
+
+/// One step from a catalogue revision to a later one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CatalogueDelta {
+    /// The revision that it starts from.
+    pub from: Revision,
+    /// The revision that it leads to.
+    pub to: Revision,
+    /// What changes.
+    pub change: CatalogueChange,
+}
+
+/// What one log record changes in a catalogue.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CatalogueChange {
+    /// Nothing that entry instances see.
+    Nothing,
+    /// Both lists.
+    Lists(ListsRevision, Arc<Lists>),
+    /// Which failure domains are out.
+    DomainsOut(SortedVec<DomainName>),
+    /// Which instances are out.
+    InstancesOut(SortedVec<InstanceName>),
+    /// One database group.
+    Group(Box<Group>),
+}
--- /dev/null
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -0,0 +1,20 @@
+//! Names, identifiers, verdicts, session tokens and the messages between processes.
+//!
+//! Everything here is plain data that crosses a boundary of a process: it derives `serde` and holds no
+//! behaviour that depends on a clock, a socket or a random source.
+
+pub mod announcement;
+pub mod catalogue;
+pub mod change;
+pub mod heartbeat;
+pub mod lists;
+pub mod name;
+pub mod number;
+pub mod peer;
+pub mod refusal;
+pub mod replication;
+pub mod request;
+pub mod session;
+pub mod sorted;
+pub mod time;
+pub mod verdict;
--- /dev/null
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -0,0 +1,60 @@
+//! The envelope of every message between the system's own processes.
+
+use {
+    crate::{
+        heartbeat::{Heartbeat, HeartbeatAnswer},
+        name::InstanceName,
+        refusal::Refusal,
+        replication::ReplicationMessage,
+        request::{CallerRequest, CallerResult},
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// The version of the envelope and all that it carries.
+pub const PEER_VERSION: u16 = 1;
+
+/// The longest encoded envelope that is read, in bytes.
+pub const PEER_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// One message between processes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The layout's version.
+    pub version: u16,
+    /// The sender's name.
+    pub from: InstanceName,
+    /// The number that an answer carries back; each link counts its own.
+    pub request: u64,
+    /// The content.
+    pub body: PeerBody,
+}
+
+/// The content of an envelope.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerBody {
+    /// Between control instances. Carries its own matching; no answer is awaited.
+    Replication(ReplicationMessage),
+    /// An entry instance's heartbeat to a control instance.
+    Heartbeat(Box<Heartbeat>),
+    /// The leader's answer to a heartbeat.
+    HeartbeatAnswer(Box<HeartbeatAnswer>),
+    /// The answer of a control instance that does not lead.
+    NotLeader(Option<Leader>),
+    /// A caller's request, passed on to the entry instance that holds its transaction or a connection.
+    Forward(Box<CallerRequest>),
+    /// The answer to `Forward`.
+    ForwardAnswer(Box<CallerResult>),
+    /// A request that the receiver could not serve as a message.
+    Refused(Refusal),
+}
+
+/// Where the control leader is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// Its name.
+    pub instance: InstanceName,
+    /// The address of its peer port, as `ip:port`.
+    pub peer_address: Arc<str>,
+}
--- /dev/null
+++ b/crates/cumincart-protocol/src/refusal.rs
@@ -0,0 +1,89 @@
+//! Refusals: the reason, the verdict and when to come back.
+
+use {
+    crate::verdict::Verdict,
+    schemars::JsonSchema,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// The stable code of a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalCode {
+    /// The request is malformed.
+    BadRequest,
+    /// The session token is malformed or damaged.
+    BadSession,
+    /// No key came with a request that needs one, or the key is not known.
+    KeyRefused,
+    /// The organisation's plan does not allow the route.
+    RouteForbidden,
+    /// No such service or route.
+    RouteUnknown,
+    /// The organisation is over its rate and burst.
+    OverRate,
+    /// The instance holds no current freshness lease.
+    NotFresh,
+    /// The instance or its failure domain is out of service, or the instance is stopping.
+    OutOfService,
+    /// No endpoint can serve the request now.
+    NoEndpoint,
+    /// The request could not be served before its deadline.
+    DeadlineExceeded,
+    /// The queue of the endpoint is full.
+    Overloaded,
+    /// The request id has been used before.
+    AlreadyRun,
+    /// A request that may not be repeated came without a request id.
+    RequestIdMissing,
+    /// The transaction is not known here, has ended or has timed out.
+    TransactionUnknown,
+    /// The endpoint refused the statement.
+    StatementFailed,
+    /// The connection to the endpoint was lost with the request on it.
+    ConnectionLost,
+    /// The primary changed while the request ran.
+    TermChanged,
+    /// A write that this session has seen acknowledged was lost in a failover.
+    WriteLost,
+    /// The system failed inside.
+    Internal,
+}
+
+/// The answer to a request that was refused or whose outcome is not known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Refusal {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// The stable code.
+    pub code: RefusalCode,
+    /// One sentence for a person.
+    pub message: Arc<str>,
+    /// The earliest time at which a repeat can succeed, where it is known.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run.
+    pub fn not_run(code: RefusalCode, message: impl Into<Arc<str>>) -> Self {
+        Self { verdict: Verdict::NotRun, code, message: message.into(), retry_after_ms: None }
+    }
+
+    /// A refusal of a request that may have run.
+    pub fn unknown(code: RefusalCode, message: impl Into<Arc<str>>) -> Self {
+        Self { verdict: Verdict::Unknown, code, message: message.into(), retry_after_ms: None }
+    }
+
+    /// A refusal that comes after the request has run.
+    pub fn ran(code: RefusalCode, message: impl Into<Arc<str>>) -> Self {
+        Self { verdict: Verdict::Ran, code, message: message.into(), retry_after_ms: None }
+    }
+
+    /// The same refusal with the earliest time of a useful repeat.
+    #[must_use]
+    pub fn retry_after_ms(mut self, after_ms: u64) -> Self {
+        self.retry_after_ms = Some(after_ms);
+        self
+    }
+}
--- /dev/null
+++ b/crates/cumincart-runtime/src/lib.rs
@@ -0,0 +1,7 @@
+//! Peer links, data folder, endpoint adapter, logs, metrics and the state dump.
+//!
+//! The runtime turns sockets, files and timers into inputs of the core and carries out the core's effects. It decides
+//! nothing.
+
+pub mod data_folder;
+pub mod endpoint;
--- /dev/null
+++ b/crates/cumincart-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! A stand-in database group for tests and the demonstration.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command `cumincart`.
+
+fn main() {}
