Join the cores to sockets: peer links, entry and control daemons

Cause: the cores decide but reach nothing. The runtime gets peer links over WebSocket with CBOR envelopes, matched by number, after a handshake in which both sides prove by HMAC that they know the fleet secret; the entry and control daemons get an engine that owns the board and carries out effects in order, and their HTTP interfaces.

Ruled out: a bearer secret in the WebSocket request (it would cross the network), and one task for a control instance's engine (a sync of the data folder blocks, so it is a thread of its own).

--- /dev/null
+++ b/crates/cumincart-control/src/daemon.rs
@@ -0,0 +1,168 @@
+//! One control instance: its engine, its peer address and its HTTP address.
+
+use {
+    crate::{
+        engine::{Engine, EngineOptions},
+        http,
+    },
+    cumincart_core::control::Settings,
+    cumincart_http::{
+        operator::OperatorToken,
+        server::{HttpError, HttpServer},
+    },
+    cumincart_protocol::{
+        name::{DomainName, InstanceName},
+        replication::{DiskId, Member, Members},
+    },
+    cumincart_runtime::{
+        clock,
+        data_folder::{DataFolder, DataFolderError},
+        endpoint::EndpointLogin,
+        link::{LinkError, handshake::FleetSecret, server::PeerServer},
+    },
+    slog::Logger,
+    std::{net::SocketAddr, path::PathBuf, sync::Arc},
+    tokio::sync::mpsc,
+};
+
+/// What a control instance is started with.
+#[derive(Debug, Clone)]
+pub struct ControlOptions {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The address for operators and endpoints; port 0 takes a free one.
+    pub http_address: SocketAddr,
+    /// The address for other instances; a fixed port, since the other members know it.
+    pub peer_address: SocketAddr,
+    /// The folder of its durable state.
+    pub data_folder: PathBuf,
+    /// The control instances of a new group, this one among them.
+    pub members: Vec<MemberAddress>,
+    /// The fleet secret.
+    pub fleet_secret: FleetSecret,
+    /// The token that operators show.
+    pub operator_token: Arc<str>,
+    /// How to log in to endpoints, for promotions.
+    pub endpoint_login: EndpointLogin,
+    /// Where log lines go.
+    pub logger: Logger,
+}
+
+/// A control instance of a new group.
+#[derive(Debug, Clone)]
+pub struct MemberAddress {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its peer address, as `ip:port`.
+    pub peer_address: Arc<str>,
+}
+
+/// Why a control instance could not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum ControlError {
+    /// The peer address can't be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Link(#[from] LinkError),
+    /// The data folder can't be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    DataFolder(#[from] DataFolderError),
+    /// The HTTP address can't be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Http(#[from] HttpError),
+}
+
+/// A running control instance.
+#[derive(Debug)]
+pub struct ControlHandle {
+    /// The address for operators and endpoints, as bound.
+    pub http_address: SocketAddr,
+    /// The address for other instances, as bound.
+    pub peer_address: SocketAddr,
+    /// The engine.
+    pub engine: Engine,
+    http: HttpServer,
+    _peer_server: PeerServer,
+}
+
+impl ControlHandle {
+    /// Stops: what was acknowledged is on the disk.
+    pub async fn stop(self) {
+        self.engine.stop();
+        self.engine.ended().await;
+        self.http.stop().await;
+    }
+
+    /// Ends at once, as a killed process would, and waits until the data folder is free again.
+    pub async fn kill(self) {
+        self.engine.stop();
+        self.http.kill();
+        self.engine.ended().await;
+    }
+}
+
+/// Starts a control instance as tasks of this process.
+pub async fn spawn(options: ControlOptions) -> Result<ControlHandle, ControlError> {
+    let (folder, disk, stored) = DataFolder::open(&options.data_folder)?;
+    let (received_sender, received) = mpsc::unbounded_channel();
+    let peer_address = options.peer_address.to_string();
+    let peer_server = PeerServer::bind(
+        &peer_address,
+        options.instance.clone(),
+        options.fleet_secret.clone(),
+        received_sender,
+    )
+    .await?;
+    let member = Member {
+        instance: options.instance.clone(),
+        disk,
+        peer_address: peer_server.address.to_string().into(),
+    };
+    let core = Settings {
+        first_members: first_members(&options.members, &member),
+        member,
+        incarnation: clock::incarnation(),
+    };
+    let engine = Engine::spawn(
+        EngineOptions {
+            core,
+            fleet_secret: options.fleet_secret,
+            endpoint_login: options.endpoint_login,
+            logger: options.logger,
+        },
+        folder,
+        stored,
+        received,
+    );
+    let http =
+        http::bind(options.http_address, engine.clone(), OperatorToken(Some(options.operator_token))).await?;
+    Ok(ControlHandle {
+        http_address: http.address,
+        peer_address: peer_server.address,
+        engine,
+        http,
+        _peer_server: peer_server,
+    })
+}
+
+/// The members of a new group; the disks of the others are learned from their first messages.
+fn first_members(addresses: &[MemberAddress], me: &Member) -> Members {
+    let voters = addresses
+        .iter()
+        .map(|address| {
+            if address.instance == me.instance {
+                return me.clone();
+            }
+            Member {
+                instance: address.instance.clone(),
+                disk: DiskId("".into()),
+                peer_address: address.peer_address.clone(),
+            }
+        })
+        .collect();
+    Members { voters, ..Members::default() }
+}
--- /dev/null
+++ b/crates/cumincart-control/src/engine.rs
@@ -0,0 +1,327 @@
+//! The thread that owns the core's board and the data folder: it feeds inputs to the core and carries out the effects.
+//!
+//! It is a thread of its own because a sync of the data folder blocks: effects behind a `Persist` wait for it.
+
+use {
+    cumincart_core::{
+        control::{self, Board, ControlRefusal, Effect, Input, Promotion, Settings, Status, Stored, Ticket},
+        timing::TICK_INTERVAL_MS,
+    },
+    cumincart_protocol::{
+        announcement::Announcement,
+        change::{Change, Outcome},
+        name::InstanceName,
+        peer::PeerBody,
+        refusal::{Refusal, RefusalCode},
+        replication::{Member, ReplicationMessage},
+        time::Instant,
+    },
+    cumincart_runtime::{
+        clock::{self, Clock},
+        data_folder::{DataFolder, DataFolderError},
+        endpoint::{self, EndpointLogin},
+        link::{
+            client::PeerLink,
+            handshake::FleetSecret,
+            server::{Received, Reply},
+        },
+        pending::Pending,
+    },
+    slog::{Logger, crit, info},
+    std::{sync::Arc, thread, time::Duration},
+    tokio::{
+        runtime::Handle,
+        sync::{mpsc, oneshot, watch},
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// What the engine needs besides the core's settings.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// The core's settings.
+    pub core: Settings,
+    /// The fleet secret.
+    pub fleet_secret: FleetSecret,
+    /// How to log in to endpoints, for promotions.
+    pub endpoint_login: EndpointLogin,
+    /// Where log lines go.
+    pub logger: Logger,
+}
+
+/// The answer to an operator's change.
+pub type ChangeResult = Result<Outcome, ControlRefusal>;
+
+/// The answer to a status request.
+pub type StatusResult = Result<Box<Status>, ControlRefusal>;
+
+/// Something that is asked of the engine.
+enum Message {
+    Input(Input),
+    Peer(Received),
+    Change(Change, oneshot::Sender<ChangeResult>),
+    Status(oneshot::Sender<StatusResult>),
+    Inspect(Box<ReadBoard>),
+    Stop,
+}
+
+type ReadBoard = dyn FnOnce(&Board, Instant) + Send;
+
+/// A running engine. It ends when `stop` is called or its data folder fails.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    messages: mpsc::UnboundedSender<Message>,
+    ended: watch::Receiver<bool>,
+}
+
+impl std::fmt::Debug for Message {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Message(..)")
+    }
+}
+
+impl Engine {
+    /// Starts the engine; messages of other instances come in by `received`.
+    pub fn spawn(
+        options: EngineOptions,
+        folder: DataFolder,
+        stored: Stored,
+        received: mpsc::UnboundedReceiver<Received>,
+    ) -> Self {
+        let (messages, queue) = mpsc::unbounded_channel();
+        let (ended_sender, ended) = watch::channel(false);
+        let state = EngineState::open(options, folder, stored, messages.downgrade());
+        tokio::spawn(send_ticks(messages.downgrade()));
+        tokio::spawn(pass_peer_messages(received, messages.downgrade()));
+        thread::spawn(move || {
+            state.run(queue);
+            ended_sender.send_replace(true);
+        });
+        Self { messages, ended }
+    }
+
+    /// Asks for a change.
+    pub async fn change(&self, change: Change) -> ChangeResult {
+        let (answer, answered) = oneshot::channel();
+        let _ = self.messages.send(Message::Change(change, answer));
+        answered.await.unwrap_or(Err(ControlRefusal::Unknown))
+    }
+
+    /// Asks for the state as a quorum confirms it.
+    pub async fn status(&self) -> StatusResult {
+        let (answer, answered) = oneshot::channel();
+        let _ = self.messages.send(Message::Status(answer));
+        answered.await.unwrap_or(Err(ControlRefusal::NoQuorum))
+    }
+
+    /// Passes an endpoint's announcement on.
+    pub fn announce(&self, announcement: Announcement) {
+        let _ = self.messages.send(Message::Input(Input::Announced(announcement)));
+    }
+
+    /// Reads the board.
+    pub async fn inspect<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&Board, Instant) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        let call = Box::new(move |board: &Board, now: Instant| {
+            let _ = answer.send(read(board, now));
+        });
+        self.messages.send(Message::Inspect(call)).ok()?;
+        answered.await.ok()
+    }
+
+    /// Ends the engine. What was acknowledged is on the disk.
+    pub fn stop(&self) {
+        let _ = self.messages.send(Message::Stop);
+    }
+
+    /// Waits until the engine has ended.
+    pub async fn ended(&self) {
+        let mut ended = self.ended.clone();
+        // An error says that the thread is gone, which is the same.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+}
+
+async fn send_ticks(messages: mpsc::WeakUnboundedSender<Message>) {
+    let mut ticks = interval(Duration::from_millis(TICK_INTERVAL_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(messages) = messages.upgrade() else { return };
+        if messages.send(Message::Input(Input::Tick)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn pass_peer_messages(
+    mut received: mpsc::UnboundedReceiver<Received>,
+    messages: mpsc::WeakUnboundedSender<Message>,
+) {
+    while let Some(message) = received.recv().await {
+        let Some(messages) = messages.upgrade() else { return };
+        if messages.send(Message::Peer(message)).is_err() {
+            return;
+        }
+    }
+}
+
+/// A link to another control instance.
+struct MemberLink {
+    address: Arc<str>,
+    link: PeerLink,
+}
+
+/// Heartbeats that wait for the core's answer.
+struct WaitingHeartbeat {
+    ticket: u64,
+    reply: Reply,
+}
+
+struct EngineState {
+    board: Board,
+    folder: DataFolder,
+    clock: Clock,
+    runtime: Handle,
+    messages: mpsc::WeakUnboundedSender<Message>,
+    changes: Pending<ChangeResult>,
+    statuses: Pending<StatusResult>,
+    heartbeats: Vec<WaitingHeartbeat>,
+    next_heartbeat: u64,
+    links: Vec<MemberLink>,
+    me: InstanceName,
+    fleet_secret: FleetSecret,
+    endpoint_login: EndpointLogin,
+    logger: Logger,
+}
+
+impl EngineState {
+    fn open(
+        options: EngineOptions,
+        folder: DataFolder,
+        stored: Stored,
+        messages: mpsc::WeakUnboundedSender<Message>,
+    ) -> Self {
+        let me = options.core.member.instance.clone();
+        Self {
+            board: Board::open(options.core, stored, clock::random()),
+            folder,
+            clock: Clock::start(),
+            runtime: Handle::current(),
+            messages,
+            changes: Pending::default(),
+            statuses: Pending::default(),
+            heartbeats: Vec::new(),
+            next_heartbeat: 1,
+            links: Vec::new(),
+            me,
+            fleet_secret: options.fleet_secret,
+            endpoint_login: options.endpoint_login,
+            logger: options.logger,
+        }
+    }
+
+    fn run(mut self, mut queue: mpsc::UnboundedReceiver<Message>) {
+        while let Some(message) = queue.blocking_recv() {
+            let result = match message {
+                Message::Input(input) => self.step(input),
+                Message::Peer(received) => self.handle_peer(received),
+                Message::Change(change, answer) => {
+                    let ticket = Ticket(self.changes.add(answer));
+                    self.step(Input::Operator(ticket, change))
+                }
+                Message::Status(answer) => {
+                    let ticket = Ticket(self.statuses.add(answer));
+                    self.step(Input::Status(ticket))
+                }
+                Message::Inspect(read) => {
+                    read(&self.board, self.clock.now());
+                    Ok(())
+                }
+                Message::Stop => return,
+            };
+            if let Err(error) = result {
+                crit!(self.logger, "the data folder failed, so this instance ends"; "error" => %error);
+                return;
+            }
+        }
+    }
+
+    fn handle_peer(&mut self, received: Received) -> Result<(), DataFolderError> {
+        match received.body {
+            PeerBody::Replication(message) => self.step(Input::Replication(received.from, message)),
+            PeerBody::Heartbeat(heartbeat) if heartbeat.instance == received.from => {
+                let ticket = self.next_heartbeat;
+                self.next_heartbeat += 1;
+                self.heartbeats.push(WaitingHeartbeat { ticket, reply: received.reply });
+                self.step(Input::Heartbeat(Ticket(ticket), heartbeat))
+            }
+            _ => {
+                let refusal =
+                    Refusal::not_run(RefusalCode::BadRequest, "a control instance takes no such message");
+                received.reply.send(PeerBody::Refused(refusal));
+                Ok(())
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) -> Result<(), DataFolderError> {
+        let mut effects = Vec::new();
+        control::step(&mut self.board, self.clock.now(), input, &mut effects);
+        for effect in effects {
+            self.carry_out(effect)?;
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, effect: Effect) -> Result<(), DataFolderError> {
+        match effect {
+            Effect::Persist(persist) => self.folder.persist(&persist)?,
+            Effect::Send(member, message) => self.send(&member, message),
+            Effect::AnswerHeartbeat(ticket, body) => self.answer_heartbeat(ticket, body),
+            Effect::AnswerOperator(ticket, result) => {
+                self.changes.answer(ticket.0, result);
+            }
+            Effect::AnswerStatus(ticket, result) => {
+                self.statuses.answer(ticket.0, result);
+            }
+            Effect::Promote(promotion) => self.promote(promotion),
+            Effect::Note(note) => info!(self.logger, "{}", note),
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, member: &Member, message: ReplicationMessage) {
+        let address = &member.peer_address;
+        let index = match self.links.binary_search_by(|known| known.address.cmp(address)) {
+            Ok(index) => index,
+            Err(index) => {
+                let _runtime = self.runtime.enter();
+                let link = PeerLink::spawn(address.clone(), self.me.clone(), self.fleet_secret.clone());
+                self.links.insert(index, MemberLink { address: address.clone(), link });
+                index
+            }
+        };
+        self.links[index].link.send(PeerBody::Replication(message));
+    }
+
+    fn answer_heartbeat(&mut self, ticket: Ticket, body: PeerBody) {
+        if let Ok(index) = self.heartbeats.binary_search_by_key(&ticket.0, |waiting| waiting.ticket) {
+            self.heartbeats.remove(index).reply.send(body);
+        }
+    }
+
+    fn promote(&self, promotion: Promotion) {
+        let messages = self.messages.clone();
+        let login = self.endpoint_login.clone();
+        self.runtime.spawn(async move {
+            let result = endpoint::promote(&promotion.address, &login).await;
+            if let Some(messages) = messages.upgrade() {
+                let _ = messages.send(Message::Input(Input::Promoted(promotion, result)));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/cumincart-entry/src/engine.rs
@@ -0,0 +1,358 @@
+//! The task that owns the core's board: it feeds inputs to the core and carries out the effects.
+
+use {
+    crate::control_link::ControlLinks,
+    cumincart_core::{
+        entry::{self, Board, Effect, Input, Settings, Ticket},
+        timing::TICK_INTERVAL_MS,
+        work::ConnectionId,
+    },
+    cumincart_protocol::{
+        name::InstanceName,
+        peer::PeerBody,
+        refusal::{Refusal, RefusalCode},
+        request::{CallerRequest, CallerResult},
+        time::Instant,
+    },
+    cumincart_runtime::{
+        clock::{self, Clock},
+        endpoint::{self, EndpointLogin, Order},
+        link::{LinkError, client::PeerLink, handshake::FleetSecret, server::Received},
+        pending::Pending,
+    },
+    slog::{Logger, info},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// How long a request that was passed on may take before its outcome is taken as unknown.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What the engine needs besides the core's settings.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// The core's settings.
+    pub core: Settings,
+    /// The control instances' peer addresses.
+    pub control_addresses: Vec<Arc<str>>,
+    /// The fleet secret.
+    pub fleet_secret: FleetSecret,
+    /// How to log in to endpoints.
+    pub endpoint_login: EndpointLogin,
+    /// Where log lines go.
+    pub logger: Logger,
+}
+
+/// Something that is asked of the engine.
+#[derive(Debug)]
+enum Message {
+    Ask(Ticket, Box<CallerRequest>, oneshot::Sender<CallerResult>),
+    Gone(Ticket),
+    Inspect(InspectionCall),
+    Stop,
+    Kill,
+}
+
+/// A closure that reads the board on the engine's task.
+struct InspectionCall(Box<ReadBoard>);
+
+type ReadBoard = dyn FnOnce(&Board, Instant) + Send;
+
+impl std::fmt::Debug for InspectionCall {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("InspectionCall(..)")
+    }
+}
+
+/// A running engine. It ends when all handles are dropped or a planned stop is complete.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    messages: mpsc::UnboundedSender<Message>,
+    tickets: Arc<AtomicU64>,
+    stopped: watch::Receiver<bool>,
+}
+
+impl Engine {
+    /// Starts the engine; messages of other entry instances come in by `received`.
+    pub fn spawn(options: EngineOptions, received: mpsc::UnboundedReceiver<Received>) -> Self {
+        let (messages, queue) = mpsc::unbounded_channel();
+        let (stopped_sender, stopped) = watch::channel(false);
+        let tickets = Arc::new(AtomicU64::new(1));
+        let task = EngineTask::open(options, tickets.clone(), stopped_sender);
+        tokio::spawn(task.run(queue, received));
+        Self { messages, tickets, stopped }
+    }
+
+    /// Runs a caller's request. When the returned future is dropped, the core is told that the caller has gone.
+    pub async fn ask(&self, request: CallerRequest) -> CallerResult {
+        let (answer, answered) = oneshot::channel();
+        let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        if self.messages.send(Message::Ask(ticket, Box::new(request), answer)).is_err() {
+            return Err(Refusal::not_run(RefusalCode::OutOfService, "the instance has stopped"));
+        }
+        let mut guard = GoneGuard { messages: &self.messages, ticket: Some(ticket) };
+        let result = answered.await;
+        guard.ticket = None;
+        result.unwrap_or_else(|_| Err(Refusal::unknown(RefusalCode::Internal, "the instance has stopped")))
+    }
+
+    /// Reads the board.
+    pub async fn inspect<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&Board, Instant) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        let call = InspectionCall(Box::new(move |board, now| {
+            let _ = answer.send(read(board, now));
+        }));
+        self.messages.send(Message::Inspect(call)).ok()?;
+        answered.await.ok()
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        let _ = self.messages.send(Message::Stop);
+    }
+
+    /// Ends the engine at once: connections and links are closed, nothing is given back.
+    pub fn kill(&self) {
+        let _ = self.messages.send(Message::Kill);
+    }
+
+    /// Waits until a planned stop is complete.
+    pub async fn stopped(&self) {
+        let mut stopped = self.stopped.clone();
+        // An error says that the engine is gone, which is stopped too.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    }
+}
+
+/// Tells the core that a caller has gone, unless the answer came first.
+struct GoneGuard<'a> {
+    messages: &'a mpsc::UnboundedSender<Message>,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for GoneGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            let _ = self.messages.send(Message::Gone(ticket));
+        }
+    }
+}
+
+/// A connection's order channel; dropping it closes the connection.
+struct OpenConnection {
+    id: ConnectionId,
+    orders: mpsc::UnboundedSender<Order>,
+}
+
+/// A link to another entry instance.
+struct InstanceLink {
+    address: Arc<str>,
+    link: PeerLink,
+}
+
+struct EngineTask {
+    board: Board,
+    clock: Clock,
+    effects: Vec<Effect>,
+    tickets: Arc<AtomicU64>,
+    pending: Pending<CallerResult>,
+    inputs: mpsc::UnboundedSender<Input>,
+    input_queue: mpsc::UnboundedReceiver<Input>,
+    connections: Vec<OpenConnection>,
+    instance_links: Vec<InstanceLink>,
+    control: ControlLinks,
+    me: InstanceName,
+    fleet_secret: FleetSecret,
+    endpoint_login: EndpointLogin,
+    logger: Logger,
+    stopped: watch::Sender<bool>,
+}
+
+impl EngineTask {
+    fn open(options: EngineOptions, tickets: Arc<AtomicU64>, stopped: watch::Sender<bool>) -> Self {
+        let (inputs, input_queue) = mpsc::unbounded_channel();
+        let me = options.core.instance.clone();
+        let control = ControlLinks::spawn(
+            &options.control_addresses,
+            &me,
+            &options.fleet_secret,
+            inputs.clone(),
+            options.logger.clone(),
+        );
+        Self {
+            board: Board::open(options.core, clock::random()),
+            clock: Clock::start(),
+            effects: Vec::new(),
+            tickets,
+            pending: Pending::default(),
+            inputs,
+            input_queue,
+            connections: Vec::new(),
+            instance_links: Vec::new(),
+            control,
+            me,
+            fleet_secret: options.fleet_secret,
+            endpoint_login: options.endpoint_login,
+            logger: options.logger,
+            stopped,
+        }
+    }
+
+    async fn run(
+        mut self,
+        mut queue: mpsc::UnboundedReceiver<Message>,
+        mut received: mpsc::UnboundedReceiver<Received>,
+    ) {
+        let mut ticks = interval(Duration::from_millis(TICK_INTERVAL_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.step(Input::Tick),
+                input = self.input_queue.recv() => match input {
+                    Some(input) => self.step(input),
+                    None => return,
+                },
+                message = queue.recv() => match message {
+                    Some(Message::Kill) | None => return,
+                    Some(message) => self.handle(message),
+                },
+                Some(received) = received.recv() => self.handle_peer(received),
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Ask(ticket, request, answer) => self.take_request(ticket, request, answer),
+            Message::Gone(ticket) => {
+                self.pending.take(ticket.0);
+                self.step(Input::CallerGone(ticket));
+            }
+            Message::Inspect(call) => (call.0)(&self.board, self.clock.now()),
+            Message::Stop => self.step(Input::Stop),
+            Message::Kill => {}
+        }
+    }
+
+    fn take_request(
+        &mut self,
+        ticket: Ticket,
+        request: Box<CallerRequest>,
+        answer: oneshot::Sender<CallerResult>,
+    ) {
+        self.pending.insert(ticket.0, answer);
+        self.step(Input::Request(ticket, request));
+    }
+
+    fn handle_peer(&mut self, received: Received) {
+        let PeerBody::Forward(request) = received.body else {
+            let refusal = Refusal::not_run(RefusalCode::BadRequest, "an entry instance takes only requests");
+            received.reply.send(PeerBody::Refused(refusal));
+            return;
+        };
+        let (answer, answered) = oneshot::channel();
+        let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        tokio::spawn(async move {
+            if let Ok(result) = answered.await {
+                received.reply.send(PeerBody::ForwardAnswer(Box::new(result)));
+            }
+        });
+        self.take_request(ticket, request, answer);
+    }
+
+    fn step(&mut self, input: Input) {
+        let mut effects = std::mem::take(&mut self.effects);
+        entry::step(&mut self.board, self.clock.now(), input, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(effect);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer(ticket, result) => {
+                self.pending.answer(ticket.0, *result);
+            }
+            Effect::Forward { ticket, address, request, .. } => self.forward(ticket, &address, request),
+            Effect::Open { connection, address, .. } => self.open_connection(connection, address),
+            Effect::Close(connection) => self.close_connection(connection),
+            Effect::Execute(connection, id, work) => self.execute(connection, Order { id, work }),
+            Effect::Heartbeat(heartbeat) => self.control.send(heartbeat),
+            Effect::Stopped => {
+                self.stopped.send_replace(true);
+            }
+            Effect::Note(note) => info!(self.logger, "{}", note),
+        }
+    }
+
+    fn open_connection(&mut self, id: ConnectionId, address: Arc<str>) {
+        let (orders, queue) = mpsc::unbounded_channel();
+        endpoint::spawn(id, address, self.endpoint_login.clone(), queue, self.inputs.clone());
+        // Ids only grow, so that pushing keeps the connections sorted.
+        self.connections.push(OpenConnection { id, orders });
+    }
+
+    fn close_connection(&mut self, id: ConnectionId) {
+        if let Ok(index) = self.connections.binary_search_by_key(&id, |open| open.id) {
+            self.connections.remove(index);
+        }
+    }
+
+    fn execute(&mut self, id: ConnectionId, order: Order) {
+        let Ok(index) = self.connections.binary_search_by_key(&id, |open| open.id) else {
+            return;
+        };
+        // A closed channel belongs to a lost connection, which reports its orders by itself.
+        let _ = self.connections[index].orders.send(order);
+    }
+
+    fn forward(&mut self, ticket: Ticket, address: &Arc<str>, request: Box<CallerRequest>) {
+        let link = self.instance_link(address);
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let answer = link.ask(PeerBody::Forward(request), FORWARD_TIMEOUT).await;
+            let _ = inputs.send(Input::Forwarded(ticket, Box::new(forward_result(answer))));
+        });
+    }
+
+    fn instance_link(&mut self, address: &Arc<str>) -> PeerLink {
+        match self.instance_links.binary_search_by(|known| known.address.cmp(address)) {
+            Ok(index) => self.instance_links[index].link.clone(),
+            Err(index) => {
+                let link = PeerLink::spawn(address.clone(), self.me.clone(), self.fleet_secret.clone());
+                self.instance_links
+                    .insert(index, InstanceLink { address: address.clone(), link: link.clone() });
+                link
+            }
+        }
+    }
+}
+
+/// A caller's result from what came back over a link.
+fn forward_result(answer: Result<PeerBody, LinkError>) -> CallerResult {
+    match answer {
+        Ok(PeerBody::ForwardAnswer(result)) => *result,
+        Ok(PeerBody::Refused(refusal)) => Err(refusal),
+        Err(LinkError::Down) => Err(Refusal::not_run(
+            RefusalCode::ConnectionLost,
+            "the instance that holds the transaction is down",
+        )),
+        Ok(_) | Err(_) => Err(Refusal::unknown(
+            RefusalCode::ConnectionLost,
+            "the link to the instance that holds the transaction was lost",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/cumincart-entry/src/http/catchers.rs
@@ -0,0 +1,23 @@
+//! JSON answers to requests that match no route.
+
+use {
+    super::refusal::RefusalResponse,
+    cumincart_protocol::refusal::{Refusal, RefusalCode},
+    rocket::{Catcher, Request, catch, catchers, http::Status},
+};
+
+/// The catchers of the whole interface.
+pub(crate) fn catchers() -> Vec<Catcher> {
+    catchers![not_served]
+}
+
+#[catch(default)]
+fn not_served(status: Status, _: &Request<'_>) -> RefusalResponse {
+    let refusal = match status.code {
+        404 => Refusal::not_run(RefusalCode::RouteUnknown, "there is nothing at this path"),
+        413 => Refusal::not_run(RefusalCode::BadRequest, "the body is too large"),
+        400..=499 => Refusal::not_run(RefusalCode::BadRequest, status.reason_lossy()),
+        _ => Refusal::unknown(RefusalCode::Internal, status.reason_lossy()),
+    };
+    RefusalResponse(refusal)
+}
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lists;
 pub mod name;
 pub mod number;
+pub mod operator_api;
 pub mod peer;
 pub mod refusal;
 pub mod replication;
--- /dev/null
+++ b/crates/cumincart-runtime/src/clock.rs
@@ -0,0 +1,39 @@
+//! The process's monotonic clock and its random seed.
+
+use {
+    cumincart_protocol::{number::Incarnation, time::Instant},
+    rand::{SeedableRng, rngs::SysRng},
+    rand_chacha::ChaCha20Rng,
+    std::time::{SystemTime, UNIX_EPOCH},
+};
+
+/// A monotonic clock that starts when it is made.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: std::time::Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn start() -> Self {
+        Self { start: std::time::Instant::now() }
+    }
+
+    /// Time since the start, as the cores count it.
+    pub fn now(&self) -> Instant {
+        let micros = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Instant::from_micros(micros)
+    }
+}
+
+/// The incarnation of a process that starts now: greater than that of every earlier run on a machine whose clock
+/// does not step back over a restart.
+pub fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// A random generator seeded by the operating system.
+pub fn random() -> ChaCha20Rng {
+    ChaCha20Rng::try_from_rng(&mut SysRng).expect("the operating system's random source works")
+}
