Close a peer link's socket with its reader

Cause: a link's writer lived as long as any reply that was still held, so a server that had closed left its peers waiting on an open socket until their time-out. The test of a lost link hung on it for over a minute.

Ruled out: one task for both directions, which can deadlock when both sides write into full buffers.

Change: the reader ends the writer.

--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -9,7 +9,10 @@
         name::InstanceName,
         peer::{Envelope, PEER_MAX_BYTES, PEER_VERSION, PeerBody},
     },
-    futures_util::{SinkExt, StreamExt, stream::SplitSink},
+    futures_util::{
+        SinkExt, StreamExt,
+        stream::{SplitSink, SplitStream},
+    },
     serde::{Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
     tokio::{
@@ -102,15 +105,26 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, mut shared: Shared) {
+async fn serve_link(stream: TcpStream, shared: Shared) {
     let _ = stream.set_nodelay(true);
     let Ok(Ok((socket, from))) = timeout(HANDSHAKE_TIMEOUT, accept_handshake(stream, &shared.secret)).await
     else {
         return;
     };
-    let (sink, mut incoming) = socket.split();
+    let (sink, incoming) = socket.split();
     let (answers, outgoing) = mpsc::channel(ANSWER_QUEUE);
-    tokio::spawn(write_answers(sink, outgoing));
+    let writer = tokio::spawn(write_answers(sink, outgoing));
+    read_messages(incoming, from, answers, shared).await;
+    // Replies that are still held would keep the writer, and with it the socket, open.
+    writer.abort();
+}
+
+async fn read_messages(
+    mut incoming: SplitStream<WebSocketStream<TcpStream>>,
+    from: InstanceName,
+    answers: mpsc::Sender<Envelope>,
+    mut shared: Shared,
+) {
     loop {
         let message = tokio::select! {
             message = incoming.next() => message,
