Serve keys, shares and permits from one lease, with an equal split to begin with

Cause: the entry side had no way to take a heartbeat's answer, and the leader's ledgers granted nothing, so no keyed request could be admitted and no connection opened.

Change: answers to heartbeats are taken by `entry::membership::on_answer`; those of another run, of an older control leader, of the future or with a lease already over are dropped. Keys are found by bisection of the digests' first bytes and compared in constant time. Shares and permits are held in escrow: a grant names the one that it replaces, so a lost, doubled or late answer changes nothing twice, and what a holder may still hold counts until it confirms a lower grant or its lease has run out. A grant's number carries the leader's election term; the first answer of a newer term voids what that term has not granted. The division is an equal split of each plan and of each endpoint's limit; demand does not move it yet.

Interfaces: `on_elected` of shares and permits takes the election term; `ShareGrant` and `PermitGrant` gain `replaces`, `ShareGrant` gains `next_token_ms`, `ShareReport::returned_milli` is a running total; `Admitted::route` is shared; `entry::Board` gains `membership`.

--- /dev/null
+++ b/crates/cumincart-core/src/control/shares/account.rs
@@ -0,0 +1,139 @@
+//! One organisation's budget: its plan, what is allocated, and the leader's reserve.
+
+use {
+    super::holder::{Granted, Holding},
+    crate::timing::CLOCK_DRIFT_PER_MILLE,
+    cumincart_protocol::{
+        heartbeat::{Share, ShareReport},
+        name::OrganisationName,
+        sorted::Keyed,
+        time::Instant,
+    },
+};
+
+const NANO_PER_MILLI: u64 = 1_000_000;
+
+/// One organisation's budget.
+#[derive(Debug)]
+pub struct Account {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// What may be allocated in all: the plan, with the rate lowered so that no fast clock exceeds it.
+    pub plan: Share,
+    /// What holders hold or may hold.
+    pub allocated: Share,
+    /// Demand in all.
+    pub demand_milli_per_s: u64,
+    /// Demand beyond the parts of failure domains, over all holders.
+    pub excess_milli_per_s: u64,
+    /// Tokens that are on their way to holders.
+    pub tokens_in_flight_milli: u64,
+    /// The reserve's level in billionths of a token.
+    reserve_nano: u64,
+    settled_at: Instant,
+    /// Whether a grant raised the allocation while it was beyond the plan.
+    overdrawn: bool,
+}
+
+impl Keyed for Account {
+    type Key = OrganisationName;
+
+    fn key(&self) -> &OrganisationName {
+        &self.organisation
+    }
+}
+
+impl Account {
+    /// An account with an empty plan, whose reserve fills from `from` on.
+    pub fn new(organisation: OrganisationName, from: Instant) -> Self {
+        Self {
+            organisation,
+            plan: Share::default(),
+            allocated: Share::default(),
+            demand_milli_per_s: 0,
+            excess_milli_per_s: 0,
+            tokens_in_flight_milli: 0,
+            reserve_nano: 0,
+            settled_at: from,
+            overdrawn: false,
+        }
+    }
+
+    /// Takes a plan. The reserve must have been settled before.
+    pub fn set_plan(&mut self, plan: Share) {
+        self.plan = Share {
+            rate_milli_per_s: plan.rate_milli_per_s * 1_000 / (1_000 + CLOCK_DRIFT_PER_MILLE),
+            burst_milli: plan.burst_milli,
+        };
+    }
+
+    /// What is not allocated and may be.
+    pub fn headroom(&self) -> Share {
+        Share {
+            rate_milli_per_s: self.plan.rate_milli_per_s.saturating_sub(self.allocated.rate_milli_per_s),
+            burst_milli: self.plan.burst_milli.saturating_sub(self.allocated.burst_milli),
+        }
+    }
+
+    /// Brings the reserve up to now. It fills at the rate and up to the burst that are not allocated; tokens on their
+    /// way count as if they were still in it.
+    pub fn settle(&mut self, now: Instant) {
+        let elapsed_micros = now.as_micros().saturating_sub(self.settled_at.as_micros());
+        let room = self.headroom();
+        let gained = elapsed_micros.saturating_mul(room.rate_milli_per_s);
+        let capacity_milli = room.burst_milli.saturating_sub(self.tokens_in_flight_milli);
+        self.reserve_nano = self.reserve_nano.saturating_add(gained).min(capacity_milli * NANO_PER_MILLI);
+        self.settled_at = self.settled_at.max(now);
+    }
+
+    /// Takes a holding out of the sums, before it changes.
+    pub fn forget(&mut self, holding: &Holding) {
+        let counted = holding.counted();
+        self.allocated.rate_milli_per_s -= counted.rate_milli_per_s;
+        self.allocated.burst_milli -= counted.burst_milli;
+        self.demand_milli_per_s -= holding.demand_milli_per_s;
+        self.excess_milli_per_s -= holding.excess_milli_per_s;
+        self.tokens_in_flight_milli -= holding.tokens_in_flight_milli();
+    }
+
+    /// Puts a holding into the sums, after it has changed.
+    pub fn count(&mut self, holding: &Holding) {
+        let counted = holding.counted();
+        self.allocated.rate_milli_per_s += counted.rate_milli_per_s;
+        self.allocated.burst_milli += counted.burst_milli;
+        self.demand_milli_per_s += holding.demand_milli_per_s;
+        self.excess_milli_per_s += holding.excess_milli_per_s;
+        self.tokens_in_flight_milli += holding.tokens_in_flight_milli();
+    }
+
+    /// Puts tokens that a holder has returned into the reserve, once. The first report only tells where its total
+    /// stands.
+    pub fn take_returned(&mut self, holding: &mut Holding, report: &ShareReport) {
+        if let Some(before) = holding.returned_milli {
+            let returned_milli = report.returned_milli.saturating_sub(before);
+            self.reserve_nano += returned_milli * NANO_PER_MILLI;
+        }
+        holding.returned_milli = Some(report.returned_milli);
+    }
+
+    /// Records a grant that is about to be sent and takes its tokens out of the reserve.
+    pub fn grant(&mut self, holding: &mut Holding, granted: Granted) {
+        let before = self.allocated;
+        self.forget(holding);
+        holding.outstanding = Some(granted);
+        self.count(holding);
+        self.reserve_nano = self.reserve_nano.saturating_sub(granted.tokens_milli * NANO_PER_MILLI);
+        self.overdrawn |=
+            exceeds(self.allocated.rate_milli_per_s, before.rate_milli_per_s, self.plan.rate_milli_per_s);
+        self.overdrawn |= exceeds(self.allocated.burst_milli, before.burst_milli, self.plan.burst_milli);
+    }
+
+    /// Whether a grant has ever raised the allocation beyond the plan.
+    pub fn is_overdrawn(&self) -> bool {
+        self.overdrawn
+    }
+}
+
+fn exceeds(after: u64, before: u64, limit: u64) -> bool {
+    after > before && after > limit
+}
--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod freshness;
+pub mod membership;
 pub mod permits;
 pub mod quota;
 
@@ -104,6 +105,8 @@
     pub random: ChaCha20Rng,
     /// The catalogue, the leases on it and the other entry instances.
     pub freshness: freshness::Freshness,
+    /// The heartbeats to the control leader.
+    pub membership: membership::Membership,
     /// The shares of organisations' rates.
     pub quota: quota::Quota,
     /// The permits for connections.
@@ -117,6 +120,7 @@
             settings,
             random,
             freshness: freshness::Freshness::default(),
+            membership: membership::Membership::default(),
             quota: quota::Quota::default(),
             permits: permits::Permits::default(),
         }
--- a/crates/cumincart-core/src/entry/admission.rs
+++ b/crates/cumincart-core/src/entry/admission.rs
@@ -1,5 +1,10 @@
 //! Which request may run: its key, its plan, its route and its statement.
 
+mod index;
+mod statement;
+
+pub use index::{Index, OrganisationEntry, RouteEntry};
+
 use {
     super::Board,
     cumincart_protocol::{
@@ -9,8 +14,12 @@
         request::{Call, CallerRequest, Statement},
         time::Instant,
     },
+    std::sync::Arc,
 };
 
+/// The weight of requests that carry no organisation, where they compete for an endpoint.
+pub const OPEN_WEIGHT: u32 = 1;
+
 /// A call that its key and plan allow.
 #[derive(Debug, Clone)]
 pub struct Admitted {
@@ -21,17 +30,90 @@
     /// The service.
     pub service: ServiceName,
     /// The route.
-    pub route: Route,
+    pub route: Arc<Route>,
     /// The statement, with its parameters bound.
     pub statement: Statement,
 }
 
 /// Checks a call against the lists. Takes nothing from the organisation's rate.
-pub fn admit(
-    _board: &Board,
-    _now: Instant,
-    _request: &CallerRequest,
-    _call: &Call,
+pub fn admit(board: &Board, now: Instant, request: &CallerRequest, call: &Call) -> Result<Admitted, Refusal> {
+    let fresh = board.freshness.is_fresh(now);
+    let index = &board.freshness.index;
+    let Some((position, entry)) = index.route(&call.service, &call.route) else {
+        return Err(if fresh { route_unknown(call) } else { not_fresh() });
+    };
+    if entry.route.open {
+        return admitted(entry, None, call);
+    }
+    if !fresh {
+        return Err(not_fresh());
+    }
+    let organisation = organisation_of(index, request.key_digest.as_ref())?;
+    if !organisation.may_use(position) {
+        return Err(Refusal::not_run(
+            RefusalCode::RouteForbidden,
+            "the organisation's plan does not allow this route",
+        ));
+    }
+    admitted(entry, Some(organisation), call)
+}
+
+/// The organisation that a request may act for outside any route, as when it ends a transaction: the lists must be
+/// fresh and the key known.
+pub fn identify(
+    board: &Board,
+    now: Instant,
+    key_digest: Option<&[u8; 32]>,
+) -> Result<OrganisationName, Refusal> {
+    if !board.freshness.is_fresh(now) {
+        return Err(not_fresh());
+    }
+    let organisation = organisation_of(&board.freshness.index, key_digest)?;
+    Ok(organisation.name.clone())
+}
+
+/// Whether a key still stands for an organisation, for work that was admitted earlier, such as an open transaction.
+pub fn still_allowed(
+    board: &Board,
+    now: Instant,
+    key_digest: Option<&[u8; 32]>,
+    organisation: &OrganisationName,
+) -> bool {
+    identify(board, now, key_digest).is_ok_and(|found| found == *organisation)
+}
+
+fn organisation_of<'a>(
+    index: &'a Index,
+    key_digest: Option<&[u8; 32]>,
+) -> Result<&'a OrganisationEntry, Refusal> {
+    let Some(digest) = key_digest else {
+        return Err(Refusal::not_run(RefusalCode::KeyRefused, "this route needs a key"));
+    };
+    index
+        .organisation_by_key(digest)
+        .ok_or_else(|| Refusal::not_run(RefusalCode::KeyRefused, "the key is not known"))
+}
+
+fn admitted(
+    entry: &RouteEntry,
+    organisation: Option<&OrganisationEntry>,
+    call: &Call,
 ) -> Result<Admitted, Refusal> {
-    Err(Refusal::not_run(RefusalCode::Internal, "not built yet"))
+    let name = organisation.map(|organisation| organisation.name.clone());
+    let statement = statement::bind(&entry.route, name.as_ref(), call)?;
+    Ok(Admitted {
+        organisation: name,
+        weight: organisation.map_or(OPEN_WEIGHT, |organisation| organisation.weight),
+        service: entry.service.clone(),
+        route: entry.route.clone(),
+        statement,
+    })
+}
+
+fn route_unknown(call: &Call) -> Refusal {
+    Refusal::not_run(RefusalCode::RouteUnknown, format!("there is no route {}/{}", call.service, call.route))
+}
+
+fn not_fresh() -> Refusal {
+    Refusal::not_run(RefusalCode::NotFresh, "this instance can't confirm now that keys and plans are current")
 }
--- /dev/null
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -0,0 +1,296 @@
+//! One organisation's token bucket at one instance.
+
+use {
+    super::{QUOTA_WAIT_MS, QuotaDecision},
+    crate::entry::Ticket,
+    cumincart_protocol::{
+        heartbeat::{Share, ShareGrant, ShareReport, grant_term},
+        name::OrganisationName,
+        number::ControlTerm,
+        sorted::Keyed,
+        time::Instant,
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// One token in billionths, the unit of a bucket's level: a rate in thousandths a second over one microsecond.
+const TOKEN_NANO: u64 = 1_000_000_000;
+
+const NANO_PER_MILLI: u64 = 1_000_000;
+
+/// One token in thousandths.
+const TOKEN_MILLI: u64 = 1_000;
+
+/// The time over which demand is averaged, in milliseconds.
+const DEMAND_WINDOW_MS: u64 = 500;
+
+/// The shortest time over which arrivals are counted as a rate, in milliseconds.
+const DEMAND_MIN_INTERVAL_MS: u64 = 50;
+
+/// A request that waits for a token.
+#[derive(Debug)]
+pub struct Waiter {
+    /// The request.
+    pub ticket: Ticket,
+    /// When it is refused.
+    pub until: Instant,
+}
+
+/// How many requests arrive, as a decaying average.
+#[derive(Debug)]
+pub struct Demand {
+    arrivals: u64,
+    counted_from: Instant,
+    milli_per_s: u64,
+}
+
+/// A share of one organisation's rate and burst, and what it holds now.
+#[derive(Debug)]
+pub struct Bucket {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// The grant in force; 0 for none.
+    pub grant_number: u64,
+    /// The share.
+    pub share: Share,
+    /// Whether a grant lowered the share since the last report.
+    pub lowered: bool,
+    /// Whether the next report must name this bucket even if it is idle.
+    must_report: bool,
+    /// The level in billionths of a token.
+    tokens_nano: u64,
+    refilled_at: Instant,
+    /// Tokens given back since the run began, in thousandths.
+    returned_milli: u64,
+    /// Before this the leader's reserve has no token for this instance.
+    reserve_at: Instant,
+    /// Arrivals.
+    pub demand: Demand,
+    reported_demand_milli_per_s: u64,
+    /// Requests that wait, in the order of arrival.
+    pub waiting: VecDeque<Waiter>,
+}
+
+impl Keyed for Bucket {
+    type Key = OrganisationName;
+
+    fn key(&self) -> &OrganisationName {
+        &self.organisation
+    }
+}
+
+impl Demand {
+    /// Counts one arrival.
+    pub fn count(&mut self) {
+        self.arrivals += 1;
+    }
+
+    fn average(&mut self, now: Instant) -> u64 {
+        let interval_ms = millis_between(self.counted_from, now);
+        if interval_ms < DEMAND_MIN_INTERVAL_MS {
+            return self.milli_per_s;
+        }
+        let arrived = self.arrivals * TOKEN_MILLI * 1_000;
+        let window_ms = DEMAND_WINDOW_MS + interval_ms;
+        self.milli_per_s = (self.milli_per_s * DEMAND_WINDOW_MS + arrived) / window_ms;
+        self.arrivals = 0;
+        self.counted_from = now;
+        self.milli_per_s
+    }
+}
+
+impl Bucket {
+    /// An empty bucket without a share.
+    pub fn new(organisation: OrganisationName, now: Instant) -> Self {
+        Self {
+            organisation,
+            grant_number: 0,
+            share: Share::default(),
+            lowered: false,
+            must_report: false,
+            tokens_nano: 0,
+            refilled_at: now,
+            returned_milli: 0,
+            reserve_at: now,
+            demand: Demand { arrivals: 0, counted_from: now, milli_per_s: 0 },
+            reported_demand_milli_per_s: 0,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Adds what the share's rate gave since the last time, up to the share's burst.
+    pub fn refill(&mut self, now: Instant) {
+        let elapsed_micros = micros_between(self.refilled_at, now);
+        let gained = elapsed_micros.saturating_mul(self.share.rate_milli_per_s);
+        self.tokens_nano = self.tokens_nano.saturating_add(gained).min(self.capacity_nano());
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Takes one token if there is one.
+    pub fn take_token(&mut self) -> bool {
+        if self.tokens_nano < TOKEN_NANO {
+            return false;
+        }
+        self.tokens_nano -= TOKEN_NANO;
+        true
+    }
+
+    /// The level in thousandths of a token, rounded down.
+    pub fn tokens_milli(&self) -> u64 {
+        self.tokens_nano / NANO_PER_MILLI
+    }
+
+    /// Whether the grant in force came from the leader of this term.
+    pub fn granted_in(&self, control_term: ControlTerm) -> bool {
+        self.grant_number == 0 || grant_term(self.grant_number) == control_term
+    }
+
+    /// Whether a token may come for one more request before `until`, from this share or from the leader's reserve.
+    pub fn may_wait(&self, now: Instant, until: Instant, plan: Share) -> bool {
+        if self.own_token_at(now).is_some_and(|at| at <= until) {
+            return true;
+        }
+        let queue_limit = (plan.rate_milli_per_s * QUOTA_WAIT_MS / (TOKEN_MILLI * 1_000)).max(1);
+        self.reserve_at <= until && (self.waiting.len() as u64) < queue_limit
+    }
+
+    /// The time until a token can be here for a request that comes behind those that wait.
+    pub fn retry_after_ms(&self, now: Instant, plan: Share) -> u64 {
+        let reserve_at = self.reserve_at.max(now + interval_of(plan));
+        let at = self.own_token_at(now).map_or(reserve_at, |own| own.min(reserve_at));
+        millis_between(now, at).max(1)
+    }
+
+    /// Releases the requests that a token reaches, then those whose time is over; all of them without a plan.
+    pub fn release(&mut self, now: Instant, plan: Option<Share>, out: &mut Vec<(Ticket, QuotaDecision)>) {
+        let Some(plan) = plan else {
+            let refused = QuotaDecision::Refused { retry_after_ms: QUOTA_WAIT_MS };
+            out.extend(self.waiting.drain(..).map(|waiter| (waiter.ticket, refused)));
+            return;
+        };
+        self.refill(now);
+        self.admit_waiting(now, out);
+        let retry_after_ms = self.retry_after_ms(now, plan);
+        self.waiting.retain(|waiter| {
+            let expired = waiter.until <= now;
+            if expired {
+                out.push((waiter.ticket, QuotaDecision::Refused { retry_after_ms }));
+            }
+            !expired
+        });
+    }
+
+    /// Puts a grant in force if it replaces the one that is, and admits the requests that its tokens reach.
+    pub fn apply(&mut self, now: Instant, grant: &ShareGrant, out: &mut Vec<(Ticket, QuotaDecision)>) {
+        if grant.grant_number == self.grant_number {
+            self.must_report = true;
+            return;
+        }
+        if grant.replaces != self.grant_number {
+            return;
+        }
+        self.refill(now);
+        self.lowered = grant.share.rate_milli_per_s < self.share.rate_milli_per_s
+            || grant.share.burst_milli < self.share.burst_milli;
+        self.must_report = true;
+        self.grant_number = grant.grant_number;
+        self.share = grant.share;
+        self.reserve_at = now + Duration::from_millis(grant.next_token_ms);
+        self.tokens_nano += grant.tokens_milli * NANO_PER_MILLI;
+        self.admit_waiting(now, out);
+        self.give_back_surplus();
+    }
+
+    /// Shrinks the share by the ratio of two plans; a plan that grows leaves it as it is.
+    pub fn scale(&mut self, before: Share, after: Share) {
+        self.share.rate_milli_per_s =
+            scaled(self.share.rate_milli_per_s, before.rate_milli_per_s, after.rate_milli_per_s);
+        self.share.burst_milli = scaled(self.share.burst_milli, before.burst_milli, after.burst_milli);
+        self.tokens_nano = self.tokens_nano.min(self.capacity_nano());
+    }
+
+    /// Gives up the share and all tokens.
+    pub fn void(&mut self, now: Instant) {
+        self.grant_number = 0;
+        self.share = Share::default();
+        self.tokens_nano = 0;
+        self.refilled_at = self.refilled_at.max(now);
+        self.reserve_at = now;
+        self.must_report = true;
+    }
+
+    /// The report for the next heartbeat; none for a bucket that is idle and holds nothing.
+    pub fn report(&mut self, now: Instant) -> Option<ShareReport> {
+        let demand_milli_per_s = self.demand.average(now);
+        let quiet = demand_milli_per_s == 0 && self.reported_demand_milli_per_s == 0;
+        self.reported_demand_milli_per_s = demand_milli_per_s;
+        let idle = quiet && self.waiting.is_empty() && self.share == Share::default();
+        if idle && !self.must_report {
+            return None;
+        }
+        self.must_report = false;
+        self.lowered = false;
+        Some(ShareReport {
+            organisation: self.organisation.clone(),
+            grant_number: self.grant_number,
+            held: self.share,
+            demand_milli_per_s,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            returned_milli: self.returned_milli,
+        })
+    }
+
+    fn admit_waiting(&mut self, now: Instant, out: &mut Vec<(Ticket, QuotaDecision)>) {
+        while let Some(first) = self.waiting.front() {
+            if first.until <= now || self.tokens_nano < TOKEN_NANO {
+                return;
+            }
+            out.push((first.ticket, QuotaDecision::Admitted));
+            self.tokens_nano -= TOKEN_NANO;
+            self.waiting.pop_front();
+        }
+    }
+
+    /// Takes tokens beyond the burst out.
+    fn give_back_surplus(&mut self) {
+        let surplus_milli = self.tokens_nano.saturating_sub(self.capacity_nano()) / NANO_PER_MILLI;
+        self.tokens_nano = self.tokens_nano.min(self.capacity_nano());
+        self.returned_milli += surplus_milli;
+    }
+
+    /// When this share alone has a token for a request behind those that wait.
+    fn own_token_at(&self, now: Instant) -> Option<Instant> {
+        if self.share.rate_milli_per_s == 0 || self.share.burst_milli < TOKEN_MILLI {
+            return None;
+        }
+        let needed_nano = (self.waiting.len() as u64 + 1) * TOKEN_NANO;
+        let missing_nano = needed_nano.saturating_sub(self.tokens_nano);
+        let micros = missing_nano.div_ceil(self.share.rate_milli_per_s);
+        Some(now + Duration::from_micros(micros))
+    }
+
+    fn capacity_nano(&self) -> u64 {
+        self.share.burst_milli.saturating_mul(NANO_PER_MILLI)
+    }
+}
+
+/// The time between two tokens of a plan.
+fn interval_of(plan: Share) -> Duration {
+    Duration::from_micros((TOKEN_NANO).checked_div(plan.rate_milli_per_s).unwrap_or(u64::MAX))
+}
+
+fn scaled(value: u64, before: u64, after: u64) -> u64 {
+    if after >= before {
+        return value;
+    }
+    let scaled = u128::from(value) * u128::from(after) / u128::from(before);
+    u64::try_from(scaled).unwrap_or(value)
+}
+
+fn micros_between(earlier: Instant, later: Instant) -> u64 {
+    later.as_micros().saturating_sub(earlier.as_micros())
+}
+
+fn millis_between(earlier: Instant, later: Instant) -> u64 {
+    micros_between(earlier, later).div_ceil(1_000)
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/limits_support/fleet.rs
@@ -0,0 +1,376 @@
+//! Entry boards and control ledgers joined by a small network on a virtual clock.
+
+use {
+    super::recorder::Recorder,
+    cumincart_core::{
+        control::{permits as permit_ledger, shares as share_ledger},
+        entry::{
+            Board, Settings, Ticket, membership,
+            permits::ConnectionUse,
+            quota::{self, QuotaDecision},
+        },
+        timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS},
+    },
+    cumincart_protocol::{
+        catalogue::Catalogue,
+        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer},
+        lists::{Lists, Organisation, Plan},
+        name::{DomainName, InstanceName, OrganisationName},
+        number::{ControlTerm, Incarnation},
+        sorted::SortedVec,
+        time::Instant,
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha20Rng,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two steps of the fleet, in microseconds.
+pub const STEP_US: u64 = 2_000;
+
+/// How long a request may wait, in milliseconds.
+pub const DEADLINE_MS: u64 = 2_000;
+
+/// A clock that runs beside true time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Clock {
+    pub offset_us: u64,
+    /// How much faster than true time it runs, in millionths.
+    pub fast_ppm: i64,
+}
+
+impl Clock {
+    pub fn at(self, true_us: u64) -> Instant {
+        let scaled = i128::from(true_us) * i128::from(1_000_000 + self.fast_ppm) / 1_000_000;
+        Instant::from_micros(self.offset_us + u64::try_from(scaled).expect("time is positive"))
+    }
+}
+
+/// What the network does to messages.
+#[derive(Debug, Clone, Copy)]
+pub struct Network {
+    pub lost_per_mille: u32,
+    pub doubled_per_mille: u32,
+    pub min_delay_us: u64,
+    pub max_delay_us: u64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self { lost_per_mille: 0, doubled_per_mille: 0, min_delay_us: 500, max_delay_us: 2_000 }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Heartbeat(usize, Heartbeat),
+    Answer(usize, HeartbeatAnswer),
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub board: Board,
+    pub clock: Clock,
+    pub alive: bool,
+    /// Whether a partition cuts it off from the control leader.
+    pub cut: bool,
+    /// Index into the limits of the organisation of each ticket that waits.
+    waiting: Vec<(Ticket, usize)>,
+    pub counts: Counts,
+}
+
+/// What became of requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub admitted: u64,
+    pub refused: u64,
+    pub sent: u64,
+}
+
+pub struct Leader {
+    pub shares: share_ledger::Ledger,
+    pub permits: permit_ledger::Ledger,
+    pub control_term: ControlTerm,
+    pub clock: Clock,
+}
+
+pub struct Fleet {
+    pub now_us: u64,
+    pub nodes: Vec<Node>,
+    pub leader: Option<Leader>,
+    pub catalogue: Arc<Catalogue>,
+    pub network: Network,
+    pub recorders: Vec<Recorder>,
+    pub random: ChaCha20Rng,
+    pub bytes_to_leader: u64,
+    pub bytes_from_leader: u64,
+    pub heartbeats: u64,
+    mail: Vec<(u64, Message)>,
+    next_ticket: u64,
+    next_control_term: u64,
+}
+
+pub fn organisation(index: usize) -> OrganisationName {
+    OrganisationName::from(format!("organisation-{index}"))
+}
+
+/// Lists with one plan for each limit; organisation `i` is on plan `i`.
+pub fn lists(limits: &[(f64, u32)]) -> Lists {
+    let mut lists = Lists::default();
+    for (index, (rate_per_s, burst)) in limits.iter().enumerate() {
+        let plan = format!("plan-{index}");
+        lists.plans.plans.push(Plan {
+            name: plan.as_str().into(),
+            routes: Vec::new(),
+            rate_per_s: *rate_per_s,
+            burst: *burst,
+            weight: 1,
+        });
+        lists.organisations.organisations.push(Organisation {
+            name: organisation(index),
+            plan: plan.as_str().into(),
+            keys: Vec::new(),
+        });
+    }
+    lists
+}
+
+impl Fleet {
+    pub fn new(seed: u64, limits: &[(f64, u32)]) -> Self {
+        let mut catalogue = Catalogue::default();
+        catalogue.revision = catalogue.revision.next();
+        catalogue.lists = Arc::new(lists(limits));
+        let mut fleet = Self {
+            now_us: 10_000_000,
+            nodes: Vec::new(),
+            leader: None,
+            catalogue: Arc::new(catalogue),
+            network: Network::default(),
+            recorders: Vec::new(),
+            random: ChaCha20Rng::seed_from_u64(seed),
+            bytes_to_leader: 0,
+            bytes_from_leader: 0,
+            heartbeats: 0,
+            mail: Vec::new(),
+            next_ticket: 0,
+            next_control_term: 1,
+        };
+        fleet.recorders =
+            limits.iter().map(|(rate, burst)| Recorder::new(fleet.now_us, *rate, *burst)).collect();
+        fleet
+    }
+
+    /// Adds an instance; `incarnation` tells runs of the same name apart.
+    pub fn add(&mut self, name: &str, domain: &str, incarnation: u64, clock: Clock) -> usize {
+        let settings = Settings {
+            instance: InstanceName::from(name),
+            incarnation: Incarnation(incarnation),
+            domain: DomainName::from(domain),
+            peer_address: "127.0.0.1:1".into(),
+        };
+        let random = ChaCha20Rng::seed_from_u64(self.nodes.len() as u64);
+        self.nodes.push(Node {
+            board: Board::open(settings, random),
+            clock,
+            alive: true,
+            cut: false,
+            waiting: Vec::new(),
+            counts: Counts::default(),
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Adds `count` instances over `domains` failure domains with exact clocks.
+    pub fn add_many(&mut self, count: usize, domains: usize) {
+        for index in 0..count {
+            let domain = format!("domain-{}", index % domains);
+            self.add(&format!("entry-{index}"), &domain, 1, Clock::default());
+        }
+    }
+
+    /// Deposes the leader, if there is one, and elects another with an empty ledger.
+    pub fn elect(&mut self, clock: Clock) {
+        let control_term = ControlTerm(self.next_control_term);
+        self.next_control_term += 1;
+        let mut leader = Leader {
+            shares: share_ledger::Ledger::default(),
+            permits: permit_ledger::Ledger::default(),
+            control_term,
+            clock,
+        };
+        let now = clock.at(self.now_us);
+        share_ledger::on_elected(&mut leader.shares, now, control_term);
+        permit_ledger::on_elected(&mut leader.permits, now, control_term);
+        self.leader = Some(leader);
+    }
+
+    /// Commits new lists.
+    pub fn apply(&mut self, limits: &[(f64, u32)]) {
+        let mut catalogue = Catalogue::clone(&self.catalogue);
+        catalogue.revision = catalogue.revision.next();
+        catalogue.lists = Arc::new(lists(limits));
+        self.catalogue = Arc::new(catalogue);
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+        self.nodes[node].waiting.clear();
+    }
+
+    /// Sends one request of an organisation to an instance.
+    pub fn request(&mut self, node: usize, organisation_index: usize) {
+        let now_us = self.now_us;
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let node = &mut self.nodes[node];
+        if !node.alive {
+            return;
+        }
+        node.counts.sent += 1;
+        let now = node.clock.at(now_us);
+        let deadline = now + Duration::from_millis(DEADLINE_MS);
+        let name = organisation(organisation_index);
+        match quota::take(&mut node.board.quota, now, &name, ticket, deadline) {
+            QuotaDecision::Admitted => {
+                node.counts.admitted += 1;
+                self.recorders[organisation_index].admit(now_us);
+            }
+            QuotaDecision::Waiting => node.waiting.push((ticket, organisation_index)),
+            QuotaDecision::Refused { .. } => node.counts.refused += 1,
+        }
+    }
+
+    /// Advances true time by one step: delivers messages, releases waiting requests, sends heartbeats, checks.
+    pub fn step(&mut self) {
+        self.now_us += STEP_US;
+        self.deliver();
+        for index in 0..self.nodes.len() {
+            self.release(index);
+            self.send_heartbeat(index);
+        }
+        self.check();
+    }
+
+    pub fn run_ms(&mut self, millis: u64) {
+        for _ in 0..millis * 1_000 / STEP_US {
+            self.step();
+        }
+    }
+
+    /// The counts of all instances together.
+    pub fn counts(&self) -> Counts {
+        let mut sum = Counts::default();
+        for node in &self.nodes {
+            sum.admitted += node.counts.admitted;
+            sum.refused += node.counts.refused;
+            sum.sent += node.counts.sent;
+        }
+        sum
+    }
+
+    fn release(&mut self, index: usize) {
+        let now_us = self.now_us;
+        let node = &mut self.nodes[index];
+        if !node.alive {
+            return;
+        }
+        let now = node.clock.at(now_us);
+        for (ticket, decision) in quota::released(&mut node.board.quota, now) {
+            let position = node.waiting.iter().position(|(waiting, _)| *waiting == ticket);
+            let (_, organisation_index) =
+                node.waiting.swap_remove(position.expect("only waiting requests are released"));
+            match decision {
+                QuotaDecision::Admitted => {
+                    node.counts.admitted += 1;
+                    self.recorders[organisation_index].admit(now_us);
+                }
+                QuotaDecision::Refused { .. } => node.counts.refused += 1,
+                QuotaDecision::Waiting => panic!("a released request waits no longer"),
+            }
+        }
+    }
+
+    fn send_heartbeat(&mut self, index: usize) {
+        let now_us = self.now_us;
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(now_us);
+        if !node.alive || !membership::due(&node.board, now) {
+            return;
+        }
+        let uses: SortedVec<ConnectionUse> = SortedVec::new();
+        let heartbeat = membership::heartbeat(&mut node.board, now, Vec::new(), &uses);
+        self.heartbeats += 1;
+        self.post(&Message::Heartbeat(index, heartbeat));
+    }
+
+    fn post(&mut self, message: &Message) {
+        if self.random.random_range(0..1_000) < self.network.lost_per_mille {
+            return;
+        }
+        let doubled = self.random.random_range(0..1_000) < self.network.doubled_per_mille;
+        for _ in 0..=u32::from(doubled) {
+            let delay_us = self.random.random_range(self.network.min_delay_us..=self.network.max_delay_us);
+            self.mail.push((self.now_us + delay_us, message.clone()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now_us = self.now_us;
+        let (mut due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.mail).into_iter().partition(|(at, _)| *at <= now_us);
+        self.mail = later;
+        due.sort_by_key(|(at, _)| *at);
+        for (_, message) in due {
+            match message {
+                Message::Heartbeat(from, heartbeat) => self.answer(from, &heartbeat),
+                Message::Answer(to, answer) => self.take_answer(to, &answer),
+            }
+        }
+    }
+
+    fn answer(&mut self, from: usize, heartbeat: &Heartbeat) {
+        let Some(leader) = self.leader.as_mut().filter(|_| !self.nodes[from].cut) else {
+            return;
+        };
+        self.bytes_to_leader += encoded_bytes(heartbeat);
+        let now = leader.clock.at(self.now_us);
+        let shares = share_ledger::on_heartbeat(&mut leader.shares, now, &self.catalogue, heartbeat);
+        let permits = permit_ledger::on_heartbeat(&mut leader.permits, now, &self.catalogue, heartbeat);
+        let current = heartbeat.revision == self.catalogue.revision;
+        let update =
+            if current { CatalogueUpdate::None } else { CatalogueUpdate::Snapshot(self.catalogue.clone()) };
+        let answer = HeartbeatAnswer {
+            asked_at: heartbeat.asked_at,
+            incarnation: heartbeat.incarnation,
+            control_term: leader.control_term,
+            revision: self.catalogue.revision,
+            term_lease_ms: TERM_LEASE_MS,
+            freshness_lease_ms: FRESHNESS_LEASE_MS,
+            update,
+            shares,
+            permits,
+            instances: None,
+        };
+        self.bytes_from_leader += encoded_bytes(&answer);
+        self.post(&Message::Answer(from, answer));
+    }
+
+    fn take_answer(&mut self, to: usize, answer: &HeartbeatAnswer) {
+        let node = &mut self.nodes[to];
+        if node.alive && !node.cut {
+            membership::on_answer(&mut node.board, node.clock.at(self.now_us), answer);
+        }
+    }
+
+    fn check(&self) {
+        if let Some(leader) = &self.leader {
+            assert_eq!(share_ledger::check(&leader.shares), Vec::new(), "at {} us", self.now_us);
+        }
+    }
+}
+
+fn encoded_bytes<T: serde::Serialize>(message: &T) -> u64 {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("writing to a vector can't fail");
+    bytes.len() as u64
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/limits_support/recorder.rs
@@ -0,0 +1,55 @@
+//! The exact limit of one organisation over the whole fleet.
+
+/// One token in billionths.
+const TOKEN_NANO: u64 = 1_000_000_000;
+
+/// A token bucket of the plan's whole rate and burst on true time. It never lacks a token exactly when, in every
+/// interval, no more than burst + rate × length was admitted (the virtual scheduling form of the generic cell rate
+/// algorithm, ITU-T I.371).
+#[derive(Debug)]
+pub struct Recorder {
+    rate_milli_per_s: u64,
+    burst_nano: u64,
+    level_nano: u64,
+    settled_us: u64,
+    pub admitted: u64,
+    pub over: u64,
+}
+
+impl Recorder {
+    pub fn new(now_us: u64, rate_per_s: f64, burst: u32) -> Self {
+        let burst_nano = u64::from(burst) * TOKEN_NANO;
+        Self {
+            rate_milli_per_s: (rate_per_s * 1_000.0) as u64,
+            burst_nano,
+            level_nano: burst_nano,
+            settled_us: now_us,
+            admitted: 0,
+            over: 0,
+        }
+    }
+
+    /// Puts another limit in force.
+    pub fn set(&mut self, now_us: u64, rate_per_s: f64, burst: u32) {
+        self.settle(now_us);
+        self.rate_milli_per_s = (rate_per_s * 1_000.0) as u64;
+        self.burst_nano = u64::from(burst) * TOKEN_NANO;
+        self.level_nano = self.level_nano.min(self.burst_nano);
+    }
+
+    /// Records one request admitted anywhere.
+    pub fn admit(&mut self, now_us: u64) {
+        self.settle(now_us);
+        self.admitted += 1;
+        match self.level_nano.checked_sub(TOKEN_NANO) {
+            Some(level) => self.level_nano = level,
+            None => self.over += 1,
+        }
+    }
+
+    fn settle(&mut self, now_us: u64) {
+        let gained = (now_us - self.settled_us) * self.rate_milli_per_s;
+        self.level_nano = (self.level_nano + gained).min(self.burst_nano);
+        self.settled_us = now_us;
+    }
+}
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         catalogue::{Catalogue, Group},
-        lists::Lists,
+        lists::{Lists, Plan},
         name::{DomainName, EndpointName, InstanceName, OrganisationName},
         number::{ControlTerm, Incarnation, ListsRevision, Revision},
         sorted::{Keyed, SortedVec},
@@ -61,6 +61,27 @@
     pub burst_milli: u64,
 }
 
+/// The bits of a grant number below the leader's election term.
+const GRANT_COUNTER_BITS: u32 = 32;
+
+/// The grant number that comes before all grants of a leader's election term.
+pub const fn first_grant_number(control_term: ControlTerm) -> u64 {
+    control_term.0 << GRANT_COUNTER_BITS
+}
+
+/// The election term of the leader that gave a grant.
+pub const fn grant_term(grant_number: u64) -> ControlTerm {
+    ControlTerm(grant_number >> GRANT_COUNTER_BITS)
+}
+
+impl Share {
+    /// The whole of what a plan allows one organisation.
+    pub fn of_plan(plan: &Plan) -> Self {
+        let rate_milli_per_s = (plan.rate_per_s * 1_000.0).floor().max(0.0) as u64;
+        Self { rate_milli_per_s, burst_milli: u64::from(plan.burst) * 1_000 }
+    }
+}
+
 /// What an entry instance holds and needs of one organisation's rate.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShareReport {
@@ -74,21 +95,26 @@
     pub demand_milli_per_s: u64,
     /// Requests that are waiting for a token now.
     pub waiting: u32,
-    /// Thousandths of tokens that the sender holds and does not need; it has taken them out of its bucket.
+    /// Thousandths of tokens that the sender has given back since its run began; it has taken them out of its bucket.
+    /// A running total, so that a lost or doubled heartbeat neither loses nor doubles them.
     pub returned_milli: u64,
 }
 
-/// A share that the control leader grants. It replaces the one before.
+/// A share that the control leader grants, in place of the one named by `replaces` and of no other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShareGrant {
     /// The organisation.
     pub organisation: OrganisationName,
-    /// Grows with every grant to this instance for this organisation.
+    /// Grows with every grant to this instance for this organisation; the leader's election term is its upper half.
     pub grant_number: u64,
+    /// The number of the grant that must be in force at the holder for this one to apply; 0 where none is.
+    pub replaces: u64,
     /// The share.
     pub share: Share,
     /// Thousandths of tokens that come with it, out of what was returned or kept in reserve.
     pub tokens_milli: u64,
+    /// The time after which the leader's reserve can hold a token for requests that wait; 0 where none wait.
+    pub next_token_ms: u64,
 }
 
 /// What an entry instance holds and needs of one endpoint's connections.
@@ -104,13 +130,15 @@
     pub wanted: u32,
 }
 
-/// How many connections an instance may hold to an endpoint. It replaces the grant before.
+/// How many connections an instance may hold to an endpoint, in place of the grant named by `replaces` and no other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitGrant {
     /// The endpoint.
     pub endpoint: EndpointName,
-    /// Grows with every grant to this instance for this endpoint.
+    /// Grows with every grant to this instance for this endpoint; the leader's election term is its upper half.
     pub grant_number: u64,
+    /// The number of the grant that must be in force at the holder for this one to apply; 0 where none is.
+    pub replaces: u64,
     /// The number of connections.
     pub permits: u32,
 }
