Read and check settings and the two lists

Cause: daemons and the operators' command need settings and lists that are checked whole before anything is applied.

Ruled out: deserialising with serde alone. It stops at the first problem and gives no place for checks across fields or files. Ruled out as well: a JSON Schema validator; its messages on alternatives don't say what to do.

Change: a reader over the JSON-with-comments tree that notes every problem with a code, its place and what to do; settings of entry and control instances; both lists with checks across them; JSON Schemas for editors. An open route must fix its statement, and an open write must be repeatable. The settings of an entry instance also name an optional operator token file, for the dump.

--- /dev/null
+++ b/crates/cumincart-config/src/lists.rs
@@ -0,0 +1,42 @@
+//! The two lists: reading and checking.
+
+mod organisations;
+mod plans;
+mod services;
+mod sql;
+
+use {
+    crate::{
+        problem::ConfigError,
+        read::{Notes, read_document, refuse_if_any},
+        source::Source,
+    },
+    cumincart_protocol::lists::Lists,
+    std::sync::Arc,
+};
+
+/// Reads and checks both lists whole.
+///
+/// # Errors
+///
+/// `ConfigError::Invalid` with every problem of both files, those of `organisations` first.
+pub fn parse_lists(organisations: &Source, plans: &Source) -> Result<Lists, ConfigError> {
+    let mut plan_notes = Notes::new(plans);
+    let plan_list = read_document(plans, &mut plan_notes, plans::read_plan_list);
+    let plan_names = plan_list.as_ref().map(|read| read.names.as_slice());
+
+    let mut organisation_notes = Notes::new(organisations);
+    let organisation_list = read_document(organisations, &mut organisation_notes, |value, notes| {
+        organisations::read_organisation_list(value, plan_names, notes)
+    });
+
+    let mut problems = organisation_notes.into_problems();
+    problems.extend(plan_notes.into_problems());
+    refuse_if_any(problems)?;
+    let organisations = organisation_list.unwrap_or_default();
+    let plans = plan_list.map(|read| read.list).unwrap_or_default();
+    Ok(Lists { organisations, plans })
+}
+
+/// The names of one kind of thing, as far as they could be read.
+type Names = [Arc<str>];
--- /dev/null
+++ b/crates/cumincart-config/src/lists/services.rs
@@ -0,0 +1,284 @@
+//! Services and their routes.
+
+use {
+    super::sql::used_parameters,
+    crate::{
+        problem::ProblemKind,
+        read::{
+            Declared, Fields, Notes, Spanned, check_name, near_name, read_array, read_bool, read_text,
+            read_unsigned,
+        },
+    },
+    cumincart_protocol::{
+        lists::{Access, DEFAULT_DEADLINE_MS, FixedStatement, ParameterSource, Route, Service},
+        name::{RouteName, ServiceName},
+    },
+    jsonc_parser::{
+        ast::Value,
+        common::{Range, Ranged},
+    },
+    std::sync::Arc,
+};
+
+/// The longest deadline of a route, in milliseconds.
+pub const DEADLINE_MAX_MS: u64 = 600_000;
+
+/// The greatest age that a read can accept, in milliseconds.
+pub const STALENESS_MAX_MS: u64 = 86_400_000;
+
+const DEADLINE_HELP: &str = "leave the field out for the ordinary deadline of 2000 ms";
+const STALENESS_HELP: &str = "0 makes the read see all that was acknowledged before it";
+
+const ROUTE_FIELDS: [&str; 9] = [
+    "name",
+    "access",
+    "open",
+    "max_staleness_ms",
+    "repeatable",
+    "deadline_ms",
+    "replicated",
+    "transaction",
+    "statement",
+];
+
+/// A service's name and its routes' names, also of those with problems.
+#[derive(Debug)]
+pub struct KnownService {
+    /// The service.
+    pub name: Arc<str>,
+    /// Its routes.
+    pub routes: Vec<Arc<str>>,
+}
+
+/// The services, with the names of all that could be read.
+#[derive(Debug, Default)]
+pub struct ReadServices {
+    /// The services.
+    pub list: Vec<Service>,
+    /// All names.
+    pub known: Vec<KnownService>,
+}
+
+/// Reads the services.
+pub fn read_services(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<ReadServices> {
+    let elements = read_array(value, "services", notes)?;
+    let mut read = ReadServices::default();
+    let mut declared = Declared::default();
+    for element in elements {
+        let service = read_service(element, &mut read.known, &mut declared, notes);
+        read.list.extend(service);
+    }
+    Some(read)
+}
+
+fn read_service(
+    value: &Value<'_>,
+    known: &mut Vec<KnownService>,
+    declared: &mut Declared,
+    notes: &mut Notes<'_>,
+) -> Option<Service> {
+    let fields = Fields::open(value, "a service", &["name", "routes"], notes)?;
+    let name = fields.required("name", notes).and_then(|value| read_text(value, "name", notes));
+    if let Some(name) = &name
+        && check_name(name, "a service", notes)
+    {
+        declared.check(name, "service", notes);
+    }
+    let elements = fields
+        .required("routes", notes)
+        .and_then(|value| read_array(value, "routes", notes))
+        .unwrap_or_default();
+    let mut route_names = Vec::with_capacity(elements.len());
+    let mut declared_routes = Declared::default();
+    let mut routes = Vec::with_capacity(elements.len());
+    for element in elements {
+        routes.extend(read_route(element, &mut route_names, &mut declared_routes, notes));
+    }
+    let name = name?.value;
+    known.push(KnownService { name: Arc::clone(&name), routes: route_names });
+    Some(Service { name: ServiceName::from(&*name), routes })
+}
+
+fn read_route(
+    value: &Value<'_>,
+    names: &mut Vec<Arc<str>>,
+    declared: &mut Declared,
+    notes: &mut Notes<'_>,
+) -> Option<Route> {
+    let fields = Fields::open(value, "a route", &ROUTE_FIELDS, notes)?;
+    let name = fields.required("name", notes).and_then(|value| read_text(value, "name", notes));
+    let owner = name.as_ref().map_or_else(|| Arc::from("?"), |name| Arc::clone(&name.value));
+    if let Some(name) = &name {
+        names.push(Arc::clone(&name.value));
+        if check_name(name, "a route", notes) {
+            declared.check(name, "route", notes);
+        }
+    }
+    let access = fields.required("access", notes).and_then(|value| read_access(value, notes));
+    let max_staleness_ms =
+        read_ms(&fields, "max_staleness_ms", 0, 0..=STALENESS_MAX_MS, STALENESS_HELP, notes);
+    let deadline_ms =
+        read_ms(&fields, "deadline_ms", DEFAULT_DEADLINE_MS, 1..=DEADLINE_MAX_MS, DEADLINE_HELP, notes);
+    let statement = fields.optional("statement").filter(|value| value.as_null_keyword().is_none());
+    let open = read_flag(&fields, "open", notes);
+    let repeatable = read_flag(&fields, "repeatable", notes);
+    let replicated = read_flag(&fields, "replicated", notes);
+    let transaction = read_flag(&fields, "transaction", notes);
+    let fixed = statement.and_then(|value| read_statement(value, &owner, notes));
+    let route = Route {
+        name: RouteName::from(&*owner),
+        access: access?,
+        open,
+        max_staleness_ms,
+        repeatable,
+        deadline_ms,
+        replicated,
+        transaction,
+        statement: fixed,
+    };
+    check_route(&route, &fields, statement.is_some(), notes);
+    name.map(|_| route)
+}
+
+fn read_access(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<Access> {
+    let text = read_text(value, "access", notes)?;
+    match &*text.value {
+        "read" => Some(Access::Read),
+        "write" => Some(Access::Write),
+        other => {
+            let help = near_name(other, ["read", "write"].into_iter(), "the values are");
+            let (what, found) = ("`access`".to_owned(), other.to_owned());
+            notes.add(text.range, ProblemKind::UnknownValue { what, found, help });
+            None
+        }
+    }
+}
+
+fn read_flag(fields: &Fields<'_>, field: &'static str, notes: &mut Notes<'_>) -> bool {
+    fields.optional(field).and_then(|value| read_bool(value, field, notes)).unwrap_or(false)
+}
+
+fn read_ms(
+    fields: &Fields<'_>,
+    field: &'static str,
+    default_ms: u64,
+    bounds: std::ops::RangeInclusive<u64>,
+    help: &'static str,
+    notes: &mut Notes<'_>,
+) -> u64 {
+    let value = fields.optional(field);
+    value.and_then(|value| read_unsigned(value, field, bounds, help, notes)).unwrap_or(default_ms)
+}
+
+/// Finds fields of a route that contradict each other.
+fn check_route(route: &Route, fields: &Fields<'_>, has_statement: bool, notes: &mut Notes<'_>) {
+    let mut conflict = |field: &str, conflict: &'static str, help: &'static str| {
+        let range = fields.optional(field).map_or_else(|| fields.range(), Ranged::range);
+        notes.add(range, ProblemKind::RouteConflict { route: route.name.to_string(), conflict, help });
+    };
+    if route.access == Access::Read && route.transaction {
+        conflict(
+            "transaction",
+            "a read route can't hold a transaction",
+            "set `access` to `write`, or remove `transaction`",
+        );
+    }
+    if route.access == Access::Read && route.replicated {
+        conflict("replicated", "a read route has nothing to replicate", "remove `replicated`");
+    }
+    if route.access == Access::Write && route.max_staleness_ms > 0 {
+        conflict("max_staleness_ms", "a write route can't accept stale data", "remove `max_staleness_ms`");
+    }
+    if route.access == Access::Write && route.open && !route.repeatable {
+        conflict(
+            "open",
+            "an open write must be repeatable, since strangers' request ids can collide",
+            "set `repeatable` to true if running it twice does no harm, or remove `open`",
+        );
+    }
+    if route.open && route.transaction {
+        conflict("open", "an open route can't hold a transaction", "remove `transaction` or `open`");
+    }
+    if route.open && !has_statement {
+        conflict("open", "an open route must fix its statement", "add `statement`, or remove `open`");
+    }
+    check_open_parameters(route, fields, notes);
+}
+
+fn check_open_parameters(route: &Route, fields: &Fields<'_>, notes: &mut Notes<'_>) {
+    let Some(statement) = route.statement.as_ref().filter(|_| route.open) else { return };
+    if !statement.parameters.contains(&ParameterSource::Organisation) {
+        return;
+    }
+    let parameters = fields
+        .optional("statement")
+        .and_then(Value::as_object)
+        .and_then(|object| object.get("parameters"))
+        .map_or_else(|| fields.range(), |property| property.value.range());
+    let kind = ProblemKind::RouteConflict {
+        route: route.name.to_string(),
+        conflict: "an open route has no organisation to bind",
+        help: "remove the parameter `organisation`, or remove `open`",
+    };
+    notes.add(parameters, kind);
+}
+
+fn read_statement(value: &Value<'_>, route: &str, notes: &mut Notes<'_>) -> Option<FixedStatement> {
+    let fields = Fields::open(value, "a statement", &["sql", "parameters"], notes)?;
+    let sql = fields.required("sql", notes).and_then(|value| read_text(value, "sql", notes));
+    let parameters = match fields.optional("parameters") {
+        Some(value) => read_parameters(value, notes),
+        None => Some((Vec::new(), fields.range())),
+    };
+    let (sql, (parameters, parameters_range)) = (sql?, parameters?);
+    check_parameters(route, &sql, parameters.len(), parameters_range, notes);
+    Some(FixedStatement { sql: sql.value, parameters })
+}
+
+fn read_parameters(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<(Vec<ParameterSource>, Range)> {
+    let elements = read_array(value, "parameters", notes)?;
+    let sources: Vec<_> = elements.iter().filter_map(|element| read_parameter(element, notes)).collect();
+    (sources.len() == elements.len()).then(|| (sources, value.range()))
+}
+
+fn read_parameter(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<ParameterSource> {
+    if let Some(literal) = value.as_string_lit() {
+        if literal.value == "organisation" {
+            return Some(ParameterSource::Organisation);
+        }
+        let kind = ProblemKind::UnknownValue {
+            what: "a parameter".to_owned(),
+            found: literal.value.to_string(),
+            help: format!(
+                "write \"organisation\", or {{\"caller\": \"{}\"}} for a value of the caller",
+                literal.value
+            ),
+        };
+        notes.add(literal.range, kind);
+        return None;
+    }
+    let fields = Fields::open(value, "a parameter", &["caller"], notes)?;
+    let name = read_text(fields.required("caller", notes)?, "caller", notes)?;
+    check_name(&name, "a parameter", notes).then_some(ParameterSource::Caller(name.value))
+}
+
+/// Compares the numbers of the parameters in the SQL with the declared ones.
+fn check_parameters(
+    route: &str,
+    sql: &Spanned<Arc<str>>,
+    count: usize,
+    parameters_range: Range,
+    notes: &mut Notes<'_>,
+) {
+    let used = used_parameters(&sql.value);
+    let is_declared = |number: u32| (1..=count).contains(&usize::try_from(number).unwrap_or(usize::MAX));
+    for &number in used.iter().filter(|&&number| !is_declared(number)) {
+        notes.add(sql.range, ProblemKind::UndeclaredParameter { route: route.to_owned(), number, count });
+    }
+    for number in 1..=count {
+        let is_used = used.iter().any(|&used| usize::try_from(used) == Ok(number));
+        if !is_used {
+            notes.add(parameters_range, ProblemKind::UnusedParameter { route: route.to_owned(), number });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumincart-config/src/problem.rs
@@ -0,0 +1,349 @@
+//! What can be wrong with a settings file or a list.
+
+use {
+    miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode, SourceSpan},
+    std::{fmt, sync::Arc},
+};
+
+/// Why settings or lists can't be used.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum ConfigError {
+    /// A file can't be read.
+    #[error("{name} can't be read: {reason}")]
+    #[diagnostic(code(cumincart::config::unreadable), help("check the path and the file's permissions"))]
+    Unreadable {
+        /// The file.
+        name: String,
+        /// Why.
+        reason: String,
+    },
+    /// The content is wrong; nothing of it was applied.
+    #[error("{}", count_text(problems.len()))]
+    #[diagnostic(code(cumincart::config::invalid), help("correct every problem below; nothing was applied"))]
+    Invalid {
+        /// All problems, in the order of the files.
+        #[related]
+        problems: Vec<Problem>,
+    },
+}
+
+impl ConfigError {
+    /// The problems in the content; none for a file that can't be read.
+    pub fn problems(&self) -> &[Problem] {
+        match self {
+            Self::Unreadable { .. } => &[],
+            Self::Invalid { problems } => problems,
+        }
+    }
+}
+
+fn count_text(count: usize) -> String {
+    match count {
+        1 => "1 problem was found".to_owned(),
+        count => format!("{count} problems were found"),
+    }
+}
+
+/// One problem and its place.
+#[derive(Debug, Clone)]
+pub struct Problem {
+    /// What is wrong.
+    pub kind: ProblemKind,
+    /// The file and its text.
+    pub source: NamedSource<Arc<str>>,
+    /// The offending bytes of the text.
+    pub span: SourceSpan,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.kind.fmt(f)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+impl Diagnostic for Problem {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        self.kind.code()
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        self.kind.help()
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let label = LabeledSpan::new_with_span(Some("here".to_owned()), self.span);
+        Some(Box::new(std::iter::once(label)))
+    }
+}
+
+/// What is wrong with a settings file or a list. Codes are stable; wording is not.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, Diagnostic)]
+pub enum ProblemKind {
+    /// The text is not JSON with comments.
+    #[error("this is not JSON with comments: {0}")]
+    #[diagnostic(
+        code(cumincart::config::syntax),
+        help("write strict JSON; comments and a comma after the last element are allowed")
+    )]
+    Syntax(String),
+
+    /// A value has the wrong type.
+    #[error("{what} must be {expected}, but is {found}")]
+    #[diagnostic(code(cumincart::config::type_mismatch), help("write {expected} here"))]
+    TypeMismatch {
+        /// The field.
+        what: String,
+        /// The type that it must have.
+        expected: &'static str,
+        /// The type that it has.
+        found: &'static str,
+    },
+
+    /// An object has a field that is not known.
+    #[error("{owner} has no field `{field}`")]
+    #[diagnostic(code(cumincart::config::unknown_field), help("{help}"))]
+    UnknownField {
+        /// The kind of object.
+        owner: &'static str,
+        /// The field.
+        field: String,
+        /// What to do.
+        help: String,
+    },
+
+    /// An object has a field twice.
+    #[error("{owner} has the field `{field}` twice")]
+    #[diagnostic(code(cumincart::config::repeated_field), help("keep one of the two"))]
+    RepeatedField {
+        /// The kind of object.
+        owner: &'static str,
+        /// The field.
+        field: String,
+    },
+
+    /// An object lacks a field.
+    #[error("{owner} lacks the field `{field}`")]
+    #[diagnostic(code(cumincart::config::missing_field), help("add `\"{field}\": …` to this object"))]
+    MissingField {
+        /// The kind of object.
+        owner: &'static str,
+        /// The field.
+        field: &'static str,
+    },
+
+    /// A word is not one of those that are allowed.
+    #[error("`{found}` is not a value of {what}")]
+    #[diagnostic(code(cumincart::config::unknown_value), help("{help}"))]
+    UnknownValue {
+        /// The field.
+        what: String,
+        /// The word.
+        found: String,
+        /// What to do.
+        help: String,
+    },
+
+    /// A number lies outside its bounds.
+    #[error("{what} must be {expected}, but is {found}")]
+    #[diagnostic(code(cumincart::config::out_of_range), help("{help}"))]
+    OutOfRange {
+        /// The field.
+        what: String,
+        /// The bounds.
+        expected: String,
+        /// The number.
+        found: String,
+        /// What to do.
+        help: &'static str,
+    },
+
+    /// A name is empty, too long or has a character that names can't have.
+    #[error("`{found}` can't be the name of {what}")]
+    #[diagnostic(
+        code(cumincart::config::bad_name),
+        help("use 1 to 64 ASCII letters, digits, `-`, `_` and `.`")
+    )]
+    BadName {
+        /// What is named.
+        what: &'static str,
+        /// The name.
+        found: String,
+    },
+
+    /// Two things have one name.
+    #[error("the {what} `{name}` is declared twice")]
+    #[diagnostic(
+        code(cumincart::config::duplicate_name),
+        help("line {first_line} has it already: rename one of them or remove it")
+    )]
+    DuplicateName {
+        /// What is named.
+        what: &'static str,
+        /// The name.
+        name: String,
+        /// The line of the first declaration, counted from 1.
+        first_line: usize,
+    },
+
+    /// Two key entries have one digest.
+    #[error("the key `{id}` has the same digest as the key `{first}` of organisation `{organisation}`")]
+    #[diagnostic(
+        code(cumincart::config::duplicate_key),
+        help(
+            "a key belongs to one organisation: make another with `cumincart key new`, or remove one entry"
+        )
+    )]
+    DuplicateKey {
+        /// The later key's id.
+        id: String,
+        /// The earlier key's id.
+        first: String,
+        /// The organisation that has the earlier key.
+        organisation: String,
+    },
+
+    /// A key's digest is not SHA-256 in hexadecimal.
+    #[error("the digest of the key `{id}` is not 64 lower-case hexadecimal digits")]
+    #[diagnostic(
+        code(cumincart::config::bad_digest),
+        help("put the SHA-256 digest that `cumincart key new` printed here, never the key itself")
+    )]
+    BadDigest {
+        /// The key's id.
+        id: String,
+    },
+
+    /// An organisation is on a plan that there is not.
+    #[error("organisation `{organisation}` is on plan `{plan}`, which there is not")]
+    #[diagnostic(code(cumincart::config::unknown_plan), help("{help}"))]
+    UnknownPlan {
+        /// The organisation.
+        organisation: String,
+        /// The plan.
+        plan: String,
+        /// What to do.
+        help: String,
+    },
+
+    /// A plan names a service that there is not.
+    #[error("plan `{plan}` names service `{service}`, which there is not")]
+    #[diagnostic(code(cumincart::config::unknown_service), help("{help}"))]
+    UnknownService {
+        /// The plan.
+        plan: String,
+        /// The service.
+        service: String,
+        /// What to do.
+        help: String,
+    },
+
+    /// A plan names a route that its service does not have.
+    #[error("plan `{plan}` names route `{route}`, which service `{service}` does not have")]
+    #[diagnostic(code(cumincart::config::unknown_route), help("{help}"))]
+    UnknownRoute {
+        /// The plan.
+        plan: String,
+        /// The service.
+        service: String,
+        /// The route.
+        route: String,
+        /// What to do.
+        help: String,
+    },
+
+    /// A plan names a route twice.
+    #[error("plan `{plan}` names route `{route}` of service `{service}` twice")]
+    #[diagnostic(code(cumincart::config::repeated_route), help("keep one of the two"))]
+    RepeatedRoute {
+        /// The plan.
+        plan: String,
+        /// The service.
+        service: String,
+        /// The route.
+        route: String,
+    },
+
+    /// A route's fields contradict each other.
+    #[error("route `{route}`: {conflict}")]
+    #[diagnostic(code(cumincart::config::route_conflict), help("{help}"))]
+    RouteConflict {
+        /// The route.
+        route: String,
+        /// What contradicts what.
+        conflict: &'static str,
+        /// What to do.
+        help: &'static str,
+    },
+
+    /// The SQL uses a parameter that is not declared.
+    #[error("route `{route}`: the SQL uses `${number}`, but {count} parameters are declared")]
+    #[diagnostic(
+        code(cumincart::config::undeclared_parameter),
+        help("add the value's source to `parameters`, or change the number in the SQL")
+    )]
+    UndeclaredParameter {
+        /// The route.
+        route: String,
+        /// The parameter's number.
+        number: u32,
+        /// How many are declared.
+        count: usize,
+    },
+
+    /// A declared parameter does not occur in the SQL.
+    #[error("route `{route}`: parameter {number} is declared, but the SQL does not use `${number}`")]
+    #[diagnostic(
+        code(cumincart::config::unused_parameter),
+        help("use the parameter in the SQL, or remove it from `parameters`")
+    )]
+    UnusedParameter {
+        /// The route.
+        route: String,
+        /// The parameter's number.
+        number: usize,
+    },
+
+    /// An address is not an IP number and a port.
+    #[error("`{found}` is not an address for {what}")]
+    #[diagnostic(code(cumincart::config::bad_address), help("{help}"))]
+    BadAddress {
+        /// The field.
+        what: String,
+        /// The text.
+        found: String,
+        /// What to do.
+        help: &'static str,
+    },
+
+    /// An address stands twice.
+    #[error("the address `{address}` is used twice")]
+    #[diagnostic(
+        code(cumincart::config::duplicate_address),
+        help("line {first_line} has it already: give each its own address")
+    )]
+    DuplicateAddress {
+        /// The address.
+        address: String,
+        /// The line of its first use, counted from 1.
+        first_line: usize,
+    },
+
+    /// The list of control instances does not name this instance, or names it with another address.
+    #[error("`members` does not name instance `{instance}` with its peer address `{address}`")]
+    #[diagnostic(
+        code(cumincart::config::not_a_member),
+        help("list every control instance in `members`, this one too, with the same addresses everywhere")
+    )]
+    NotAMember {
+        /// This instance.
+        instance: String,
+        /// Its peer address.
+        address: String,
+    },
+}
--- /dev/null
+++ b/crates/cumincart-config/src/read/fields.rs
@@ -0,0 +1,78 @@
+//! The fields of one object.
+
+use {
+    super::{
+        document::Notes,
+        value::{near_name, type_mismatch},
+    },
+    crate::problem::ProblemKind,
+    jsonc_parser::{
+        ast::{Object, ObjectPropName, Value},
+        common::{Range, Ranged},
+    },
+};
+
+/// The field by which an editor finds a file's schema; allowed in the outermost object.
+pub const SCHEMA_FIELD: &str = "$schema";
+
+/// An object whose fields have been compared with the known ones.
+#[derive(Debug, Clone, Copy)]
+pub struct Fields<'a> {
+    owner: &'static str,
+    object: &'a Object<'a>,
+}
+
+impl<'a> Fields<'a> {
+    /// Takes a value as an object; notes unknown and repeated fields.
+    pub fn open(
+        value: &'a Value<'a>,
+        owner: &'static str,
+        known: &[&'static str],
+        notes: &mut Notes<'_>,
+    ) -> Option<Self> {
+        let Some(object) = value.as_object() else {
+            notes.add(value.range(), type_mismatch(owner, "an object", value));
+            return None;
+        };
+        for (index, property) in object.properties.iter().enumerate() {
+            let field = property.name.as_str();
+            let range = name_range(&property.name);
+            if !known.contains(&field) {
+                let help = near_name(field, known.iter().copied(), "the fields are");
+                notes.add(range, ProblemKind::UnknownField { owner, field: field.to_owned(), help });
+            } else if object.properties[..index].iter().any(|earlier| earlier.name.as_str() == field) {
+                notes.add(range, ProblemKind::RepeatedField { owner, field: field.to_owned() });
+            }
+        }
+        Some(Self { owner, object })
+    }
+
+    /// The place of the whole object.
+    pub fn range(&self) -> Range {
+        self.object.range
+    }
+
+    /// A field that may be absent.
+    pub fn optional(&self, field: &str) -> Option<&'a Value<'a>> {
+        let property = self.object.properties.iter().find(|property| property.name.as_str() == field)?;
+        Some(&property.value)
+    }
+
+    /// A field that must be there.
+    pub fn required(&self, field: &'static str, notes: &mut Notes<'_>) -> Option<&'a Value<'a>> {
+        let value = self.optional(field);
+        if value.is_none() {
+            let start = self.object.range.start;
+            let brace = Range { start, end: start + 1 };
+            notes.add(brace, ProblemKind::MissingField { owner: self.owner, field });
+        }
+        value
+    }
+}
+
+fn name_range(name: &ObjectPropName<'_>) -> Range {
+    match name {
+        ObjectPropName::String(literal) => literal.range,
+        ObjectPropName::Word(literal) => literal.range,
+    }
+}
--- /dev/null
+++ b/crates/cumincart-config/src/read/value.rs
@@ -0,0 +1,188 @@
+//! Values of single types.
+
+use {
+    super::document::{Notes, Spanned},
+    crate::problem::ProblemKind,
+    jsonc_parser::{
+        ast::Value,
+        common::{Range, Ranged},
+    },
+    std::{net::SocketAddr, ops::RangeInclusive, sync::Arc},
+};
+
+/// The longest name, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+/// The greatest edit distance at which a name is offered in place of a wrong one.
+const NEAR_NAME_MAX_EDITS: usize = 2;
+
+/// The problem of a value with a wrong type.
+pub fn type_mismatch(what: impl Into<String>, expected: &'static str, value: &Value<'_>) -> ProblemKind {
+    ProblemKind::TypeMismatch { what: what.into(), expected, found: type_name(value) }
+}
+
+fn type_name(value: &Value<'_>) -> &'static str {
+    match value {
+        Value::StringLit(_) => "a string",
+        Value::NumberLit(_) => "a number",
+        Value::BooleanLit(_) => "a truth value",
+        Value::Object(_) => "an object",
+        Value::Array(_) => "an array",
+        Value::NullKeyword(_) => "null",
+    }
+}
+
+/// A string.
+pub fn read_text(value: &Value<'_>, what: &str, notes: &mut Notes<'_>) -> Option<Spanned<Arc<str>>> {
+    let Some(literal) = value.as_string_lit() else {
+        notes.add(value.range(), type_mismatch(format!("`{what}`"), "a string", value));
+        return None;
+    };
+    Some(Spanned { value: Arc::from(literal.value.as_ref()), range: literal.range })
+}
+
+/// A truth value.
+pub fn read_bool(value: &Value<'_>, what: &str, notes: &mut Notes<'_>) -> Option<bool> {
+    let Some(literal) = value.as_boolean_lit() else {
+        notes.add(value.range(), type_mismatch(format!("`{what}`"), "true or false", value));
+        return None;
+    };
+    Some(literal.value)
+}
+
+/// The elements of an array.
+pub fn read_array<'a>(value: &'a Value<'a>, what: &str, notes: &mut Notes<'_>) -> Option<&'a [Value<'a>]> {
+    let Some(array) = value.as_array() else {
+        notes.add(value.range(), type_mismatch(format!("`{what}`"), "an array", value));
+        return None;
+    };
+    Some(&array.elements)
+}
+
+/// A whole number within bounds.
+pub fn read_unsigned(
+    value: &Value<'_>,
+    what: &str,
+    bounds: RangeInclusive<u64>,
+    help: &'static str,
+    notes: &mut Notes<'_>,
+) -> Option<u64> {
+    let Some(literal) = value.as_number_lit() else {
+        notes.add(value.range(), type_mismatch(format!("`{what}`"), "a whole number", value));
+        return None;
+    };
+    let number = literal.value.parse().ok().filter(|number| bounds.contains(number));
+    if number.is_none() {
+        let expected = format!("a whole number from {} to {}", bounds.start(), bounds.end());
+        notes.add(literal.range, out_of_range(what, expected, literal.value, help));
+    }
+    number
+}
+
+/// A number, whole or not, within bounds.
+pub fn read_number(
+    value: &Value<'_>,
+    what: &str,
+    bounds: RangeInclusive<f64>,
+    help: &'static str,
+    notes: &mut Notes<'_>,
+) -> Option<f64> {
+    let Some(literal) = value.as_number_lit() else {
+        notes.add(value.range(), type_mismatch(format!("`{what}`"), "a number", value));
+        return None;
+    };
+    let number =
+        literal.value.parse().ok().filter(|number: &f64| number.is_finite() && bounds.contains(number));
+    if number.is_none() {
+        let expected = format!("a number from {} to {}", bounds.start(), bounds.end());
+        notes.add(literal.range, out_of_range(what, expected, literal.value, help));
+    }
+    number
+}
+
+fn out_of_range(what: &str, expected: String, found: &str, help: &'static str) -> ProblemKind {
+    ProblemKind::OutOfRange { what: format!("`{what}`"), expected, found: found.to_owned(), help }
+}
+
+/// Checks a name's length and characters.
+pub fn check_name(name: &Spanned<Arc<str>>, what: &'static str, notes: &mut Notes<'_>) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    let length_fits = (1..=NAME_MAX_BYTES).contains(&name.value.len());
+    let good = length_fits && name.value.bytes().all(is_allowed);
+    if !good {
+        notes.add(name.range, ProblemKind::BadName { what, found: name.value.to_string() });
+    }
+    good
+}
+
+/// How an address is used, which decides what it may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AddressUse {
+    /// Only listened on: any interface and a free port may be chosen.
+    Listen,
+    /// Told to others: must name one interface and one port.
+    Reach,
+}
+
+/// An IP number and a port, in its usual form.
+pub fn read_address(
+    value: &Value<'_>,
+    what: &str,
+    usage: AddressUse,
+    notes: &mut Notes<'_>,
+) -> Option<Spanned<Arc<str>>> {
+    let text = read_text(value, what, notes)?;
+    let bad = |help: &'static str| ProblemKind::BadAddress {
+        what: format!("`{what}`"),
+        found: text.value.to_string(),
+        help,
+    };
+    let Ok(address) = text.value.parse::<SocketAddr>() else {
+        notes.add(text.range, bad("write an IP number and a port, such as `127.0.0.1:7400` or `[::1]:7400`"));
+        return None;
+    };
+    if usage == AddressUse::Reach && (address.port() == 0 || address.ip().is_unspecified()) {
+        notes.add(text.range, bad("other instances connect to it: name one IP number and a port above 0"));
+        return None;
+    }
+    Some(Spanned { value: Arc::from(address.to_string()), range: text.range })
+}
+
+/// A help line that offers the nearest known name, or lists them all.
+pub fn near_name<'n>(wrong: &str, known: impl Iterator<Item = &'n str> + Clone, intro: &str) -> String {
+    let distance = |name: &&str| strsim::damerau_levenshtein(wrong, name);
+    let nearest = known.clone().filter(|name| distance(name) <= NEAR_NAME_MAX_EDITS).min_by_key(distance);
+    if let Some(nearest) = nearest {
+        return format!("did you mean `{nearest}`?");
+    }
+    let names: Vec<String> = known.map(|name| format!("`{name}`")).collect();
+    if names.is_empty() { "there are none".to_owned() } else { format!("{intro} {}", names.join(", ")) }
+}
+
+/// The names and places of what has been declared so far, to find duplicates.
+#[derive(Debug, Default)]
+pub struct Declared {
+    names: Vec<(Arc<str>, Range)>,
+}
+
+impl Declared {
+    /// Adds a name; the place of its first declaration if there is one already.
+    pub fn add(&mut self, name: &Spanned<Arc<str>>) -> Option<Range> {
+        match self.names.binary_search_by(|(known, _)| known.cmp(&name.value)) {
+            Ok(index) => Some(self.names[index].1),
+            Err(index) => {
+                self.names.insert(index, (Arc::clone(&name.value), name.range));
+                None
+            }
+        }
+    }
+
+    /// Adds a name and notes a duplicate.
+    pub fn check(&mut self, name: &Spanned<Arc<str>>, what: &'static str, notes: &mut Notes<'_>) {
+        if let Some(first) = self.add(name) {
+            let first_line = notes.line(first);
+            let kind = ProblemKind::DuplicateName { what, name: name.value.to_string(), first_line };
+            notes.add(name.range, kind);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumincart-config/src/settings.rs
@@ -0,0 +1,71 @@
+//! Settings of entry and control instances.
+
+mod common;
+mod control;
+mod entry;
+
+pub use {
+    common::{DEFAULT_CONNECT_TIMEOUT_MS, EndpointLogin, LogFormat, LogLevel, LogSettings},
+    control::{CONTROL_INSTANCES_MAX, ControlSettings, MemberAddress},
+    entry::EntrySettings,
+};
+
+use {
+    crate::{
+        problem::ConfigError,
+        read::{Notes, read_document, refuse_if_any},
+        source::Source,
+    },
+    jsonc_parser::ast::Value,
+    std::path::Path,
+};
+
+/// Reads and checks the settings of an entry instance. Paths in them are relative to the file's folder.
+///
+/// # Errors
+///
+/// `ConfigError::Unreadable`, or `ConfigError::Invalid` with every problem of the file.
+pub fn read_entry_settings(path: &Path) -> Result<EntrySettings, ConfigError> {
+    parse_entry_settings(&Source::read(path)?, folder_of(path))
+}
+
+/// Checks the settings of an entry instance; paths in them are relative to `folder`.
+///
+/// # Errors
+///
+/// `ConfigError::Invalid` with every problem of the text.
+pub fn parse_entry_settings(source: &Source, folder: &Path) -> Result<EntrySettings, ConfigError> {
+    parse(source, |value, notes| entry::read_entry(value, folder, notes))
+}
+
+/// Reads and checks the settings of a control instance. Paths in them are relative to the file's folder.
+///
+/// # Errors
+///
+/// `ConfigError::Unreadable`, or `ConfigError::Invalid` with every problem of the file.
+pub fn read_control_settings(path: &Path) -> Result<ControlSettings, ConfigError> {
+    parse_control_settings(&Source::read(path)?, folder_of(path))
+}
+
+/// Checks the settings of a control instance; paths in them are relative to `folder`.
+///
+/// # Errors
+///
+/// `ConfigError::Invalid` with every problem of the text.
+pub fn parse_control_settings(source: &Source, folder: &Path) -> Result<ControlSettings, ConfigError> {
+    parse(source, |value, notes| control::read_control(value, folder, notes))
+}
+
+fn folder_of(path: &Path) -> &Path {
+    path.parent().unwrap_or_else(|| Path::new(""))
+}
+
+fn parse<T>(
+    source: &Source,
+    read: impl FnOnce(&Value<'_>, &mut Notes<'_>) -> Option<T>,
+) -> Result<T, ConfigError> {
+    let mut notes = Notes::new(source);
+    let settings = read_document(source, &mut notes, read);
+    refuse_if_any(notes.into_problems())?;
+    Ok(settings.expect("a reader that gives nothing has noted a problem"))
+}
--- /dev/null
+++ b/crates/cumincart-config/src/settings/control.rs
@@ -0,0 +1,171 @@
+//! Settings of a control instance.
+
+use {
+    super::common::{
+        EndpointLogin, LogSettings, check_addresses, read_log, read_login, read_name, read_path,
+    },
+    crate::{
+        problem::ProblemKind,
+        read::{AddressUse, Declared, Fields, Notes, SCHEMA_FIELD, Spanned, read_address, read_array},
+    },
+    cumincart_protocol::name::{DomainName, InstanceName},
+    jsonc_parser::{ast::Value, common::Ranged},
+    schemars::JsonSchema,
+    serde::Serialize,
+    std::{
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
+};
+
+/// The greatest number of control instances.
+pub const CONTROL_INSTANCES_MAX: usize = 8;
+
+/// What a control instance is told by its settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The address at which operators and endpoints reach it, as `ip:port`; port 0 takes any free port.
+    pub http_address: Arc<str>,
+    /// The address at which other instances reach it, as `ip:port`.
+    pub peer_address: Arc<str>,
+    /// The folder for all that it must not forget.
+    pub data_folder: PathBuf,
+    /// The file with the secret that all instances share.
+    pub fleet_secret_file: PathBuf,
+    /// The file with the token that operators present.
+    pub operator_token_file: PathBuf,
+    /// The control instances that a new group starts with, this one included.
+    #[schemars(length(min = 1, max = 8))]
+    pub members: Vec<MemberAddress>,
+    /// How it logs in at endpoints, to promote them.
+    pub endpoint_login: EndpointLogin,
+    /// How it logs.
+    #[schemars(default)]
+    pub log: LogSettings,
+}
+
+/// A control instance and its peer address.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct MemberAddress {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its peer address, as `ip:port`.
+    pub peer_address: Arc<str>,
+}
+
+const KNOWN: [&str; 11] = [
+    SCHEMA_FIELD,
+    "instance",
+    "domain",
+    "http_address",
+    "peer_address",
+    "data_folder",
+    "fleet_secret_file",
+    "operator_token_file",
+    "members",
+    "endpoint_login",
+    "log",
+];
+
+/// A member while it is checked.
+#[derive(Debug)]
+struct ReadMember {
+    instance: Spanned<Arc<str>>,
+    peer_address: Spanned<Arc<str>>,
+}
+
+/// Reads the settings of a control instance.
+pub fn read_control(value: &Value<'_>, folder: &Path, notes: &mut Notes<'_>) -> Option<ControlSettings> {
+    let fields = Fields::open(value, "the settings of a control instance", &KNOWN, notes)?;
+    let instance = read_name(&fields, "instance", "an instance", notes);
+    let domain = read_name(&fields, "domain", "a failure domain", notes);
+    let http = fields
+        .required("http_address", notes)
+        .and_then(|value| read_address(value, "http_address", AddressUse::Listen, notes));
+    let peer = fields
+        .required("peer_address", notes)
+        .and_then(|value| read_address(value, "peer_address", AddressUse::Reach, notes));
+    let data_folder = read_path(&fields, "data_folder", folder, notes);
+    let fleet_secret_file = read_path(&fields, "fleet_secret_file", folder, notes);
+    let operator_token_file = read_path(&fields, "operator_token_file", folder, notes);
+    let members_value = fields.required("members", notes);
+    let members = members_value.and_then(|value| read_members(value, notes));
+    let endpoint_login = read_login(&fields, folder, notes);
+    let log = read_log(&fields, notes);
+    check_addresses(&http.iter().chain(&peer).collect::<Vec<_>>(), notes);
+    if let (Some(value), Some(members), Some(instance), Some(peer)) =
+        (members_value, &members, &instance, &peer)
+    {
+        check_own_entry(value, members, &instance.value, &peer.value, notes);
+    }
+    Some(ControlSettings {
+        instance: InstanceName::from(&*instance?.value),
+        domain: DomainName::from(&*domain?.value),
+        http_address: http?.value,
+        peer_address: peer?.value,
+        data_folder: data_folder?,
+        fleet_secret_file: fleet_secret_file?,
+        operator_token_file: operator_token_file?,
+        members: members?.into_iter().map(member_address).collect(),
+        endpoint_login: endpoint_login?,
+        log,
+    })
+}
+
+fn member_address(read: ReadMember) -> MemberAddress {
+    MemberAddress {
+        instance: InstanceName::from(&*read.instance.value),
+        peer_address: read.peer_address.value,
+    }
+}
+
+fn read_members(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<Vec<ReadMember>> {
+    let elements = read_array(value, "members", notes)?;
+    if !(1..=CONTROL_INSTANCES_MAX).contains(&elements.len()) {
+        let kind = ProblemKind::OutOfRange {
+            what: "`members`".to_owned(),
+            expected: format!("1 to {CONTROL_INSTANCES_MAX} control instances"),
+            found: elements.len().to_string(),
+            help: "5 instances, at least one in each failure domain, stand the loss of two",
+        };
+        notes.add(value.range(), kind);
+    }
+    let members: Vec<_> = elements.iter().filter_map(|element| read_member(element, notes)).collect();
+    let mut declared = Declared::default();
+    for member in &members {
+        declared.check(&member.instance, "control instance", notes);
+    }
+    check_addresses(&members.iter().map(|member| &member.peer_address).collect::<Vec<_>>(), notes);
+    (members.len() == elements.len()).then_some(members)
+}
+
+fn read_member(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<ReadMember> {
+    let fields = Fields::open(value, "a member", &["instance", "peer_address"], notes)?;
+    let instance = read_name(&fields, "instance", "an instance", notes);
+    let peer_address = fields
+        .required("peer_address", notes)
+        .and_then(|value| read_address(value, "peer_address", AddressUse::Reach, notes));
+    Some(ReadMember { instance: instance?, peer_address: peer_address? })
+}
+
+fn check_own_entry(
+    value: &Value<'_>,
+    members: &[ReadMember],
+    instance: &Arc<str>,
+    address: &Arc<str>,
+    notes: &mut Notes<'_>,
+) {
+    let is_own =
+        |member: &ReadMember| member.instance.value == *instance && member.peer_address.value == *address;
+    if members.iter().any(is_own) {
+        return;
+    }
+    let kind = ProblemKind::NotAMember { instance: instance.to_string(), address: address.to_string() };
+    notes.add(value.range(), kind);
+}
--- /dev/null
+++ b/crates/cumincart-config/src/settings/entry.rs
@@ -0,0 +1,112 @@
+//! Settings of an entry instance.
+
+use {
+    super::common::{
+        EndpointLogin, LogSettings, check_addresses, read_log, read_login, read_name, read_optional_path,
+        read_path,
+    },
+    crate::{
+        problem::ProblemKind,
+        read::{AddressUse, Fields, Notes, SCHEMA_FIELD, Spanned, read_address, read_array},
+    },
+    cumincart_protocol::name::{DomainName, InstanceName},
+    jsonc_parser::{ast::Value, common::Ranged},
+    schemars::JsonSchema,
+    serde::Serialize,
+    std::{
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
+};
+
+/// What an entry instance is told by its settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The address at which callers and the platform reach it, as `ip:port`; port 0 takes any free port.
+    pub http_address: Arc<str>,
+    /// The address at which other instances reach it, as `ip:port`.
+    pub peer_address: Arc<str>,
+    /// The peer addresses of the control instances, each as `ip:port`.
+    pub control_addresses: Vec<Arc<str>>,
+    /// The file with the secret that all instances share.
+    pub fleet_secret_file: PathBuf,
+    /// The file with the token that operators present; without it, the dump is refused.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub operator_token_file: Option<PathBuf>,
+    /// How it logs in at endpoints.
+    pub endpoint_login: EndpointLogin,
+    /// How it logs.
+    #[schemars(default)]
+    pub log: LogSettings,
+    /// Where it remembers its last revision over a restart; without it, it starts with none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub data_folder: Option<PathBuf>,
+}
+
+const KNOWN: [&str; 11] = [
+    SCHEMA_FIELD,
+    "instance",
+    "domain",
+    "http_address",
+    "peer_address",
+    "control_addresses",
+    "fleet_secret_file",
+    "operator_token_file",
+    "endpoint_login",
+    "log",
+    "data_folder",
+];
+
+/// Reads the settings of an entry instance.
+pub fn read_entry(value: &Value<'_>, folder: &Path, notes: &mut Notes<'_>) -> Option<EntrySettings> {
+    let fields = Fields::open(value, "the settings of an entry instance", &KNOWN, notes)?;
+    let instance = read_name(&fields, "instance", "an instance", notes);
+    let domain = read_name(&fields, "domain", "a failure domain", notes);
+    let http = fields
+        .required("http_address", notes)
+        .and_then(|value| read_address(value, "http_address", AddressUse::Listen, notes));
+    let peer = fields
+        .required("peer_address", notes)
+        .and_then(|value| read_address(value, "peer_address", AddressUse::Reach, notes));
+    let controls =
+        fields.required("control_addresses", notes).and_then(|value| read_control_addresses(value, notes));
+    let fleet_secret_file = read_path(&fields, "fleet_secret_file", folder, notes);
+    let operator_token_file = read_optional_path(&fields, "operator_token_file", folder, notes);
+    let endpoint_login = read_login(&fields, folder, notes);
+    let log = read_log(&fields, notes);
+    let data_folder = read_optional_path(&fields, "data_folder", folder, notes);
+    let all: Vec<_> = http.iter().chain(&peer).chain(controls.iter().flatten()).collect();
+    check_addresses(&all, notes);
+    Some(EntrySettings {
+        instance: InstanceName::from(&*instance?.value),
+        domain: DomainName::from(&*domain?.value),
+        http_address: http?.value,
+        peer_address: peer?.value,
+        control_addresses: controls?.into_iter().map(|address| address.value).collect(),
+        fleet_secret_file: fleet_secret_file?,
+        operator_token_file,
+        endpoint_login: endpoint_login?,
+        log,
+        data_folder,
+    })
+}
+
+fn read_control_addresses(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<Vec<Spanned<Arc<str>>>> {
+    let elements = read_array(value, "control_addresses", notes)?;
+    if elements.is_empty() {
+        let kind = ProblemKind::OutOfRange {
+            what: "`control_addresses`".to_owned(),
+            expected: "one address or more".to_owned(),
+            found: "empty".to_owned(),
+            help: "write the `peer_address` of every control instance",
+        };
+        notes.add(value.range(), kind);
+    }
+    let read = |element| read_address(element, "control_addresses", AddressUse::Reach, notes);
+    Some(elements.iter().filter_map(read).collect())
+}
