--- a/crates/cumincart-config/src/lists/services.rs
+++ b/crates/cumincart-config/src/lists/services.rs
@@ -26,6 +26,9 @@
 /// The greatest age that a read can accept, in milliseconds.
 pub const STALENESS_MAX_MS: u64 = 86_400_000;
 
+/// The name under which callers end transactions, as in `POST /v1/transactions/commit`.
+pub const RESERVED_SERVICE: &str = "transactions";
+
 const DEADLINE_HELP: &str = "leave the field out for the ordinary deadline of 2000 ms";
 const STALENESS_HELP: &str = "0 makes the read see all that was acknowledged before it";
 
@@ -71,6 +74,12 @@
     Some(read)
 }
 
+fn check_reserved(name: &Spanned<Arc<str>>, notes: &mut Notes<'_>) {
+    if &*name.value == RESERVED_SERVICE {
+        notes.add(name.range, ProblemKind::ReservedName { found: name.value.to_string() });
+    }
+}
+
 fn read_service(
     value: &Value<'_>,
     known: &mut Vec<KnownService>,
@@ -83,6 +92,7 @@
         && check_name(name, "a service", notes)
     {
         declared.check(name, "service", notes);
+        check_reserved(name, notes);
     }
     let elements = fields
         .required("routes", notes)
--- a/crates/cumincart-config/src/problem.rs
+++ b/crates/cumincart-config/src/problem.rs
@@ -176,6 +176,14 @@
         found: String,
     },
 
+    /// A service has the name under which callers end transactions.
+    #[error("`{found}` can't be the name of a service, since callers end transactions under it")]
+    #[diagnostic(code(cumincart::config::reserved_name), help("choose another name for the service"))]
+    ReservedName {
+        /// The name.
+        found: String,
+    },
+
     /// Two things have one name.
     #[error("the {what} `{name}` is declared twice")]
     #[diagnostic(
--- a/crates/cumincart-config/tests/lists.rs
+++ b/crates/cumincart-config/tests/lists.rs
@@ -167,6 +167,13 @@
     assert_eq!(problems(r#"{"organisations": []}"#, plans), [expected]);
 }
 
+#[test]
+fn a_service_can_not_have_the_name_under_which_transactions_end() {
+    let plans = r#"{"services": [{"name": "transactions", "routes": []}], "plans": []}"#;
+    let expected = "reserved_name|`transactions` can't be the name of a service, since callers end transactions under it|choose another name for the service|\"transactions\"";
+    assert_eq!(problems(r#"{"organisations": []}"#, plans), [expected]);
+}
+
 #[test]
 fn every_problem_of_both_files_is_told_at_once() {
     let organisations = r#"{"organisations": [
