--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -1,7 +1,22 @@
 //! The control instances' decisions: the replicated log, failover, leases, service state, shares and permits.
 
+pub mod announcements;
+pub mod catalogue;
+pub mod choice;
+pub mod detection;
+pub mod election;
+pub mod failover;
+pub mod leases;
+pub mod log;
+pub mod members;
+pub mod operators;
 pub mod permits;
+pub mod read_index;
+pub mod replicate;
+pub mod service_state;
 pub mod shares;
+pub mod snapshot;
+pub mod status;
 
 use {
     cumincart_protocol::{
@@ -12,10 +27,13 @@
         name::{EndpointName, InstanceName, ServiceName},
         number::{ControlTerm, Incarnation, LogIndex, LogPosition, Revision, Term, Timeline},
         peer::{Leader, PeerBody},
-        replication::{Ballot, DiskId, Member, Members, Record, ReplicationMessage, Snapshot},
+        replication::{
+            Ballot, DiskId, Member, Members, Record, ReplicationBody, ReplicationMessage, Snapshot,
+        },
         time::Instant,
     },
     rand_chacha::ChaCha20Rng,
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
@@ -26,7 +44,8 @@
     pub member: Member,
     /// This run.
     pub incarnation: Incarnation,
-    /// The members that a new group starts with; used only where the data folder is empty.
+    /// The members that a new group starts with, with `DiskId::unbound`; used only where the data folder is empty.
+    /// They are written down with their disks once all of them have voted for the first leader.
     pub first_members: Members,
 }
 
@@ -103,7 +122,8 @@
     Persist(Persist),
     /// Send to another control instance; may be lost.
     Send(Member, ReplicationMessage),
-    /// Answer a heartbeat, with `HeartbeatAnswer` or `NotLeader`.
+    /// Answer a heartbeat, with `HeartbeatAnswer` or `NotLeader`. The last heartbeat of an instance may be answered
+    /// again when a change is committed, so the runtime keeps the ticket until the instance's next heartbeat.
     AnswerHeartbeat(Ticket, PeerBody),
     /// Answer an operator's change.
     AnswerOperator(Ticket, Result<Outcome, ControlRefusal>),
@@ -116,7 +136,7 @@
 }
 
 /// What to write to the data folder.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Persist {
     /// The ballot, in place of the last.
     Ballot(Ballot),
@@ -152,6 +172,8 @@
     pub members: Members,
     /// The entry instances that hold a lease or held one lately.
     pub instances: Vec<InstanceStatus>,
+    /// How long leases that an earlier leader gave to instances not listed here may still run.
+    pub earlier_leases_left_ms: u64,
     /// The last announcement of each endpoint.
     pub endpoints: Vec<EndpointStatus>,
 }
@@ -187,22 +209,55 @@
     pub catalogue: Arc<Catalogue>,
     /// Source of election timeouts.
     pub random: ChaCha20Rng,
+    /// The replicated log.
+    pub log: log::Log,
+    /// Ballot, role and leader.
+    pub election: election::Election,
+    /// What the leader knows of its followers.
+    pub replication: replicate::Replication,
+    /// The outcomes of operators' changes; replicated.
+    pub outcomes: operators::Outcomes,
+    /// Operators who wait for a commit.
+    pub pending: operators::Pending,
+    /// Questions that wait for a confirmation of the leadership.
+    pub reads: read_index::Reads,
+    /// The catalogue's last changes.
+    pub recent: catalogue::Recent,
+    /// The leases of entry instances; kept by the leader.
+    pub leases: leases::Leases,
+    /// The endpoints' last announcements; kept by the leader.
+    pub announcements: announcements::Announcements,
+    /// Changes of primary; kept by the leader.
+    pub failover: failover::Failover,
     /// What entry instances hold of organisations' rates; kept by the leader.
     pub shares: shares::Ledger,
     /// What entry instances hold of endpoints' connections; kept by the leader.
     pub permits: permits::Ledger,
+    /// When the next request to be taken in as a member may be sent.
+    pub next_join_at: Instant,
 }
 
 impl Board {
     /// A board from what the data folder held.
     pub fn open(settings: Settings, stored: Stored, random: ChaCha20Rng) -> Self {
-        let catalogue = stored.snapshot.map(|snapshot| snapshot.catalogue).unwrap_or_default();
+        let snapshot = stored.snapshot.unwrap_or_else(|| empty_snapshot(&settings));
         Self {
             settings,
-            catalogue,
+            catalogue: snapshot.catalogue,
             random,
+            log: log::Log::open(snapshot.index, snapshot.term, snapshot.members, stored.records),
+            election: election::Election::open(stored.ballot),
+            replication: replicate::Replication::default(),
+            outcomes: operators::Outcomes::open(snapshot.outcomes),
+            pending: operators::Pending::default(),
+            reads: read_index::Reads::default(),
+            recent: catalogue::Recent::default(),
+            leases: leases::Leases::default(),
+            announcements: announcements::Announcements::default(),
+            failover: failover::Failover::default(),
             shares: shares::Ledger::default(),
             permits: permits::Ledger::default(),
+            next_join_at: Instant::ZERO,
         }
     }
 
@@ -213,4 +268,91 @@
 }
 
 /// Takes one input and appends what the runtime must do.
-pub fn step(_board: &mut Board, _now: Instant, _input: Input, _out: &mut Vec<Effect>) {}
+pub fn step(board: &mut Board, now: Instant, input: Input, out: &mut Vec<Effect>) {
+    match input {
+        Input::Tick => on_tick(board, now, out),
+        Input::Replication(from, message) => on_message(board, now, &from, message, out),
+        Input::Heartbeat(ticket, heartbeat) => {
+            board.failover.reports.take(now, &heartbeat);
+            read_index::ask(board, now, ticket, read_index::Question::Heartbeat(heartbeat), out);
+        }
+        Input::Operator(ticket, change) => operators::on_change(board, now, ticket, change, out),
+        Input::Status(ticket) => read_index::ask(board, now, ticket, read_index::Question::Status, out),
+        Input::Announced(announcement) => announcements::on_announced(board, now, announcement, out),
+        Input::Promoted(promotion, result) => failover::on_promoted(board, now, &promotion, &result, out),
+    }
+    replicate::advance(board, now, out);
+    failover::on_news(board, now, out);
+    replicate::advance(board, now, out);
+    leases::push(board, out);
+}
+
+fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    election::on_tick(board, now, out);
+    members::join_if_outside(board, now, out);
+    if !board.election.is_leader() {
+        return;
+    }
+    replicate::on_tick(board, now, out);
+    leases::on_tick(board, now, out);
+    announcements::on_tick(board, now, out);
+    replicate::advance(board, now, out);
+    failover::on_tick(board, now, out);
+}
+
+fn on_message(
+    board: &mut Board,
+    now: Instant,
+    from: &InstanceName,
+    message: ReplicationMessage,
+    out: &mut Vec<Effect>,
+) {
+    let Some(sender) = election::sender(board, from, &message) else { return };
+    let is_old = message.term < board.election.ballot.term;
+    match message.body {
+        ReplicationBody::PreVote(ask) => election::on_pre_vote(board, now, &sender, &ask, out),
+        ReplicationBody::Vote(ask) => election::on_vote(board, now, &sender, &ask, out),
+        ReplicationBody::Join(member) => members::on_join(board, now, &member, out),
+        ReplicationBody::Announcements(list) => announcements::on_passed_on(board, now, list, out),
+        ReplicationBody::Append(append) if is_old => {
+            replicate::refuse_old_leader(board, &sender, &append, out);
+        }
+        ReplicationBody::Install(_) if is_old => {}
+        body => {
+            election::observe_term(board, now, message.term, out);
+            on_body_of_term(board, now, &sender, body, out);
+        }
+    }
+}
+
+/// Takes the messages that count only in the sender's term.
+fn on_body_of_term(
+    board: &mut Board,
+    now: Instant,
+    sender: &Member,
+    body: ReplicationBody,
+    out: &mut Vec<Effect>,
+) {
+    match body {
+        ReplicationBody::PreVoteAnswer(answer) => {
+            election::on_pre_vote_answer(board, now, sender, &answer, out);
+        }
+        ReplicationBody::VoteAnswer(answer) => election::on_vote_answer(board, now, sender, &answer, out),
+        ReplicationBody::Append(append) => replicate::on_append(board, now, sender, append, out),
+        ReplicationBody::AppendAnswer(answer) => {
+            replicate::on_append_answer(board, now, sender, &answer, out);
+        }
+        ReplicationBody::Install(snapshot) => snapshot::on_install(board, now, sender, *snapshot, out),
+        _ => {}
+    }
+}
+
+fn empty_snapshot(settings: &Settings) -> Snapshot {
+    Snapshot {
+        index: LogIndex::default(),
+        term: ControlTerm::default(),
+        members: settings.first_members.clone(),
+        catalogue: Arc::default(),
+        outcomes: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/announcements.rs
@@ -0,0 +1,136 @@
+//! Endpoints' announcements: passed on to the leader, which keeps the last of each and the groups' entries.
+
+use {
+    super::{Board, Effect, election, members, replicate},
+    cumincart_protocol::{
+        announcement::Announcement,
+        catalogue::EndpointEntry,
+        name::EndpointName,
+        number::LogIndex,
+        replication::{Command, ReplicationBody},
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+/// How long a leaving endpoint must be silent before it is removed from its group, in milliseconds.
+pub const REMOVE_AFTER_MS: u64 = 10_000;
+
+/// The last announcement of an endpoint.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    /// The announcement.
+    pub announcement: Announcement,
+    /// When it came to this leader.
+    pub at: Instant,
+    /// The record that last changed the endpoint's entry.
+    proposed: LogIndex,
+}
+
+impl Keyed for Heard {
+    type Key = EndpointName;
+
+    fn key(&self) -> &EndpointName {
+        &self.announcement.endpoint
+    }
+}
+
+/// The last announcement of every endpoint, as the leader heard them.
+#[derive(Debug, Default)]
+pub struct Announcements {
+    heard: SortedVec<Heard>,
+}
+
+impl Announcements {
+    /// The last announcement of an endpoint.
+    pub fn get(&self, endpoint: &EndpointName) -> Option<&Heard> {
+        self.heard.get(endpoint)
+    }
+
+    /// The last announcements of all endpoints.
+    pub fn all(&self) -> &SortedVec<Heard> {
+        &self.heard
+    }
+
+    /// The last announcement of an endpoint, where it came after an instant.
+    pub fn since(&self, endpoint: &EndpointName, after: Instant) -> Option<&Announcement> {
+        let heard = self.heard.get(endpoint)?;
+        (heard.at > after).then_some(&heard.announcement)
+    }
+}
+
+/// Takes an announcement; a follower passes it on to the leader.
+pub fn on_announced(board: &mut Board, now: Instant, announcement: Announcement, out: &mut Vec<Effect>) {
+    if board.election.is_leader() {
+        take(board, now, announcement, out);
+        return;
+    }
+    let Some(leader) = election::leader_hint(board) else { return };
+    let Some(member) = members::all(board.log.members()).find(|m| m.instance == leader.instance).cloned()
+    else {
+        return;
+    };
+    replicate::send(board, &member, ReplicationBody::Announcements(vec![announcement]), out);
+}
+
+/// Takes what a follower has passed on.
+pub fn on_passed_on(
+    board: &mut Board,
+    now: Instant,
+    announcements: Vec<Announcement>,
+    out: &mut Vec<Effect>,
+) {
+    if !board.election.is_leader() {
+        return;
+    }
+    for announcement in announcements {
+        take(board, now, announcement, out);
+    }
+}
+
+/// Removes endpoints that said that they leave and are silent since.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let limit = Duration::from_millis(REMOVE_AFTER_MS);
+    let is_gone = |heard: &&Heard| heard.announcement.leaving && now.saturating_since(heard.at) >= limit;
+    let gone: Vec<Announcement> =
+        board.announcements.heard.iter().filter(is_gone).map(|heard| heard.announcement.clone()).collect();
+    for announcement in gone {
+        let group = board.catalogue.group(&announcement.service);
+        if group.is_some_and(|group| group.primary.as_ref() == Some(&announcement.endpoint)) {
+            continue;
+        }
+        board.announcements.heard.remove(&announcement.endpoint);
+        let command = Command::RemoveEndpoint(announcement.service, announcement.endpoint);
+        replicate::propose(board, now, command, out);
+    }
+}
+
+fn take(board: &mut Board, now: Instant, announcement: Announcement, out: &mut Vec<Effect>) {
+    let proposed = board.announcements.get(&announcement.endpoint).map(|heard| heard.proposed);
+    let mut heard = Heard { announcement, at: now, proposed: proposed.unwrap_or_default() };
+    let is_settled =
+        board.log.applied >= heard.proposed && board.replication.has_committed_own_term(&board.log);
+    if is_settled && !is_entered(board, &heard.announcement) {
+        let command = Command::PutEndpoint(heard.announcement.service.clone(), entry(&heard.announcement));
+        heard.proposed = replicate::propose(board, now, command, out);
+    }
+    board.announcements.heard.insert(heard);
+}
+
+fn is_entered(board: &Board, announcement: &Announcement) -> bool {
+    let group = board.catalogue.group(&announcement.service);
+    let known = group.and_then(|group| group.endpoints.get(&announcement.endpoint));
+    known == Some(&entry(announcement))
+}
+
+fn entry(announcement: &Announcement) -> EndpointEntry {
+    EndpointEntry {
+        name: announcement.endpoint.clone(),
+        address: announcement.address.clone(),
+        domain: announcement.domain.clone(),
+        slots: announcement.slots,
+        connection_limit: announcement.connection_limit,
+        leaving: announcement.leaving,
+    }
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -0,0 +1,228 @@
+//! Applies committed records to the catalogue, and keeps the last changes for instances that are a little behind.
+
+use {
+    super::operators::Outcomes,
+    cumincart_protocol::{
+        catalogue::{Catalogue, EndpointEntry, Group, TermStart},
+        change::{Action, Change, Outcome},
+        heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate},
+        name::{EndpointName, ServiceName},
+        number::{ListsRevision, LogIndex, Revision, Term},
+        replication::{Command, Record},
+        sorted::{Keyed, SortedVec},
+    },
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// How many of the last changes are kept for deltas.
+pub const DELTA_WINDOW: usize = 512;
+
+/// The catalogue's last changes, oldest first, without a gap.
+#[derive(Debug, Default)]
+pub struct Recent {
+    deltas: VecDeque<CatalogueDelta>,
+}
+
+impl Recent {
+    /// Adds the newest change. Older ones of the same thing become empty: whoever needs them gets the newest too.
+    pub fn push(&mut self, delta: CatalogueDelta) {
+        if self.deltas.len() == DELTA_WINDOW {
+            self.deltas.pop_front();
+        }
+        for older in &mut self.deltas {
+            if is_superseded(&older.change, &delta.change) {
+                older.change = CatalogueChange::Nothing;
+            }
+        }
+        self.deltas.push_back(delta);
+    }
+
+    /// Forgets all changes, after a snapshot has replaced the catalogue.
+    pub fn clear(&mut self) {
+        self.deltas.clear();
+    }
+
+    /// What brings an instance from its revision to the catalogue's.
+    pub fn update(&self, catalogue: &Arc<Catalogue>, from: Revision) -> CatalogueUpdate {
+        if from >= catalogue.revision {
+            return CatalogueUpdate::None;
+        }
+        let start = self.deltas.partition_point(|delta| delta.from < from);
+        match self.deltas.get(start) {
+            Some(delta) if delta.from == from => {
+                CatalogueUpdate::Deltas(join_empty(self.deltas.iter().skip(start)))
+            }
+            _ => CatalogueUpdate::Snapshot(Arc::clone(catalogue)),
+        }
+    }
+}
+
+fn is_superseded(older: &CatalogueChange, newer: &CatalogueChange) -> bool {
+    match (older, newer) {
+        (CatalogueChange::Lists(..), CatalogueChange::Lists(..))
+        | (CatalogueChange::DomainsOut(_), CatalogueChange::DomainsOut(_))
+        | (CatalogueChange::InstancesOut(_), CatalogueChange::InstancesOut(_)) => true,
+        (CatalogueChange::Group(older), CatalogueChange::Group(newer)) => older.service == newer.service,
+        _ => false,
+    }
+}
+
+/// Copies the changes, with each run of empty ones as one.
+fn join_empty<'a>(deltas: impl Iterator<Item = &'a CatalogueDelta>) -> Vec<CatalogueDelta> {
+    let mut joined: Vec<CatalogueDelta> = Vec::new();
+    for delta in deltas {
+        match joined.last_mut() {
+            Some(last) if is_empty(&last.change) && is_empty(&delta.change) => last.to = delta.to,
+            _ => joined.push(delta.clone()),
+        }
+    }
+    joined
+}
+
+fn is_empty(change: &CatalogueChange) -> bool {
+    matches!(change, CatalogueChange::Nothing)
+}
+
+/// Applies one record; gives what it changed, and the outcome where it was an operator's change.
+pub fn apply(
+    catalogue: &mut Catalogue,
+    outcomes: &mut Outcomes,
+    record: &Record,
+) -> (CatalogueChange, Option<Outcome>) {
+    catalogue.revision = revision_of(record.index);
+    match &record.command {
+        Command::Open | Command::Members(_) => (CatalogueChange::Nothing, None),
+        Command::Operator(change) => {
+            let (delta, outcome) = apply_change(catalogue, outcomes, change);
+            (delta, Some(outcome))
+        }
+        Command::PutEndpoint(service, entry) => (put_endpoint(catalogue, service, entry), None),
+        Command::RemoveEndpoint(service, endpoint) => (remove_endpoint(catalogue, service, endpoint), None),
+        Command::BeginTerm { service, term, primary } => {
+            (begin_term(catalogue, service, *term, primary.as_ref()), None)
+        }
+        Command::OpenTerm { service, term, primary, timeline, start } => {
+            let start = TermStart { term: *term, timeline: *timeline, position: *start };
+            (open_term(catalogue, service, primary, start), None)
+        }
+    }
+}
+
+/// The catalogue revision that a record makes.
+pub fn revision_of(index: LogIndex) -> Revision {
+    Revision(index.0)
+}
+
+fn apply_change(
+    catalogue: &mut Catalogue,
+    outcomes: &mut Outcomes,
+    change: &Change,
+) -> (CatalogueChange, Outcome) {
+    if let Some(outcome) = outcomes.get(&change.id) {
+        return (CatalogueChange::Nothing, outcome.clone());
+    }
+    let (delta, outcome) = decide(catalogue, &change.action);
+    outcomes.remember(change.id.clone(), outcome.clone());
+    (delta, outcome)
+}
+
+fn decide(catalogue: &mut Catalogue, action: &Action) -> (CatalogueChange, Outcome) {
+    let change = match action {
+        Action::Apply { base, .. } if *base != catalogue.lists_revision => {
+            let outcome = Outcome::Conflict { base: *base, current: catalogue.lists_revision };
+            return (CatalogueChange::Nothing, outcome);
+        }
+        Action::Apply { lists, .. } => {
+            catalogue.lists_revision = ListsRevision(catalogue.lists_revision.0 + 1);
+            catalogue.lists = Arc::clone(lists);
+            CatalogueChange::Lists(catalogue.lists_revision, Arc::clone(lists))
+        }
+        Action::SetDomain { domain, out } => {
+            set_member(&mut catalogue.domains_out, domain, *out);
+            CatalogueChange::DomainsOut(catalogue.domains_out.clone())
+        }
+        Action::SetInstance { instance, out } => {
+            set_member(&mut catalogue.instances_out, instance, *out);
+            CatalogueChange::InstancesOut(catalogue.instances_out.clone())
+        }
+    };
+    let outcome =
+        Outcome::Accepted { revision: catalogue.revision, lists_revision: catalogue.lists_revision };
+    (change, outcome)
+}
+
+fn set_member<T: Keyed<Key = T> + Clone>(set: &mut SortedVec<T>, item: &T, present: bool) {
+    if present {
+        set.insert(item.clone());
+    } else {
+        set.remove(item);
+    }
+}
+
+fn put_endpoint(catalogue: &mut Catalogue, service: &ServiceName, entry: &EndpointEntry) -> CatalogueChange {
+    let group = catalogue.groups.get_or_insert_with(service, || empty_group(service));
+    group.endpoints.insert(entry.clone());
+    group_change(group)
+}
+
+fn remove_endpoint(
+    catalogue: &mut Catalogue,
+    service: &ServiceName,
+    endpoint: &EndpointName,
+) -> CatalogueChange {
+    let Some(group) = catalogue.groups.get_mut(service) else { return CatalogueChange::Nothing };
+    if group.primary.as_ref() == Some(endpoint) || group.endpoints.remove(endpoint).is_none() {
+        return CatalogueChange::Nothing;
+    }
+    group_change(group)
+}
+
+/// Begins the next term, or names the primary of a term that was begun without one. Anything else is outdated.
+fn begin_term(
+    catalogue: &mut Catalogue,
+    service: &ServiceName,
+    term: Term,
+    primary: Option<&EndpointName>,
+) -> CatalogueChange {
+    let Some(group) = catalogue.groups.get_mut(service) else { return CatalogueChange::Nothing };
+    let begins = term == group.term.next();
+    let names_primary = term == group.term && !group.writable && group.primary.is_none();
+    if !begins && !names_primary {
+        return CatalogueChange::Nothing;
+    }
+    group.term = term;
+    group.primary = primary.cloned();
+    group.writable = false;
+    group_change(group)
+}
+
+fn open_term(
+    catalogue: &mut Catalogue,
+    service: &ServiceName,
+    primary: &EndpointName,
+    start: TermStart,
+) -> CatalogueChange {
+    let Some(group) = catalogue.groups.get_mut(service) else { return CatalogueChange::Nothing };
+    let expected = group.term == start.term && !group.writable && group.primary.as_ref() == Some(primary);
+    if !expected {
+        return CatalogueChange::Nothing;
+    }
+    group.writable = true;
+    group.term_starts.push(start);
+    group_change(group)
+}
+
+fn empty_group(service: &ServiceName) -> Group {
+    Group {
+        service: service.clone(),
+        term: Term::default(),
+        primary: None,
+        writable: false,
+        endpoints: SortedVec::new(),
+        term_starts: Vec::new(),
+    }
+}
+
+fn group_change(group: &Group) -> CatalogueChange {
+    CatalogueChange::Group(Box::new(group.clone()))
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/choice.rs
@@ -0,0 +1,128 @@
+//! The choice of a term's primary: the replica with the highest position among a majority of the group.
+
+use {
+    super::{Board, service_state},
+    crate::timing::ANNOUNCEMENT_INTERVAL_MS,
+    cumincart_protocol::{
+        announcement::{Announcement, Role},
+        catalogue::Group,
+        name::EndpointName,
+        number::Timeline,
+        time::Instant,
+    },
+    std::{cmp::Ordering, time::Duration},
+};
+
+/// How long endpoints that were heard lately are waited for beyond a majority, in milliseconds.
+pub const STRAGGLER_WAIT_MS: u64 = 2 * ANNOUNCEMENT_INTERVAL_MS + 50;
+
+/// What to do about a term without a primary.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// Nobody can be chosen yet, and why.
+    Wait(&'static str),
+    /// This endpoint.
+    Endpoint(EndpointName),
+}
+
+/// Orders replicas by how much of the group's log they have: a later timeline first, then the position.
+pub fn by_position(a: &Announcement, b: &Announcement) -> Ordering {
+    (a.timeline, a.position).cmp(&(b.timeline, b.position))
+}
+
+/// Chooses among the endpoints that have announced themselves after the fence.
+pub fn choose(board: &Board, now: Instant, group: &Group, fenced_at: Instant) -> Choice {
+    let answers: Vec<&Announcement> = group
+        .endpoints
+        .iter()
+        .filter_map(|endpoint| board.announcements.since(&endpoint.name, fenced_at))
+        .filter(|answer| is_on_course(group, answer))
+        .collect();
+    match answers.iter().find(|answer| is_former_primary(group, answer)) {
+        Some(former) => choose_for_move(board, group, &answers, former),
+        None => choose_among_majority(board, now, group, &answers, fenced_at),
+    }
+}
+
+/// Whether the endpoint's log is a prefix of the group's, or the log that a promotion of ours has opened.
+pub fn is_on_course(group: &Group, answer: &Announcement) -> bool {
+    let last = last_timeline(group);
+    if answer.role == Role::Primary && answer.timeline < last {
+        return false;
+    }
+    let next = group.term_starts.iter().find(|start| start.timeline > answer.timeline);
+    next.is_none_or(|next| answer.position <= next.position)
+}
+
+/// The old primary is alive: whoever takes over must have all that it has.
+fn choose_for_move(board: &Board, group: &Group, answers: &[&Announcement], former: &Announcement) -> Choice {
+    if service_state::may_be_primary(board, group, &former.endpoint) {
+        return Choice::Endpoint(former.endpoint.clone());
+    }
+    let Some(best) = best_in_service(board, group, answers) else {
+        return Choice::Wait("no replica in service has announced itself");
+    };
+    if best.position < former.position {
+        return Choice::Wait("no replica in service has all of the old primary's log");
+    }
+    Choice::Endpoint(best.endpoint.clone())
+}
+
+fn choose_among_majority(
+    board: &Board,
+    now: Instant,
+    group: &Group,
+    answers: &[&Announcement],
+    fenced_at: Instant,
+) -> Choice {
+    if answers.len() < group.endpoints.len() / 2 + 1 {
+        return Choice::Wait("less than a majority of the group has announced itself");
+    }
+    if awaits_stragglers(board, now, group, answers, fenced_at) {
+        return Choice::Wait("endpoints that were heard lately have not announced themselves");
+    }
+    let compare = board.failover.policy.compare;
+    let Some(best) = answers.iter().copied().max_by(|a, b| compare(a, b)) else {
+        return Choice::Wait("no endpoint has announced itself");
+    };
+    // Of equals, one in service. Where only an endpoint out of service has the most, it is promoted, gets no
+    // work, and the primary moves from there.
+    let in_service = best_in_service(board, group, answers).filter(|other| compare(other, best).is_eq());
+    Choice::Endpoint(in_service.unwrap_or(best).endpoint.clone())
+}
+
+fn best_in_service<'a>(
+    board: &Board,
+    group: &Group,
+    answers: &[&'a Announcement],
+) -> Option<&'a Announcement> {
+    let may_be = |answer: &&&Announcement| service_state::may_be_primary(board, group, &answer.endpoint);
+    let compare = board.failover.policy.compare;
+    answers.iter().filter(may_be).copied().max_by(|a, b| compare(a, b))
+}
+
+fn awaits_stragglers(
+    board: &Board,
+    now: Instant,
+    group: &Group,
+    answers: &[&Announcement],
+    fenced_at: Instant,
+) -> bool {
+    let limit = Duration::from_millis(STRAGGLER_WAIT_MS);
+    if now.saturating_since(fenced_at) >= limit {
+        return false;
+    }
+    group.endpoints.iter().any(|endpoint| {
+        let has_answered = answers.iter().any(|answer| answer.endpoint == endpoint.name);
+        let heard = board.announcements.get(&endpoint.name);
+        !has_answered && heard.is_some_and(|heard| now.saturating_since(heard.at) < limit)
+    })
+}
+
+fn is_former_primary(group: &Group, answer: &Announcement) -> bool {
+    answer.role == Role::Primary && answer.timeline == last_timeline(group)
+}
+
+fn last_timeline(group: &Group) -> Timeline {
+    group.term_starts.last().map(|start| start.timeline).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/election.rs
@@ -0,0 +1,313 @@
+//! Leader election: pre-vote, votes, randomised timeouts and check-quorum, after Raft (Ongaro 2014, chapters 3, 4
+//! and 9.6).
+
+use {
+    super::{
+        Board, Effect, announcements::Announcements, failover, leases, members, operators, permits,
+        read_index, replicate, shares,
+    },
+    cumincart_protocol::{
+        name::InstanceName,
+        number::ControlTerm,
+        peer::Leader,
+        replication::{
+            Ballot, Command, DiskId, Member, ReplicationBody, ReplicationMessage, VoteAnswer, VoteRequest,
+        },
+        time::Instant,
+    },
+    rand::RngExt,
+    std::time::Duration,
+};
+
+/// The shortest time without a leader's message after which an instance stands for election, in milliseconds.
+pub const ELECTION_TIMEOUT_MIN_MS: u64 = 300;
+
+/// The longest such time, in milliseconds.
+pub const ELECTION_TIMEOUT_MAX_MS: u64 = 600;
+
+/// How long a leader goes on without hearing from a quorum, in milliseconds.
+pub const CHECK_QUORUM_MS: u64 = 600;
+
+/// What this instance is in the current term.
+#[derive(Debug)]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it could win, with those who said yes.
+    PreCandidate(Vec<Member>),
+    /// Asks for votes, with those who gave theirs.
+    Candidate(Vec<Member>),
+    /// Leads.
+    Leader,
+}
+
+/// The state of elections.
+#[derive(Debug)]
+pub struct Election {
+    /// The term and the vote in it, as they are on disk.
+    pub ballot: Ballot,
+    /// What this instance is.
+    pub role: Role,
+    leader: Option<InstanceName>,
+    heard_at: Option<Instant>,
+    due_at: Option<Instant>,
+}
+
+impl Election {
+    /// The state after a start.
+    pub fn open(ballot: Ballot) -> Self {
+        Self { ballot, role: Role::Follower, leader: None, heard_at: None, due_at: None }
+    }
+
+    /// Whether this instance leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader)
+    }
+
+    /// The leader that was last heard of in this term.
+    pub fn leader(&self) -> Option<&InstanceName> {
+        self.leader.as_ref()
+    }
+
+    fn hears_leader(&self, now: Instant) -> bool {
+        let limit = Duration::from_millis(ELECTION_TIMEOUT_MIN_MS);
+        self.heard_at.is_some_and(|at| now.saturating_since(at) < limit)
+    }
+}
+
+/// Where the leader is, as far as it is known here.
+pub fn leader_hint(board: &Board) -> Option<Leader> {
+    let name = board.election.leader()?;
+    let member = members::all(board.log.members()).find(|member| member.instance == *name)?;
+    Some(Leader { instance: member.instance.clone(), peer_address: member.peer_address.clone() })
+}
+
+/// Stands for election when the leader is silent; as the leader, steps down without a quorum.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if board.election.is_leader() {
+        check_quorum(board, now, out);
+        return;
+    }
+    if board.log.members().voters.len() == 1 && is_voter(board) {
+        stand(board, now, out);
+        return;
+    }
+    match board.election.due_at {
+        None => reset_timeout(board, now),
+        Some(due) if due <= now => {
+            reset_timeout(board, now);
+            stand(board, now, out);
+        }
+        Some(_) => {}
+    }
+}
+
+/// Takes notice of a term seen in a message. A greater one makes this instance a follower of it.
+pub fn observe_term(board: &mut Board, now: Instant, term: ControlTerm, out: &mut Vec<Effect>) {
+    if term > board.election.ballot.term {
+        become_follower(board, now, term, out);
+    }
+}
+
+/// Notes that the leader of the current term is alive.
+pub fn on_leader_heard(board: &mut Board, now: Instant, leader: &InstanceName, out: &mut Vec<Effect>) {
+    if board.election.leader.as_ref() != Some(leader) {
+        out.push(Effect::Note(format!("{leader} leads in term {}", board.election.ballot.term).into()));
+    }
+    board.election.role = Role::Follower;
+    board.election.leader = Some(leader.clone());
+    board.election.heard_at = Some(now);
+    reset_timeout(board, now);
+}
+
+/// Answers whether a candidate could win.
+pub fn on_pre_vote(board: &mut Board, now: Instant, from: &Member, ask: &VoteRequest, out: &mut Vec<Effect>) {
+    let granted = ask.term > board.election.ballot.term
+        && !board.election.is_leader()
+        && !board.election.hears_leader(now)
+        && is_up_to_date(board, ask);
+    let answer = VoteAnswer { term: ask.term, granted };
+    replicate::send(board, from, ReplicationBody::PreVoteAnswer(answer), out);
+}
+
+/// Answers a request for a vote.
+pub fn on_vote(board: &mut Board, now: Instant, from: &Member, ask: &VoteRequest, out: &mut Vec<Effect>) {
+    if board.election.hears_leader(now) {
+        return;
+    }
+    observe_term(board, now, ask.term, out);
+    let ballot = &board.election.ballot;
+    let free = ballot.voted_for.as_ref().is_none_or(|name| *name == from.instance);
+    let granted = ask.term == ballot.term && free && is_up_to_date(board, ask);
+    if granted && ballot.voted_for.is_none() {
+        board.election.ballot.voted_for = Some(from.instance.clone());
+        out.push(Effect::Persist(super::Persist::Ballot(board.election.ballot.clone())));
+        reset_timeout(board, now);
+    }
+    let answer = VoteAnswer { term: ask.term, granted };
+    replicate::send(board, from, ReplicationBody::VoteAnswer(answer), out);
+}
+
+/// Counts a pre-vote.
+pub fn on_pre_vote_answer(
+    board: &mut Board,
+    now: Instant,
+    from: &Member,
+    answer: &VoteAnswer,
+    out: &mut Vec<Effect>,
+) {
+    let expected = board.election.ballot.term.next();
+    let Role::PreCandidate(votes) = &mut board.election.role else { return };
+    if !answer.granted || answer.term != expected {
+        return;
+    }
+    add_vote(votes, from);
+    if wins(board) {
+        campaign(board, now, out);
+    }
+}
+
+/// Counts a vote.
+pub fn on_vote_answer(
+    board: &mut Board,
+    now: Instant,
+    from: &Member,
+    answer: &VoteAnswer,
+    out: &mut Vec<Effect>,
+) {
+    let term = board.election.ballot.term;
+    let Role::Candidate(votes) = &mut board.election.role else { return };
+    if !answer.granted || answer.term != term {
+        return;
+    }
+    add_vote(votes, from);
+    if wins(board) {
+        become_leader(board, now, out);
+    }
+}
+
+/// The sender of a message as a member: its name and disk, at the address that the group knows.
+pub fn sender(board: &Board, from: &InstanceName, message: &ReplicationMessage) -> Option<Member> {
+    let known = members::all(board.log.members()).find(|member| member.instance == *from);
+    let first = || board.settings.first_members.voters.get(from);
+    let known = known.or_else(first)?;
+    Some(Member { disk: message.disk.clone(), ..known.clone() })
+}
+
+fn is_voter(board: &Board) -> bool {
+    let own = &board.settings.member;
+    members::voter(board.log.members(), &own.instance, &own.disk).is_some()
+}
+
+fn stand(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if !is_voter(board) {
+        return;
+    }
+    board.election.leader = None;
+    board.election.role = Role::PreCandidate(vec![board.settings.member.clone()]);
+    if wins(board) {
+        campaign(board, now, out);
+        return;
+    }
+    let ask = vote_request(board, board.election.ballot.term.next());
+    ask_voters(board, &ReplicationBody::PreVote(ask), out);
+}
+
+fn campaign(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let term = board.election.ballot.term.next();
+    let own = board.settings.member.clone();
+    board.election.ballot = Ballot { term, voted_for: Some(own.instance.clone()) };
+    out.push(Effect::Persist(super::Persist::Ballot(board.election.ballot.clone())));
+    board.election.role = Role::Candidate(vec![own]);
+    reset_timeout(board, now);
+    if wins(board) {
+        become_leader(board, now, out);
+        return;
+    }
+    let ask = vote_request(board, term);
+    ask_voters(board, &ReplicationBody::Vote(ask), out);
+}
+
+fn become_leader(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let Role::Candidate(votes) = std::mem::replace(&mut board.election.role, Role::Leader) else { return };
+    let term = board.election.ballot.term;
+    board.election.leader = Some(board.settings.member.instance.clone());
+    out.push(Effect::Note(format!("this instance leads in term {term}").into()));
+    leases::on_elected(&mut board.leases, now);
+    failover::on_elected(board);
+    board.announcements = Announcements::default();
+    shares::on_elected(&mut board.shares, now);
+    permits::on_elected(&mut board.permits, now);
+    replicate::on_elected(board, now);
+    replicate::propose(board, now, Command::Open, out);
+    members::bind(board, now, &votes, out);
+}
+
+fn become_follower(board: &mut Board, now: Instant, term: ControlTerm, out: &mut Vec<Effect>) {
+    board.election.ballot = Ballot { term, voted_for: None };
+    out.push(Effect::Persist(super::Persist::Ballot(board.election.ballot.clone())));
+    step_down(board, now, out);
+}
+
+/// Ends leadership or candidacy in the current term.
+fn step_down(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let led = board.election.is_leader();
+    board.election.role = Role::Follower;
+    board.election.leader = None;
+    reset_timeout(board, now);
+    if !led {
+        return;
+    }
+    out.push(Effect::Note("this instance no longer leads".into()));
+    operators::on_leadership_lost(board, out);
+    read_index::on_leadership_lost(board, out);
+}
+
+fn check_quorum(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let limit = Duration::from_millis(CHECK_QUORUM_MS);
+    let own = &board.settings.member.instance;
+    let heard = |member: &Member| {
+        member.instance == *own || now.saturating_since(board.replication.heard_at(&member.instance)) < limit
+    };
+    if members::is_quorum(board.log.members(), heard) {
+        return;
+    }
+    out.push(Effect::Note("no quorum answers".into()));
+    step_down(board, now, out);
+}
+
+fn add_vote(votes: &mut Vec<Member>, from: &Member) {
+    if !votes.iter().any(|vote| vote.instance == from.instance) {
+        votes.push(from.clone());
+    }
+}
+
+fn wins(board: &Board) -> bool {
+    let (Role::PreCandidate(votes) | Role::Candidate(votes)) = &board.election.role else { return false };
+    members::is_quorum(board.log.members(), |member| has_voted(votes, &member.instance, &member.disk))
+}
+
+fn has_voted(votes: &[Member], instance: &InstanceName, disk: &DiskId) -> bool {
+    votes.iter().any(|vote| vote.instance == *instance && (!disk.is_bound() || vote.disk == *disk))
+}
+
+fn is_up_to_date(board: &Board, ask: &VoteRequest) -> bool {
+    (ask.last_term, ask.last_index) >= (board.log.last_term(), board.log.last_index())
+}
+
+fn vote_request(board: &Board, term: ControlTerm) -> VoteRequest {
+    VoteRequest { term, last_index: board.log.last_index(), last_term: board.log.last_term() }
+}
+
+fn ask_voters(board: &Board, body: &ReplicationBody, out: &mut Vec<Effect>) {
+    for voter in board.log.members().voters.iter() {
+        if voter.instance != board.settings.member.instance {
+            replicate::send(board, voter, body.clone(), out);
+        }
+    }
+}
+
+fn reset_timeout(board: &mut Board, now: Instant) {
+    let timeout_ms = board.random.random_range(ELECTION_TIMEOUT_MIN_MS..=ELECTION_TIMEOUT_MAX_MS);
+    board.election.due_at = Some(now + Duration::from_millis(timeout_ms));
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/failover.rs
@@ -0,0 +1,331 @@
+//! Changes of primary: failover after a primary's death, planned moves, and the adoption of a group's first primary.
+//!
+//! Every change runs through the same steps, each of them committed before the next: a term without a primary, which
+//! fences writes; the leases on the term before run out or confirm the fence; a primary is chosen and written down;
+//! it is promoted; the term is opened. A leader that is elected in between goes on from the last committed step.
+
+use {
+    super::{
+        Board, Effect, PromotedState, Promotion, PromotionError,
+        catalogue::revision_of,
+        choice::{self, Choice},
+        detection::{self, Policy, Reports},
+        leases::Fence,
+        replicate, service_state,
+    },
+    cumincart_protocol::{
+        announcement::Role,
+        catalogue::Group,
+        name::{EndpointName, ServiceName},
+        number::{LogIndex, LogPosition, Term},
+        replication::Command,
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// How long a new group's primaries are listened to before one is adopted, in milliseconds.
+pub const ADOPTION_DELAY_MS: u64 = 400;
+
+/// Time between two orders to promote the same endpoint, in milliseconds.
+pub const PROMOTION_RETRY_MS: u64 = 200;
+
+/// How long an order to promote may stay without an outcome, in milliseconds.
+pub const PROMOTION_TIMEOUT_MS: u64 = 3_000;
+
+/// How often the outcome may be unknown before a silent endpoint is given up and another is chosen.
+pub const PROMOTION_ATTEMPTS: u32 = 3;
+
+/// What the leader knows of primaries and their changes.
+#[derive(Debug, Default)]
+pub struct Failover {
+    /// How a dead primary is told and a new one is chosen.
+    pub policy: Policy,
+    /// What entry instances report of endpoints.
+    pub reports: Reports,
+    changes: SortedVec<PrimaryChange>,
+}
+
+/// A change of primary that is under way.
+#[derive(Debug)]
+struct PrimaryChange {
+    service: ServiceName,
+    started_at: Instant,
+    /// The change's last record; nothing more is done before it is applied.
+    proposed: LogIndex,
+    fence: Option<Fence>,
+    fenced_at: Option<Instant>,
+    order: Order,
+    waits_for: Option<&'static str>,
+}
+
+/// The order to promote the primary of the current term.
+#[derive(Debug, Default)]
+struct Order {
+    term: Term,
+    ordered_at: Option<Instant>,
+    retry_at: Instant,
+    unknown: u32,
+}
+
+impl Keyed for PrimaryChange {
+    type Key = ServiceName;
+
+    fn key(&self) -> &ServiceName {
+        &self.service
+    }
+}
+
+impl PrimaryChange {
+    fn begin(service: &ServiceName, now: Instant, proposed: LogIndex) -> Self {
+        Self {
+            service: service.clone(),
+            started_at: now,
+            proposed,
+            fence: None,
+            fenced_at: None,
+            order: Order::default(),
+            waits_for: None,
+        }
+    }
+}
+
+/// Forgets what an earlier leadership knew; committed steps are found again in the catalogue.
+pub fn on_elected(board: &mut Board) {
+    board.failover.reports = Reports::default();
+    board.failover.changes = SortedVec::default();
+}
+
+/// Looks at every group.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if !is_in_charge(board) {
+        return;
+    }
+    let services: Vec<ServiceName> =
+        board.catalogue.groups.iter().map(|group| group.service.clone()).collect();
+    for service in &services {
+        drive(board, now, service, out);
+    }
+}
+
+/// Goes on with the changes that are under way, after any other input.
+pub fn on_news(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if !is_in_charge(board) {
+        return;
+    }
+    let services: Vec<ServiceName> =
+        board.failover.changes.iter().map(|change| change.service.clone()).collect();
+    for service in &services {
+        drive(board, now, service, out);
+    }
+}
+
+/// Takes the outcome of an order to promote.
+pub fn on_promoted(
+    board: &mut Board,
+    now: Instant,
+    promotion: &Promotion,
+    result: &Result<PromotedState, PromotionError>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(group) = board.catalogue.group(&promotion.service) else { return };
+    let is_awaited = is_in_charge(board)
+        && group.term == promotion.term
+        && !group.writable
+        && group.primary.as_ref() == Some(&promotion.endpoint)
+        && is_settled(board, &promotion.service);
+    if !is_awaited {
+        return;
+    }
+    match result {
+        Ok(state) => open_term(board, now, promotion, *state, out),
+        Err(PromotionError::NotReached) => {
+            note(out, &promotion.service, &format!("{} was not reached; choosing again", promotion.endpoint));
+            begin_term(board, now, &promotion.service, promotion.term.next(), out);
+        }
+        Err(PromotionError::Unknown) => on_unknown(board, now, promotion, out),
+    }
+}
+
+fn is_in_charge(board: &Board) -> bool {
+    board.election.is_leader() && board.replication.has_committed_own_term(&board.log)
+}
+
+fn is_settled(board: &Board, service: &ServiceName) -> bool {
+    board.failover.changes.get(service).is_none_or(|change| change.proposed <= board.log.applied)
+}
+
+fn drive(board: &mut Board, now: Instant, service: &ServiceName, out: &mut Vec<Effect>) {
+    if !is_settled(board, service) {
+        return;
+    }
+    let catalogue = Arc::clone(&board.catalogue);
+    let Some(group) = catalogue.group(service) else { return };
+    if group.term == Term::default() {
+        adopt(board, now, group, out);
+    } else if group.writable {
+        watch(board, now, group, out);
+    } else if let Some(primary) = &group.primary {
+        promote(board, now, group, primary, out);
+    } else {
+        fence_and_choose(board, now, group, out);
+    }
+}
+
+/// Takes an endpoint that announces itself as the primary as the primary of the group's first term.
+fn adopt(board: &mut Board, now: Instant, group: &Group, out: &mut Vec<Effect>) {
+    let announced = group.endpoints.iter().filter_map(|endpoint| board.announcements.get(&endpoint.name));
+    let primaries = announced.map(|heard| &heard.announcement).filter(|heard| heard.role == Role::Primary);
+    let Some(primary) = primaries.max_by_key(|heard| (heard.timeline, heard.position)).cloned() else {
+        return;
+    };
+    let change = change_of(board, now, &group.service);
+    if now.saturating_since(change.started_at) < Duration::from_millis(ADOPTION_DELAY_MS) {
+        return;
+    }
+    let service = group.service.clone();
+    let term = group.term.next();
+    note(out, &service, &format!("{} is adopted as the primary of term {term}", primary.endpoint));
+    let name = primary.endpoint;
+    let begin = Command::BeginTerm { service: service.clone(), term, primary: Some(name.clone()) };
+    replicate::propose(board, now, begin, out);
+    // Nothing was written before the first term, so nothing can lie beyond its start.
+    let start = LogPosition::default();
+    let open = Command::OpenTerm {
+        service: service.clone(),
+        term,
+        primary: name,
+        timeline: primary.timeline,
+        start,
+    };
+    let index = replicate::propose(board, now, open, out);
+    change_of(board, now, &service).proposed = index;
+}
+
+/// Begins a change when the primary is dead or has to leave.
+fn watch(board: &mut Board, now: Instant, group: &Group, out: &mut Vec<Effect>) {
+    if board.failover.changes.remove(&group.service).is_some() {
+        note(out, &group.service, &format!("term {} is open", group.term));
+    }
+    let Some(primary) = &group.primary else { return };
+    if detection::is_dead(board, now, primary) {
+        note(out, &group.service, &format!("the primary {primary} is dead"));
+    } else if service_state::must_move(board, now, group) {
+        note(out, &group.service, &format!("the primary moves away from {primary}"));
+    } else {
+        return;
+    }
+    begin_term(board, now, &group.service, group.term.next(), out);
+}
+
+fn begin_term(board: &mut Board, now: Instant, service: &ServiceName, term: Term, out: &mut Vec<Effect>) {
+    let command = Command::BeginTerm { service: service.clone(), term, primary: None };
+    let index = replicate::propose(board, now, command, out);
+    let change = change_of(board, now, service);
+    change.proposed = index;
+    // A fence that has been waited for stays: no write was allowed since. Positions are asked for again.
+    change.fenced_at = change.fenced_at.map(|_| now);
+}
+
+fn fence_and_choose(board: &mut Board, now: Instant, group: &Group, out: &mut Vec<Effect>) {
+    let Some(fenced_at) = wait_for_fence(board, now, &group.service) else { return };
+    match choice::choose(board, now, group, fenced_at) {
+        Choice::Wait(reason) => {
+            let change = change_of(board, now, &group.service);
+            if change.waits_for != Some(reason) {
+                change.waits_for = Some(reason);
+                note(out, &group.service, &format!("term {} waits: {reason}", group.term));
+            }
+        }
+        Choice::Endpoint(endpoint) => {
+            note(out, &group.service, &format!("{endpoint} is chosen as the primary of term {}", group.term));
+            let service = group.service.clone();
+            let command = Command::BeginTerm { service, term: group.term, primary: Some(endpoint) };
+            let index = replicate::propose(board, now, command, out);
+            change_of(board, now, &group.service).proposed = index;
+        }
+    }
+}
+
+/// When the fence of the current term was complete; none while it is not.
+fn wait_for_fence(board: &mut Board, now: Instant, service: &ServiceName) -> Option<Instant> {
+    let applied = board.log.applied;
+    let leases = &board.leases;
+    let change =
+        board.failover.changes.get_or_insert_with(service, || PrimaryChange::begin(service, now, applied));
+    if change.fenced_at.is_some() {
+        return change.fenced_at;
+    }
+    let fence = change.fence.get_or_insert_with(|| Fence::begin(leases, revision_of(change.proposed)));
+    if fence.is_done(leases, now) {
+        change.fenced_at = Some(now);
+    }
+    change.fenced_at
+}
+
+/// Orders the promotion of the chosen primary, again when the outcome of the last order is unknown.
+fn promote(board: &mut Board, now: Instant, group: &Group, primary: &EndpointName, out: &mut Vec<Effect>) {
+    let Some(entry) = group.endpoints.get(primary) else { return };
+    let promotion = Promotion {
+        service: group.service.clone(),
+        term: group.term,
+        endpoint: primary.clone(),
+        address: Arc::clone(&entry.address),
+    };
+    let order = &mut change_of(board, now, &group.service).order;
+    if order.term != group.term {
+        *order = Order { term: group.term, ..Order::default() };
+    }
+    let timeout = Duration::from_millis(PROMOTION_TIMEOUT_MS);
+    if order.ordered_at.is_some_and(|at| now.saturating_since(at) < timeout) || now < order.retry_at {
+        return;
+    }
+    order.ordered_at = Some(now);
+    out.push(Effect::Promote(promotion));
+}
+
+fn on_unknown(board: &mut Board, now: Instant, promotion: &Promotion, out: &mut Vec<Effect>) {
+    let order = &mut change_of(board, now, &promotion.service).order;
+    order.ordered_at = None;
+    order.retry_at = now + Duration::from_millis(PROMOTION_RETRY_MS);
+    order.unknown += 1;
+    let gives_up = order.unknown >= PROMOTION_ATTEMPTS;
+    if gives_up && detection::is_silent(board, now, &promotion.endpoint) {
+        note(out, &promotion.service, &format!("{} does not answer; choosing again", promotion.endpoint));
+        begin_term(board, now, &promotion.service, promotion.term.next(), out);
+    }
+}
+
+fn open_term(
+    board: &mut Board,
+    now: Instant,
+    promotion: &Promotion,
+    state: PromotedState,
+    out: &mut Vec<Effect>,
+) {
+    let service = &promotion.service;
+    let last = board.catalogue.group(service).and_then(|group| group.term_starts.last());
+    // An endpoint that was the primary already goes on with its timeline: nothing that it has is lost.
+    let stays = last.is_some_and(|last| last.timeline == state.timeline);
+    let position = board.announcements.get(&promotion.endpoint).map(|heard| heard.announcement.position);
+    let start = if stays { state.start.max(position.unwrap_or_default()) } else { state.start };
+    let command = Command::OpenTerm {
+        service: service.clone(),
+        term: promotion.term,
+        primary: promotion.endpoint.clone(),
+        timeline: state.timeline,
+        start,
+    };
+    let index = replicate::propose(board, now, command, out);
+    change_of(board, now, service).proposed = index;
+}
+
+fn change_of<'a>(board: &'a mut Board, now: Instant, service: &ServiceName) -> &'a mut PrimaryChange {
+    let applied = board.log.applied;
+    board.failover.changes.get_or_insert_with(service, || PrimaryChange::begin(service, now, applied))
+}
+
+fn note(out: &mut Vec<Effect>, service: &ServiceName, text: &str) {
+    out.push(Effect::Note(format!("{service}: {text}").into()));
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -0,0 +1,263 @@
+//! Leases of entry instances: who holds one, which revision it has confirmed, and fences.
+//!
+//! The leader counts a lease from when it gave it, with a margin for clocks that run slower than its own; the holder
+//! counts it from when it asked, which was earlier. So the leader's end is never before the holder's.
+
+use {
+    super::{Board, Effect, Ticket, permits, shares},
+    crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
+    cumincart_protocol::{
+        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
+        name::{DomainName, InstanceName},
+        number::{Incarnation, Revision},
+        peer::PeerBody,
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+/// How long the list of instances is repeated after a change, in milliseconds, so that a lost answer does no harm.
+pub const INSTANCES_REPEAT_MS: u64 = 2_000;
+
+/// How long an instance is still listed after its lease has run out, in milliseconds.
+pub const LISTED_AFTER_END_MS: u64 = 60_000;
+
+/// One run of an entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HolderKey {
+    /// Its name.
+    pub instance: InstanceName,
+    /// The run.
+    pub incarnation: Incarnation,
+}
+
+/// One run of an entry instance that holds a lease.
+#[derive(Debug, Clone)]
+pub struct Holder {
+    /// The run.
+    pub key: HolderKey,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The revision that it has confirmed to be in force there.
+    pub revision: Revision,
+    /// The end of its lease on terms, on the leader's clock.
+    pub term_until: Instant,
+    /// The end of its lease on keys, plans, shares and permits, on the leader's clock.
+    pub fresh_until: Instant,
+    entry: InstanceEntry,
+    /// Whether the lease has run out and all that came with it was taken back.
+    is_ended: bool,
+    /// Its last heartbeat, which may be answered again when something changes.
+    parked: Option<Parked>,
+}
+
+#[derive(Debug, Clone)]
+struct Parked {
+    ticket: Ticket,
+    asked_at: Instant,
+    /// The revision of the last answer.
+    told: Revision,
+}
+
+impl Keyed for Holder {
+    type Key = HolderKey;
+
+    fn key(&self) -> &HolderKey {
+        &self.key
+    }
+}
+
+/// The leases that this leader gave, and until when earlier leaders' may run.
+#[derive(Debug, Default)]
+pub struct Leases {
+    holders: SortedVec<Holder>,
+    earlier_terms_until: Instant,
+    earlier_until: Instant,
+    instances_changed_at: Instant,
+}
+
+impl Leases {
+    /// The runs that hold a lease or held one lately.
+    pub fn holders(&self) -> &SortedVec<Holder> {
+        &self.holders
+    }
+
+    /// The runs whose leases have not run out.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &Holder> {
+        self.holders.iter().filter(move |holder| now < holder.fresh_until)
+    }
+
+    /// Until when leases may run that an earlier leader gave.
+    pub fn earlier_until(&self) -> Instant {
+        self.earlier_until
+    }
+
+    fn instances(&self) -> Vec<InstanceEntry> {
+        self.holders.iter().filter(|holder| !holder.is_ended).map(|holder| holder.entry.clone()).collect()
+    }
+}
+
+/// Waits until no instance acts on anything older than a revision.
+#[derive(Debug, Clone)]
+pub struct Fence {
+    /// The revision.
+    pub revision: Revision,
+    earlier_until: Instant,
+    waiting: Vec<Awaited>,
+}
+
+#[derive(Debug, Clone)]
+struct Awaited {
+    key: HolderKey,
+    until: Instant,
+}
+
+impl Fence {
+    /// Begins to wait: for every lease that runs now, and for those that an earlier leader may have given.
+    pub fn begin(leases: &Leases, revision: Revision) -> Self {
+        let awaited = |holder: &Holder| Awaited { key: holder.key.clone(), until: holder.term_until };
+        let waiting = leases.holders.iter().map(awaited).collect();
+        Self { revision, earlier_until: leases.earlier_terms_until, waiting }
+    }
+
+    /// Whether each lease has run out or its holder has confirmed the revision.
+    pub fn is_done(&self, leases: &Leases, now: Instant) -> bool {
+        let confirmed =
+            |key: &HolderKey| leases.holders.get(key).is_some_and(|holder| holder.revision >= self.revision);
+        let is_free = |awaited: &Awaited| awaited.until <= now || confirmed(&awaited.key);
+        self.earlier_until <= now && self.waiting.iter().all(is_free)
+    }
+}
+
+/// Begins a leadership: leases that earlier leaders gave may still run.
+pub fn on_elected(leases: &mut Leases, now: Instant) {
+    *leases = Leases::default();
+    leases.earlier_terms_until = now + Duration::from_millis(grantor_lease_ms(TERM_LEASE_MS));
+    leases.earlier_until = now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
+    leases.instances_changed_at = now;
+}
+
+/// Answers a heartbeat with a lease, after a quorum has confirmed the leadership.
+pub fn grant(board: &mut Board, now: Instant, ticket: Ticket, heartbeat: &Heartbeat, out: &mut Vec<Effect>) {
+    if heartbeat.leaving {
+        release(board, now, ticket, heartbeat, out);
+        return;
+    }
+    let told = board.catalogue.revision;
+    let shares = shares::on_heartbeat(&mut board.shares, now, &board.catalogue, heartbeat);
+    let permits = permits::on_heartbeat(&mut board.permits, now, &board.catalogue, heartbeat);
+    let parked = Parked { ticket, asked_at: heartbeat.asked_at, told };
+    let is_new = renew(&mut board.leases, now, heartbeat, parked);
+    if is_new {
+        board.leases.instances_changed_at = now;
+    }
+    let mut answer = answer_base(board, heartbeat.incarnation, heartbeat.asked_at);
+    answer.update = board.recent.update(&board.catalogue, heartbeat.revision);
+    answer.shares = shares;
+    answer.permits = permits;
+    let repeat = Duration::from_millis(INSTANCES_REPEAT_MS);
+    let changed_lately = now.saturating_since(board.leases.instances_changed_at) < repeat;
+    answer.instances = changed_lately.then(|| board.leases.instances());
+    out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
+}
+
+/// Tells the holders at once of a new revision: answers their last heartbeats again. Extends no lease.
+pub fn push(board: &mut Board, out: &mut Vec<Effect>) {
+    let revision = board.catalogue.revision;
+    let mut parked: Vec<(HolderKey, Parked)> = Vec::new();
+    for holder in board.leases.holders.iter_mut() {
+        if let Some(waiting) = holder.parked.as_mut().filter(|waiting| waiting.told < revision) {
+            parked.push((holder.key.clone(), waiting.clone()));
+            waiting.told = revision;
+        }
+    }
+    for (key, waiting) in parked {
+        let mut answer = answer_base(board, key.incarnation, waiting.asked_at);
+        answer.update = board.recent.update(&board.catalogue, waiting.told);
+        out.push(Effect::AnswerHeartbeat(waiting.ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
+    }
+}
+
+/// Ends the leases that have run out, and forgets their holders after a while.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let has_run_out = |holder: &&Holder| !holder.is_ended && holder.fresh_until <= now;
+    let ended: Vec<HolderKey> =
+        board.leases.holders.iter().filter(has_run_out).map(|holder| holder.key.clone()).collect();
+    for key in ended {
+        out.push(Effect::Note(format!("the lease of {} has run out", key.instance).into()));
+        end(board, now, &key);
+    }
+    let listed = Duration::from_millis(LISTED_AFTER_END_MS);
+    board.leases.holders.retain(|holder| now.saturating_since(holder.fresh_until) < listed);
+}
+
+fn release(board: &mut Board, now: Instant, ticket: Ticket, heartbeat: &Heartbeat, out: &mut Vec<Effect>) {
+    let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
+    end(board, now, &key);
+    board.leases.holders.remove(&key);
+    out.push(Effect::Note(format!("{} gave its leases back", key.instance).into()));
+    let mut answer = answer_base(board, heartbeat.incarnation, heartbeat.asked_at);
+    answer.term_lease_ms = 0;
+    answer.freshness_lease_ms = 0;
+    out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
+}
+
+fn end(board: &mut Board, now: Instant, key: &HolderKey) {
+    if let Some(holder) = board.leases.holders.get_mut(key) {
+        holder.is_ended = true;
+        holder.parked = None;
+    }
+    board.leases.instances_changed_at = now;
+    board.failover.reports.forget(&key.instance);
+    shares::on_lease_end(&mut board.shares, now, &key.instance, key.incarnation);
+    permits::on_lease_end(&mut board.permits, now, &key.instance, key.incarnation);
+}
+
+/// Renews a lease; tells whether its holder is new.
+fn renew(leases: &mut Leases, now: Instant, heartbeat: &Heartbeat, parked: Parked) -> bool {
+    let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
+    let is_new = leases.holders.get(&key).is_none_or(|holder| holder.is_ended);
+    let holder = leases.holders.get_or_insert_with(&key, || Holder {
+        key: key.clone(),
+        domain: heartbeat.domain.clone(),
+        revision: heartbeat.revision,
+        term_until: now,
+        fresh_until: now,
+        entry: entry(heartbeat),
+        is_ended: false,
+        parked: None,
+    });
+    holder.is_ended = false;
+    holder.domain = heartbeat.domain.clone();
+    holder.entry = entry(heartbeat);
+    holder.revision = holder.revision.max(heartbeat.revision);
+    holder.term_until = now + Duration::from_millis(grantor_lease_ms(TERM_LEASE_MS));
+    holder.fresh_until = now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
+    holder.parked = Some(parked);
+    is_new
+}
+
+fn entry(heartbeat: &Heartbeat) -> InstanceEntry {
+    InstanceEntry {
+        name: heartbeat.instance.clone(),
+        incarnation: heartbeat.incarnation,
+        domain: heartbeat.domain.clone(),
+        peer_address: heartbeat.peer_address.clone(),
+    }
+}
+
+fn answer_base(board: &Board, incarnation: Incarnation, asked_at: Instant) -> HeartbeatAnswer {
+    HeartbeatAnswer {
+        asked_at,
+        incarnation,
+        control_term: board.election.ballot.term,
+        revision: board.catalogue.revision,
+        term_lease_ms: TERM_LEASE_MS,
+        freshness_lease_ms: FRESHNESS_LEASE_MS,
+        update: CatalogueUpdate::None,
+        shares: Vec::new(),
+        permits: Vec::new(),
+        instances: None,
+    }
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/log.rs
@@ -0,0 +1,149 @@
+//! The replicated log as this instance holds it: a snapshot's end, the records after it, commit and apply marks.
+
+use cumincart_protocol::{
+    number::{ControlTerm, LogIndex},
+    replication::{Command, Members, Record},
+};
+
+/// The records that are kept, and how far they are committed and applied.
+#[derive(Debug)]
+pub struct Log {
+    base_index: LogIndex,
+    base_term: ControlTerm,
+    base_members: Members,
+    records: Vec<Record>,
+    members: Members,
+    members_index: LogIndex,
+    /// The last index known to be on a majority.
+    pub commit: LogIndex,
+    /// The last index applied to the catalogue.
+    pub applied: LogIndex,
+}
+
+impl Log {
+    /// A log that begins after a snapshot (index 0 and term 0 where there is none), with the records behind it.
+    pub fn open(index: LogIndex, term: ControlTerm, members: Members, records: Vec<Record>) -> Self {
+        let mut log = Self {
+            base_index: index,
+            base_term: term,
+            base_members: members.clone(),
+            records,
+            members,
+            members_index: index,
+            commit: index,
+            applied: index,
+        };
+        log.find_members();
+        log
+    }
+
+    /// The index of the last record; the snapshot's where there is none.
+    pub fn last_index(&self) -> LogIndex {
+        self.records.last().map_or(self.base_index, |record| record.index)
+    }
+
+    /// The term of the last record.
+    pub fn last_term(&self) -> ControlTerm {
+        self.records.last().map_or(self.base_term, |record| record.term)
+    }
+
+    /// The index that the kept records begin after.
+    pub fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    /// The members as of the last record, committed or not.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The index of the record that set the members.
+    pub fn members_index(&self) -> LogIndex {
+        self.members_index
+    }
+
+    /// The members as of an index that is kept.
+    pub fn members_at(&self, index: LogIndex) -> Members {
+        let changes = self.records.iter().rev().filter(|record| record.index <= index);
+        let found = changes.filter_map(|record| members_of(&record.command)).next();
+        found.unwrap_or(&self.base_members).clone()
+    }
+
+    /// The term of the record with this index; none where it is not kept.
+    pub fn term_at(&self, index: LogIndex) -> Option<ControlTerm> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|record| record.term)
+    }
+
+    /// The record with this index.
+    pub fn get(&self, index: LogIndex) -> Option<&Record> {
+        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.records.get(usize::try_from(offset).ok()?)
+    }
+
+    /// The records that follow an index, at most `limit` of them.
+    pub fn after(&self, index: LogIndex, limit: usize) -> &[Record] {
+        let offset = usize::try_from(index.0.saturating_sub(self.base_index.0)).unwrap_or(usize::MAX);
+        let start = offset.min(self.records.len());
+        let end = start.saturating_add(limit).min(self.records.len());
+        &self.records[start..end]
+    }
+
+    /// Adds a record behind the last.
+    pub fn push(&mut self, record: Record) {
+        debug_assert_eq!(record.index, self.last_index().next());
+        if let Some(members) = members_of(&record.command) {
+            self.members = members.clone();
+            self.members_index = record.index;
+        }
+        self.records.push(record);
+    }
+
+    /// Drops the record with this index and all after it.
+    pub fn truncate_from(&mut self, index: LogIndex) {
+        let keep = index.0.saturating_sub(self.base_index.0 + 1);
+        self.records.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.find_members();
+    }
+
+    /// Drops the records up to an index that a snapshot now covers.
+    pub fn compact(&mut self, index: LogIndex) {
+        let Some(term) = self.term_at(index) else { return };
+        self.base_members = self.members_at(index);
+        let dropped = usize::try_from(index.0 - self.base_index.0).unwrap_or(usize::MAX);
+        self.records.drain(..dropped.min(self.records.len()));
+        self.base_index = index;
+        self.base_term = term;
+        self.find_members();
+    }
+
+    /// How many records are kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no record is kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn find_members(&mut self) {
+        let found = self
+            .records
+            .iter()
+            .rev()
+            .find_map(|record| members_of(&record.command).map(|m| (record.index, m)));
+        let (index, members) = found.unwrap_or((self.base_index, &self.base_members));
+        self.members_index = index;
+        self.members = members.clone();
+    }
+}
+
+fn members_of(command: &Command) -> Option<&Members> {
+    match command {
+        Command::Members(members) => Some(members),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/members.rs
@@ -0,0 +1,130 @@
+//! Who counts: quorums, and changes of the control group one at a time through learners.
+//!
+//! The members that settings name have no disk identity yet: they are *unbound*. Until the group has written down
+//! its disks, a quorum is all of its members; so an instance whose disk was wiped can never take its old place.
+
+use {
+    super::{Board, Effect, replicate},
+    cumincart_protocol::{
+        name::InstanceName,
+        replication::{Command, DiskId, Member, Members, ReplicationBody},
+        sorted::SortedVec,
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+/// Time between two requests to be taken in as a learner, in milliseconds.
+pub const JOIN_INTERVAL_MS: u64 = 1_000;
+
+/// The most control instances in the group.
+pub const MEMBERS_MAX: usize = 8;
+
+/// Whether these instances are a quorum of the voters.
+pub fn is_quorum(members: &Members, granted: impl Fn(&Member) -> bool) -> bool {
+    let voters = members.voters.len();
+    let count = members.voters.iter().filter(|member| granted(member)).count();
+    let needed = if is_bound(members) { voters / 2 + 1 } else { voters };
+    voters > 0 && count >= needed
+}
+
+/// Whether every voter's disk is written down.
+pub fn is_bound(members: &Members) -> bool {
+    members.voters.iter().all(|member| member.disk.is_bound())
+}
+
+/// The voter with this name, unless its disk is known to be another.
+pub fn voter<'a>(members: &'a Members, instance: &InstanceName, disk: &DiskId) -> Option<&'a Member> {
+    members.voters.get(instance).filter(|member| matches(member, disk))
+}
+
+/// The voter or learner with this name, unless its disk is known to be another.
+pub fn member<'a>(members: &'a Members, instance: &InstanceName, disk: &DiskId) -> Option<&'a Member> {
+    let learner = || members.learners.get(instance).filter(|member| matches(member, disk));
+    voter(members, instance, disk).or_else(learner)
+}
+
+/// Voters and learners.
+pub fn all(members: &Members) -> impl Iterator<Item = &Member> {
+    members.voters.iter().chain(members.learners.iter())
+}
+
+/// Asks to be taken in as a learner, as long as this instance's disk is not written down as a member's.
+pub fn join_if_outside(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let own = board.settings.member.clone();
+    let members = board.log.members();
+    let inside = is_bound(members) && member(members, &own.instance, &own.disk).is_some();
+    if inside || now < board.next_join_at {
+        return;
+    }
+    board.next_join_at = now + Duration::from_millis(JOIN_INTERVAL_MS);
+    let known: SortedVec<Member> = all(&board.settings.first_members).chain(all(members)).cloned().collect();
+    for other in known.iter().filter(|other| other.instance != own.instance) {
+        replicate::send(board, other, ReplicationBody::Join(own.clone()), out);
+    }
+}
+
+/// Takes a request to join in: first removes the instance's old disk, then adds the new one as a learner.
+pub fn on_join(board: &mut Board, now: Instant, asking: &Member, out: &mut Vec<Effect>) {
+    if !may_change(board) || asking.instance == board.settings.member.instance || !asking.disk.is_bound() {
+        return;
+    }
+    let members = board.log.members();
+    let is_full = members.voters.len() + members.learners.len() >= MEMBERS_MAX;
+    let is_known = all(members).any(|member| member.instance == asking.instance);
+    if member(members, &asking.instance, &asking.disk).is_some() || (is_full && !is_known) {
+        return;
+    }
+    let mut changed = members.clone();
+    let note = if changed.voters.remove(&asking.instance).is_some() {
+        format!("control instance {} has another disk; its old one no longer counts", asking.instance)
+    } else {
+        changed.learners.insert(asking.clone());
+        format!("control instance {} is taken in as a learner", asking.instance)
+    };
+    out.push(Effect::Note(note.into()));
+    replicate::propose(board, now, Command::Members(changed), out);
+}
+
+/// Makes a learner that has the whole log a voter.
+pub fn promote_learners(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if board.log.members().learners.is_empty() || !may_change(board) {
+        return;
+    }
+    let last = board.log.last_index();
+    let mut learners = board.log.members().learners.iter();
+    let ready = learners.find(|learner| board.replication.matched(&learner.instance) >= last);
+    let Some(ready) = ready.cloned() else { return };
+    let mut changed = board.log.members().clone();
+    changed.learners.remove(&ready.instance);
+    let name = ready.instance.clone();
+    changed.voters.insert(ready);
+    out.push(Effect::Note(format!("control instance {name} has caught up and votes now").into()));
+    replicate::propose(board, now, Command::Members(changed), out);
+}
+
+/// Writes the voters' disks down, once all of them have voted.
+pub fn bind(board: &mut Board, now: Instant, disks: &[Member], out: &mut Vec<Effect>) {
+    if is_bound(board.log.members()) {
+        return;
+    }
+    let mut bound = board.log.members().clone();
+    bound.voters = bound.voters.iter().map(|voter| bind_one(voter, disks)).collect::<SortedVec<_>>();
+    replicate::propose(board, now, Command::Members(bound), out);
+}
+
+fn bind_one(voter: &Member, disks: &[Member]) -> Member {
+    let known = disks.iter().find(|member| member.instance == voter.instance);
+    known.map_or_else(|| voter.clone(), |known| Member { disk: known.disk.clone(), ..voter.clone() })
+}
+
+fn matches(member: &Member, disk: &DiskId) -> bool {
+    !member.disk.is_bound() || member.disk == *disk
+}
+
+/// One change at a time, and none before the leader has committed a record of its own term.
+fn may_change(board: &Board) -> bool {
+    board.election.is_leader()
+        && board.replication.has_committed_own_term(&board.log)
+        && board.log.members_index() <= board.log.commit
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -0,0 +1,316 @@
+//! Copies the log from the leader to its followers, commits by majority and applies what is committed.
+
+use {
+    super::{Board, Effect, Persist, catalogue, election, members, operators, read_index, snapshot},
+    cumincart_protocol::{
+        heartbeat::CatalogueDelta,
+        name::InstanceName,
+        number::LogIndex,
+        replication::{Append, AppendAnswer, Command, Member, Record, ReplicationBody, ReplicationMessage},
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two messages of the leader to a follower when there is nothing to send, in milliseconds.
+pub const LEADER_HEARTBEAT_MS: u64 = 50;
+
+/// The most records in one message.
+pub const RECORDS_PER_MESSAGE: usize = 256;
+
+/// Time after which an unanswered snapshot is sent again, in milliseconds.
+pub const INSTALL_RETRY_MS: u64 = 1_000;
+
+/// What a leader knows of its followers.
+#[derive(Debug, Default)]
+pub struct Replication {
+    peers: SortedVec<Peer>,
+    opened_at: LogIndex,
+    elected_at: Instant,
+    last_stamp: Instant,
+    next_heartbeat_at: Instant,
+}
+
+#[derive(Debug)]
+struct Peer {
+    instance: InstanceName,
+    next: LogIndex,
+    matched: LogIndex,
+    /// The greatest stamp of ours that it has answered.
+    confirmed: Instant,
+    heard_at: Instant,
+    installed_at: Option<Instant>,
+}
+
+impl Keyed for Peer {
+    type Key = InstanceName;
+
+    fn key(&self) -> &InstanceName {
+        &self.instance
+    }
+}
+
+impl Replication {
+    /// The last index that an instance is known to have.
+    pub fn matched(&self, instance: &InstanceName) -> LogIndex {
+        self.peers.get(instance).map(|peer| peer.matched).unwrap_or_default()
+    }
+
+    /// When an instance was last heard; the election where it was not heard since.
+    pub fn heard_at(&self, instance: &InstanceName) -> Instant {
+        self.peers.get(instance).map_or(self.elected_at, |peer| peer.heard_at)
+    }
+
+    /// When this leadership began.
+    pub fn elected_at(&self) -> Instant {
+        self.elected_at
+    }
+
+    /// Whether a record of this leadership is committed; until then the commit index is not known for sure.
+    pub fn has_committed_own_term(&self, log: &super::log::Log) -> bool {
+        log.commit >= self.opened_at
+    }
+
+    /// The stamp that the next round of messages will carry at least.
+    pub fn next_stamp(&self) -> Instant {
+        self.last_stamp + Duration::from_micros(1)
+    }
+
+    fn confirmed(&self, instance: &InstanceName) -> Instant {
+        self.peers.get(instance).map(|peer| peer.confirmed).unwrap_or_default()
+    }
+
+    /// Stamps only grow, so that an answer tells which round it confirms.
+    fn stamp(&mut self, now: Instant) -> Instant {
+        self.last_stamp = self.next_stamp().max(now);
+        self.last_stamp
+    }
+}
+
+/// Forgets what an earlier leadership knew of the followers.
+pub fn on_elected(board: &mut Board, now: Instant) {
+    let last_stamp = board.replication.last_stamp;
+    let opened_at = board.log.last_index().next();
+    board.replication = Replication { opened_at, elected_at: now, last_stamp, ..Replication::default() };
+}
+
+/// Sends to one control instance.
+pub fn send(board: &Board, to: &Member, body: ReplicationBody, out: &mut Vec<Effect>) {
+    let message = ReplicationMessage {
+        disk: board.settings.member.disk.clone(),
+        incarnation: board.settings.incarnation,
+        term: board.election.ballot.term,
+        body,
+    };
+    out.push(Effect::Send(to.clone(), message));
+}
+
+/// Appends a record to the leader's log and sends it on. Gives its index.
+pub fn propose(board: &mut Board, now: Instant, command: Command, out: &mut Vec<Effect>) -> LogIndex {
+    let index = board.log.last_index().next();
+    let record = Record { index, term: board.election.ballot.term, command };
+    board.log.push(record.clone());
+    out.push(Effect::Persist(Persist::Append(vec![record])));
+    broadcast(board, now, out);
+    index
+}
+
+/// Sends each follower what it lacks, and asks all to confirm the leadership. Gives the round's stamp.
+pub fn broadcast(board: &mut Board, now: Instant, out: &mut Vec<Effect>) -> Instant {
+    let stamp = board.replication.stamp(now);
+    board.replication.next_heartbeat_at = now + Duration::from_millis(LEADER_HEARTBEAT_MS);
+    for member in followers(board) {
+        send_records(board, now, &member, stamp, out);
+    }
+    stamp
+}
+
+/// Sends the followers a message when none was sent lately.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if board.election.is_leader() && board.replication.next_heartbeat_at <= now {
+        broadcast(board, now, out);
+    }
+}
+
+/// Takes a leader's records in.
+pub fn on_append(board: &mut Board, now: Instant, from: &Member, append: Append, out: &mut Vec<Effect>) {
+    election::on_leader_heard(board, now, &from.instance, out);
+    let sent_at = append.sent_at;
+    let answer = match take_records(board, append, out) {
+        Ok(matched) => AppendAnswer { sent_at, success: true, matched },
+        Err(hint) => AppendAnswer { sent_at, success: false, matched: hint },
+    };
+    send(board, from, ReplicationBody::AppendAnswer(answer), out);
+}
+
+/// Tells a leader of an earlier term that its time is over.
+pub fn refuse_old_leader(board: &Board, from: &Member, append: &Append, out: &mut Vec<Effect>) {
+    let answer = AppendAnswer { sent_at: append.sent_at, success: false, matched: board.log.commit };
+    send(board, from, ReplicationBody::AppendAnswer(answer), out);
+}
+
+/// Takes a follower's answer in.
+pub fn on_append_answer(
+    board: &mut Board,
+    now: Instant,
+    from: &Member,
+    answer: &AppendAnswer,
+    out: &mut Vec<Effect>,
+) {
+    let known = members::member(board.log.members(), &from.instance, &from.disk).is_some();
+    if !board.election.is_leader() || !known {
+        return;
+    }
+    let last = board.log.last_index();
+    let Some(peer) = board.replication.peers.get_mut(&from.instance) else { return };
+    peer.heard_at = now;
+    peer.confirmed = peer.confirmed.max(answer.sent_at);
+    if answer.success {
+        peer.installed_at = None;
+        peer.matched = peer.matched.max(answer.matched);
+        peer.next = peer.next.max(peer.matched.next());
+    } else {
+        peer.next = answer.matched.max(peer.matched).next().min(last.next());
+    }
+    let behind = peer.next <= last;
+    if behind {
+        let stamp = board.replication.last_stamp;
+        send_records(board, now, from, stamp, out);
+    }
+}
+
+/// Commits what a majority has, applies it and answers those who waited for it.
+pub fn advance(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if board.election.is_leader() {
+        commit_by_majority(board);
+    }
+    while board.log.applied < board.log.commit {
+        apply_next(board, out);
+    }
+    snapshot::take_if_due(board, out);
+    if board.election.is_leader() {
+        members::promote_learners(board, now, out);
+        read_index::serve(board, now, out);
+    }
+}
+
+/// The greatest stamp that a quorum has answered.
+pub fn quorum_stamp(board: &Board) -> Instant {
+    let mut stamps: Vec<Instant> =
+        board.log.members().voters.iter().map(|voter| confirmed_stamp(board, &voter.instance)).collect();
+    stamps.sort_unstable();
+    let members = board.log.members();
+    let confirms = |stamp: Instant| {
+        members::is_quorum(members, |voter| confirmed_stamp(board, &voter.instance) >= stamp)
+    };
+    stamps.into_iter().rev().find(|stamp| confirms(*stamp)).unwrap_or_default()
+}
+
+fn confirmed_stamp(board: &Board, instance: &InstanceName) -> Instant {
+    if *instance == board.settings.member.instance {
+        return Instant::from_micros(u64::MAX);
+    }
+    board.replication.confirmed(instance)
+}
+
+fn matched_index(board: &Board, instance: &InstanceName) -> LogIndex {
+    if *instance == board.settings.member.instance {
+        return board.log.last_index();
+    }
+    board.replication.matched(instance)
+}
+
+fn commit_by_majority(board: &mut Board) {
+    let members = board.log.members();
+    let mut indexes: Vec<LogIndex> =
+        members.voters.iter().map(|voter| matched_index(board, &voter.instance)).collect();
+    indexes.sort_unstable();
+    let on_quorum =
+        |index: LogIndex| members::is_quorum(members, |voter| matched_index(board, &voter.instance) >= index);
+    let Some(index) = indexes.into_iter().rev().find(|index| on_quorum(*index)) else { return };
+    // A record of an earlier term is committed only through one of the own term (Raft, 5.4.2).
+    if index > board.log.commit && board.log.term_at(index) == Some(board.election.ballot.term) {
+        board.log.commit = index;
+    }
+}
+
+fn apply_next(board: &mut Board, out: &mut Vec<Effect>) {
+    let index = board.log.applied.next();
+    let Some(record) = board.log.get(index) else { return };
+    let from = board.catalogue.revision;
+    let catalogue = Arc::make_mut(&mut board.catalogue);
+    let (change, outcome) = catalogue::apply(catalogue, &mut board.outcomes, record);
+    let to = board.catalogue.revision;
+    board.recent.push(CatalogueDelta { from, to, change });
+    board.log.applied = index;
+    if let Some(outcome) = outcome {
+        operators::on_applied(board, index, &outcome, out);
+    }
+}
+
+fn followers(board: &Board) -> Vec<Member> {
+    let own = &board.settings.member.instance;
+    members::all(board.log.members()).filter(|member| member.instance != *own).cloned().collect()
+}
+
+fn send_records(board: &mut Board, now: Instant, to: &Member, stamp: Instant, out: &mut Vec<Effect>) {
+    let next_index = board.log.last_index().next();
+    let elected_at = board.replication.elected_at;
+    let peer = board.replication.peers.get_or_insert_with(&to.instance, || Peer {
+        instance: to.instance.clone(),
+        next: next_index,
+        matched: LogIndex::default(),
+        confirmed: Instant::ZERO,
+        heard_at: elected_at,
+        installed_at: None,
+    });
+    let previous_index = LogIndex(peer.next.0 - 1);
+    let Some(previous_term) = board.log.term_at(previous_index) else {
+        install(board, now, to, out);
+        return;
+    };
+    let records = board.log.after(previous_index, RECORDS_PER_MESSAGE).to_vec();
+    peer.next = records.last().map_or(peer.next, |record| record.index.next());
+    let append = Append { previous_index, previous_term, records, commit: board.log.commit, sent_at: stamp };
+    send(board, to, ReplicationBody::Append(append), out);
+}
+
+fn install(board: &mut Board, now: Instant, to: &Member, out: &mut Vec<Effect>) {
+    let Some(peer) = board.replication.peers.get_mut(&to.instance) else { return };
+    let retry = Duration::from_millis(INSTALL_RETRY_MS);
+    if peer.installed_at.is_some_and(|at| now.saturating_since(at) < retry) {
+        return;
+    }
+    peer.installed_at = Some(now);
+    let snapshot = snapshot::current(board);
+    send(board, to, ReplicationBody::Install(Box::new(snapshot)), out);
+}
+
+/// Puts a leader's records into the log. Gives the last index known to match, or a hint where to try next.
+fn take_records(board: &mut Board, append: Append, out: &mut Vec<Effect>) -> Result<LogIndex, LogIndex> {
+    let base = board.log.base_index();
+    let previous_term = board.log.term_at(append.previous_index);
+    if append.previous_index >= base && previous_term != Some(append.previous_term) {
+        let known = board.log.last_index().min(append.previous_index);
+        return Err(if previous_term.is_some() { board.log.commit } else { known });
+    }
+    let matched = append.records.last().map_or(append.previous_index, |record| record.index);
+    let mut added = Vec::new();
+    for record in append.records {
+        if record.index <= base || board.log.term_at(record.index) == Some(record.term) {
+            continue;
+        }
+        if board.log.term_at(record.index).is_some() {
+            board.log.truncate_from(record.index);
+            out.push(Effect::Persist(Persist::TruncateFrom(record.index)));
+        }
+        board.log.push(record.clone());
+        added.push(record);
+    }
+    if !added.is_empty() {
+        out.push(Effect::Persist(Persist::Append(added)));
+    }
+    board.log.commit = board.log.commit.max(append.commit.min(matched));
+    Ok(matched)
+}
--- /dev/null
+++ b/crates/cumincart-core/src/control/service_state.rs
@@ -0,0 +1,36 @@
+//! Failure domains and endpoints out of service: primaries move away from them, and none is chosen there.
+
+use {
+    super::{Board, choice, detection},
+    cumincart_protocol::{announcement::Role, catalogue::Group, name::EndpointName, time::Instant},
+    std::time::Duration,
+};
+
+/// How far a replica may be behind when a planned move to it begins, in milliseconds.
+pub const MOVE_LAG_MS: u64 = 1_000;
+
+/// Whether the endpoint's failure domain is in service and the endpoint is not leaving.
+pub fn may_be_primary(board: &Board, group: &Group, endpoint: &EndpointName) -> bool {
+    let entry = group.endpoints.get(endpoint);
+    entry.is_some_and(|entry| !entry.leaving && !board.catalogue.is_domain_out(&entry.domain))
+}
+
+/// Whether the group's primary must move, and a replica is ready to take over.
+pub fn must_move(board: &Board, now: Instant, group: &Group) -> bool {
+    let Some(primary) = &group.primary else { return false };
+    if may_be_primary(board, group, primary) {
+        return false;
+    }
+    group.endpoints.iter().any(|endpoint| is_ready(board, now, group, &endpoint.name))
+}
+
+fn is_ready(board: &Board, now: Instant, group: &Group, endpoint: &EndpointName) -> bool {
+    let Some(heard) = board.announcements.get(endpoint) else { return false };
+    let is_recent = now.saturating_since(heard.at) < Duration::from_millis(detection::SILENT_MS);
+    let announcement = &heard.announcement;
+    may_be_primary(board, group, endpoint)
+        && is_recent
+        && announcement.role == Role::Replica
+        && announcement.lag_ms <= MOVE_LAG_MS
+        && choice::is_on_course(group, announcement)
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -0,0 +1,195 @@
+//! A control group of one member: elects itself, commits at once and serves from there.
+
+use {
+    cumincart_core::control::{Board, Effect, Input, Persist, PromotedState, Settings, Stored, Ticket, step},
+    cumincart_protocol::{
+        announcement::{Announcement, Role},
+        change::{Action, Change, ChangeId, Outcome},
+        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer},
+        lists::Lists,
+        number::{Incarnation, ListsRevision, LogPosition, Revision, Term, Timeline},
+        peer::PeerBody,
+        replication::{DiskId, Member, Members},
+        time::Instant,
+    },
+    rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
+    std::sync::Arc,
+};
+
+const SEED: u64 = 41;
+
+fn open_board(stored: Stored) -> Board {
+    let member = Member {
+        instance: "control-1".into(),
+        disk: DiskId("disk-1".into()),
+        peer_address: "10.0.0.1:1".into(),
+    };
+    let unbound = Member { disk: DiskId::unbound(), ..member.clone() };
+    let voters = std::iter::once(unbound).collect();
+    let first_members = Members { voters, ..Members::default() };
+    let settings = Settings { member, incarnation: Incarnation(1), first_members };
+    Board::open(settings, stored, ChaCha20Rng::seed_from_u64(SEED))
+}
+
+fn run(board: &mut Board, at_ms: u64, input: Input) -> Vec<Effect> {
+    let mut out = Vec::new();
+    step(board, Instant::from_millis(at_ms), input, &mut out);
+    out
+}
+
+fn apply(base: u64, id: &str) -> Change {
+    let action = Action::Apply { base: ListsRevision(base), lists: Arc::new(Lists::default()) };
+    Change { id: ChangeId(id.into()), action }
+}
+
+fn outcome(effects: &[Effect]) -> Outcome {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::AnswerOperator(_, Ok(outcome)) => Some(outcome.clone()),
+        _ => None,
+    });
+    found.expect("the operator was answered")
+}
+
+fn heartbeat(revision: Revision) -> Heartbeat {
+    Heartbeat {
+        instance: "entry-1".into(),
+        incarnation: Incarnation(7),
+        domain: "sofia-a".into(),
+        peer_address: "10.0.0.9:1".into(),
+        asked_at: Instant::from_millis(3),
+        revision,
+        leaving: false,
+        endpoints: Vec::new(),
+        shares: Vec::new(),
+        permits: Vec::new(),
+    }
+}
+
+fn beat(board: &mut Board, at_ms: u64, revision: Revision) -> HeartbeatAnswer {
+    let effects = run(board, at_ms, Input::Heartbeat(Ticket(9), Box::new(heartbeat(revision))));
+    let found = effects.into_iter().find_map(|effect| match effect {
+        Effect::AnswerHeartbeat(Ticket(9), PeerBody::HeartbeatAnswer(answer)) => Some(*answer),
+        _ => None,
+    });
+    found.expect("the heartbeat was answered")
+}
+
+fn announcement(endpoint: &str, role: Role) -> Announcement {
+    Announcement {
+        endpoint: endpoint.into(),
+        service: "pbx".into(),
+        address: "10.0.1.1:5432".into(),
+        domain: "sofia-a".into(),
+        role,
+        timeline: Timeline(4),
+        position: LogPosition(1_000),
+        lag_ms: 0,
+        slots: 5,
+        connection_limit: 30,
+        leaving: false,
+    }
+}
+
+#[test]
+fn elects_itself_on_the_first_tick_and_answers_operators() {
+    let mut board = open_board(Stored::default());
+    run(&mut board, 10, Input::Tick);
+    let first = outcome(&run(&mut board, 20, Input::Operator(Ticket(1), apply(0, "a"))));
+    assert!(matches!(first, Outcome::Accepted { lists_revision: ListsRevision(1), .. }), "{first:?}");
+    let racing = outcome(&run(&mut board, 30, Input::Operator(Ticket(2), apply(0, "b"))));
+    assert_eq!(racing, Outcome::Conflict { base: ListsRevision(0), current: ListsRevision(1) });
+    assert_eq!(outcome(&run(&mut board, 40, Input::Operator(Ticket(3), apply(0, "a")))), first);
+}
+
+#[test]
+fn answers_a_heartbeat_with_a_lease_and_what_the_holder_lacks() {
+    let mut board = open_board(Stored::default());
+    run(&mut board, 10, Input::Tick);
+    let first = beat(&mut board, 20, Revision(0));
+    assert_eq!(first.asked_at, Instant::from_millis(3));
+    assert!(first.term_lease_ms > 0 && first.freshness_lease_ms > 0);
+    assert_eq!(first.instances.map(|instances| instances.len()), Some(1));
+    run(&mut board, 30, Input::Operator(Ticket(1), apply(0, "a")));
+    let second = beat(&mut board, 40, first.revision);
+    assert!(matches!(second.update, CatalogueUpdate::Deltas(_)), "{:?}", second.update);
+    let current = beat(&mut board, 50, second.revision);
+    assert_eq!(current.update, CatalogueUpdate::None);
+}
+
+#[test]
+fn pushes_a_change_to_the_last_heartbeat_without_extending_its_lease() {
+    let mut board = open_board(Stored::default());
+    run(&mut board, 10, Input::Tick);
+    let first = beat(&mut board, 20, Revision(0));
+    let effects = run(&mut board, 30, Input::Operator(Ticket(1), apply(0, "a")));
+    let pushed = effects.iter().find_map(|effect| match effect {
+        Effect::AnswerHeartbeat(Ticket(9), PeerBody::HeartbeatAnswer(answer)) => Some(answer),
+        _ => None,
+    });
+    let pushed = pushed.expect("the change was pushed");
+    assert_eq!(pushed.asked_at, first.asked_at);
+    assert!(pushed.revision > first.revision);
+}
+
+#[test]
+fn adopts_the_announced_primary_for_the_first_term() {
+    let mut board = open_board(Stored::default());
+    run(&mut board, 10, Input::Tick);
+    for at_ms in (20..1_000).step_by(10) {
+        run(&mut board, at_ms, Input::Tick);
+        run(&mut board, at_ms, Input::Announced(announcement("pbx-1", Role::Primary)));
+        run(&mut board, at_ms, Input::Announced(announcement("pbx-2", Role::Replica)));
+    }
+    let group = board.catalogue.group(&"pbx".into()).expect("the group is known");
+    assert_eq!((group.term, group.writable), (Term(1), true));
+    assert_eq!(group.primary, Some("pbx-1".into()));
+    assert_eq!(group.endpoints.len(), 2);
+    assert_eq!(group.term_starts[0].timeline, Timeline(4));
+}
+
+#[test]
+fn remembers_outcomes_over_a_restart() {
+    let mut board = open_board(Stored::default());
+    let mut stored = Stored::default();
+    let mut effects = run(&mut board, 10, Input::Tick);
+    effects.extend(run(&mut board, 20, Input::Operator(Ticket(1), apply(0, "a"))));
+    let first = outcome(&effects);
+    for effect in effects {
+        match effect {
+            Effect::Persist(Persist::Ballot(ballot)) => stored.ballot = ballot,
+            Effect::Persist(Persist::Append(records)) => stored.records.extend(records),
+            _ => {}
+        }
+    }
+    let mut board = open_board(stored);
+    run(&mut board, 10, Input::Tick);
+    assert_eq!(outcome(&run(&mut board, 20, Input::Operator(Ticket(1), apply(0, "a")))), first);
+}
+
+#[test]
+fn moves_the_primary_out_of_a_domain_that_is_taken_out() {
+    let mut board = open_board(Stored::default());
+    let mut promoted = 0;
+    for at_ms in (10..4_000).step_by(10) {
+        let mut inputs = vec![Input::Tick];
+        inputs.push(Input::Announced(announcement("pbx-1", Role::Primary)));
+        let replica = Announcement { domain: "varna-a".into(), ..announcement("pbx-2", Role::Replica) };
+        inputs.push(Input::Announced(replica));
+        if at_ms == 1_000 {
+            let action = Action::SetDomain { domain: "sofia-a".into(), out: true };
+            inputs.push(Input::Operator(Ticket(1), Change { id: ChangeId("out".into()), action }));
+        }
+        while let Some(input) = inputs.pop() {
+            for effect in run(&mut board, at_ms, input) {
+                if let Effect::Promote(promotion) = effect {
+                    promoted += 1;
+                    let state = PromotedState { timeline: Timeline(5), start: LogPosition(1_000) };
+                    inputs.push(Input::Promoted(promotion, Ok(state)));
+                }
+            }
+        }
+    }
+    let group = board.catalogue.group(&"pbx".into()).expect("the group is known");
+    assert_eq!((group.term, group.writable, promoted), (Term(2), true, 1));
+    assert_eq!(group.primary, Some("pbx-2".into()));
+}
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -95,6 +95,18 @@
 #[serde(transparent)]
 pub struct DiskId(pub Arc<str>);
 
+impl DiskId {
+    /// The identity of a disk that is not known yet, as settings name the first members.
+    pub fn unbound() -> Self {
+        Self("".into())
+    }
+
+    /// Whether this is the identity of a real data folder.
+    pub fn is_bound(&self) -> bool {
+        !self.0.is_empty()
+    }
+}
+
 /// What must be synced before a message that depends on it is sent.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ballot {
@@ -139,7 +151,7 @@
 /// A message between control instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReplicationMessage {
-    /// The sender's disk; a message from a disk that is not a member's is dropped.
+    /// The sender's disk; votes and acknowledgements of a disk that is not a member's don't count.
     pub disk: DiskId,
     /// The sender's run.
     pub incarnation: Incarnation,
--- a/crates/cumincart-runtime/src/data_folder.rs
+++ b/crates/cumincart-runtime/src/data_folder.rs
@@ -1,32 +1,220 @@
 //! The control instances' durable state: one folder, checksummed records, synced before anything depends on them.
+//!
+//! The folder holds an `identity`, a `lock` and one `state-<generation>` file. That file begins with a whole state
+//! (snapshot, ballot and the records after the snapshot) and goes on with one frame for each [`Persist`]. A snapshot
+//! begins the next generation: written aside, synced, renamed, the folder synced, and only then the old file removed.
+
+mod error;
+mod frame;
+mod journal;
+mod state;
+
+pub use {
+    error::DataFolderError,
+    journal::{SyncFn, WriteFn, Writer},
+};
 
 use {
     cumincart_core::control::{Persist, Stored},
     cumincart_protocol::replication::DiskId,
-    std::path::Path,
+    frame::{Entry, Scan},
+    journal::Journal,
+    state::State,
+    std::{
+        fs::{self, File, TryLockError},
+        io::ErrorKind,
+        path::{Path, PathBuf},
+    },
+    uuid::Uuid,
 };
 
-/// Why the data folder can't be used.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum DataFolderError {
-    /// The operating system refused.
-    #[error("the data folder can't be used: {0}")]
-    #[diagnostic(code(cumincart::data_folder::io), help("check the folder's permissions and free space"))]
-    Io(#[from] std::io::Error),
-}
+const IDENTITY_FILE: &str = "identity";
+const LOCK_FILE: &str = "lock";
+const STATE_PREFIX: &str = "state-";
+const ASIDE_SUFFIX: &str = ".new";
 
 /// An open data folder; no other process may use it.
 #[derive(Debug)]
-pub struct DataFolder {}
+pub struct DataFolder {
+    path: PathBuf,
+    disk: DiskId,
+    generation: u64,
+    state: State,
+    journal: Journal,
+    writer: Writer,
+    /// Set by the first failure: what is on the disk is not known any more.
+    failed: bool,
+    /// Held for as long as the folder is open.
+    _lock: File,
+}
 
 impl DataFolder {
     /// Opens the folder, makes it where it is missing, and reads what it holds.
-    pub fn open(_path: &Path) -> Result<(Self, DiskId, Stored), DataFolderError> {
-        Ok((Self {}, DiskId("".into()), Stored::default()))
+    pub fn open(path: &Path) -> Result<(Self, DiskId, Stored), DataFolderError> {
+        Self::open_with(path, Writer::default())
+    }
+
+    /// Opens the folder with other functions to write and sync.
+    pub fn open_with(path: &Path, mut writer: Writer) -> Result<(Self, DiskId, Stored), DataFolderError> {
+        fs::create_dir_all(path).map_err(|error| DataFolderError::io(path, error))?;
+        let lock = lock(path)?;
+        let newest = newest_generation(path)?;
+        let disk = identity(path, newest.is_some(), &mut writer)?;
+        let (generation, state, journal) = match newest {
+            Some(generation) => read(path, generation, &disk)?,
+            None => begin(path, 1, &disk, State::default(), &mut writer)?,
+        };
+        remove_others(path, generation)?;
+        let stored = state.stored();
+        let folder = Self {
+            path: path.into(),
+            disk: disk.clone(),
+            generation,
+            state,
+            journal,
+            writer,
+            failed: false,
+            _lock: lock,
+        };
+        Ok((folder, disk, stored))
     }
 
     /// Writes and syncs; blocks until it is on the disk. After an error the process must stop.
-    pub fn persist(&mut self, _persist: &Persist) -> Result<(), DataFolderError> {
-        Ok(())
+    pub fn persist(&mut self, persist: &Persist) -> Result<(), DataFolderError> {
+        if self.failed {
+            return Err(DataFolderError::Failed { path: self.path.clone() });
+        }
+        let result = self.write(persist);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn write(&mut self, persist: &Persist) -> Result<(), DataFolderError> {
+        self.state.apply(persist);
+        if matches!(persist, Persist::Snapshot(_)) {
+            return self.begin_generation();
+        }
+        let frame = frame::encode(&Entry::Persist(persist.clone()));
+        self.journal.append(&frame, &mut self.writer).map_err(|error| DataFolderError::io(&self.path, error))
+    }
+
+    fn begin_generation(&mut self) -> Result<(), DataFolderError> {
+        let next = self.generation + 1;
+        let (generation, state, journal) =
+            begin(&self.path, next, &self.disk, std::mem::take(&mut self.state), &mut self.writer)?;
+        self.generation = generation;
+        self.state = state;
+        self.journal = journal;
+        remove_others(&self.path, generation)
+    }
+}
+
+fn lock(path: &Path) -> Result<File, DataFolderError> {
+    let name = path.join(LOCK_FILE);
+    let file = File::options().create(true).truncate(false).write(true).open(&name);
+    let file = file.map_err(|error| DataFolderError::io(&name, error))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(DataFolderError::InUse { path: path.into() }),
+        Err(TryLockError::Error(error)) => Err(DataFolderError::io(&name, error)),
+    }
+}
+
+/// Reads the folder's identity; makes one where the folder is new. A state without an identity is refused.
+fn identity(path: &Path, has_state: bool, writer: &mut Writer) -> Result<DiskId, DataFolderError> {
+    let name = path.join(IDENTITY_FILE);
+    match fs::read_to_string(&name) {
+        Ok(text) if !text.trim().is_empty() => return Ok(DiskId(text.trim().into())),
+        Ok(_) if has_state => return Err(DataFolderError::NoIdentity { path: path.into() }),
+        Err(error) if error.kind() == ErrorKind::NotFound && has_state => {
+            return Err(DataFolderError::NoIdentity { path: path.into() });
+        }
+        Err(error) if error.kind() != ErrorKind::NotFound => return Err(DataFolderError::io(&name, error)),
+        Ok(_) | Err(_) => {}
+    }
+    let disk = DiskId(Uuid::now_v7().to_string().into());
+    write_aside(path, IDENTITY_FILE, disk.0.as_bytes(), writer)?;
+    Ok(disk)
+}
+
+fn read(path: &Path, generation: u64, disk: &DiskId) -> Result<(u64, State, Journal), DataFolderError> {
+    let name = path.join(state_name(generation));
+    let bytes = fs::read(&name).map_err(|error| DataFolderError::io(&name, error))?;
+    let Scan { entries, end } = frame::scan(&bytes).map_err(|offset| DataFolderError::Damaged {
+        path: name.clone(),
+        offset,
+        length: bytes.len() as u64,
+    })?;
+    let mut entries = entries.into_iter();
+    let Some(Entry::Whole { disk: written_by, state }) = entries.next() else {
+        return Err(DataFolderError::Damaged { path: name, offset: 0, length: bytes.len() as u64 });
+    };
+    if written_by != *disk {
+        return Err(DataFolderError::Foreign { path: path.into(), identity: disk.clone(), written_by });
+    }
+    let mut state = *state;
+    for entry in entries {
+        if let Entry::Persist(persist) = entry {
+            state.apply(&persist);
+        }
+    }
+    let journal = Journal::open(&name, end).map_err(|error| DataFolderError::io(&name, error))?;
+    Ok((generation, state, journal))
+}
+
+fn begin(
+    path: &Path,
+    generation: u64,
+    disk: &DiskId,
+    state: State,
+    writer: &mut Writer,
+) -> Result<(u64, State, Journal), DataFolderError> {
+    let frame = frame::encode(&Entry::Whole { disk: disk.clone(), state: Box::new(state.clone()) });
+    let name = state_name(generation);
+    write_aside(path, &name, &frame, writer)?;
+    let file = path.join(&name);
+    let journal =
+        Journal::open(&file, frame.len() as u64).map_err(|error| DataFolderError::io(&file, error))?;
+    Ok((generation, state, journal))
+}
+
+/// Writes a file under another name, syncs it, gives it its name and syncs the folder.
+fn write_aside(path: &Path, name: &str, bytes: &[u8], writer: &mut Writer) -> Result<(), DataFolderError> {
+    let aside = path.join(format!("{name}{ASIDE_SUFFIX}"));
+    let mut write = || {
+        let mut file = File::create(&aside)?;
+        (writer.write)(&mut file, bytes)?;
+        (writer.sync)(&file)?;
+        fs::rename(&aside, path.join(name))?;
+        (writer.sync)(&File::open(path)?)
+    };
+    write().map_err(|error| DataFolderError::io(&aside, error))
+}
+
+fn state_name(generation: u64) -> String {
+    format!("{STATE_PREFIX}{generation:08}")
+}
+
+fn newest_generation(path: &Path) -> Result<Option<u64>, DataFolderError> {
+    let generations = generations(path)?;
+    Ok(generations.into_iter().max())
+}
+
+fn generations(path: &Path) -> Result<Vec<u64>, DataFolderError> {
+    let mut found = Vec::new();
+    for item in fs::read_dir(path).map_err(|error| DataFolderError::io(path, error))? {
+        let item = item.map_err(|error| DataFolderError::io(path, error))?;
+        let name = item.file_name();
+        let number = name.to_str().and_then(|name| name.strip_prefix(STATE_PREFIX));
+        found.extend(number.and_then(|number| number.parse::<u64>().ok()));
+    }
+    Ok(found)
+}
+
+fn remove_others(path: &Path, kept: u64) -> Result<(), DataFolderError> {
+    for generation in generations(path)?.into_iter().filter(|generation| *generation != kept) {
+        let name = path.join(state_name(generation));
+        fs::remove_file(&name).map_err(|error| DataFolderError::io(&name, error))?;
     }
+    Ok(())
 }
