Add the daemons' programs

Each reads its checked settings and the secrets' files, calls spawn and waits for a signal; a stop is graceful. The control side takes the ledgers' new argument: the election term that numbers their grants.

--- a/crates/cumincart-control/src/lib.rs
+++ b/crates/cumincart-control/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod daemon;
 pub mod engine;
 pub mod http;
+pub mod options;
--- /dev/null
+++ b/crates/cumincart-control/src/main.rs
@@ -0,0 +1,38 @@
+//! The control daemon `cumincart-control`.
+
+use {
+    clap::{Arg, Command, value_parser},
+    cumincart_config::read_control_settings,
+    cumincart_control::{daemon, options},
+    cumincart_runtime::signal,
+    miette::{IntoDiagnostic, Result, miette},
+    std::path::PathBuf,
+};
+
+fn command() -> Command {
+    Command::new("cumincart-control")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Keeps the replicated lists, terms and leases; serves operators and endpoints' announcements")
+        .arg(
+            Arg::new("settings")
+                .help("The instance's settings, JSON with comments")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
+    let settings = read_control_settings(path)?;
+    let handle = daemon::spawn(options::open(&settings)?).await?;
+    println!("http {}", handle.http_address);
+    println!("peer {}", handle.peer_address);
+    tokio::select! {
+        asked = signal::stop_asked() => asked.into_diagnostic()?,
+        () = handle.engine.ended() => return Err(miette!("the engine has ended; the log says why")),
+    }
+    handle.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cumincart-control/src/options.rs
@@ -0,0 +1,59 @@
+//! From checked settings to what a control instance is started with.
+
+use {
+    crate::daemon::{ControlOptions, MemberAddress},
+    cumincart_config::{ControlSettings, LogFormat, LogLevel},
+    cumincart_runtime::{
+        files::{SecretFileError, read_fleet_secret, read_login, read_token},
+        logging,
+    },
+};
+
+/// Reads the files that the settings name and opens the log.
+///
+/// # Panics
+///
+/// Never with checked settings: their addresses parse.
+pub fn open(settings: &ControlSettings) -> Result<ControlOptions, SecretFileError> {
+    let login = &settings.endpoint_login;
+    Ok(ControlOptions {
+        instance: settings.instance.clone(),
+        domain: settings.domain.clone(),
+        http_address: settings.http_address.parse().expect("the settings are checked"),
+        peer_address: settings.peer_address.parse().expect("the settings are checked"),
+        data_folder: settings.data_folder.clone(),
+        members: settings
+            .members
+            .iter()
+            .map(|member| MemberAddress {
+                instance: member.instance.clone(),
+                peer_address: member.peer_address.clone(),
+            })
+            .collect(),
+        fleet_secret: read_fleet_secret(&settings.fleet_secret_file)?,
+        operator_token: read_token(&settings.operator_token_file)?,
+        endpoint_login: read_login(
+            login.user.clone(),
+            login.database.clone(),
+            login.password_file.as_deref(),
+            login.connect_timeout_ms,
+        )?,
+        logger: logging::open(log_format(settings.log.format), log_level(settings.log.level)),
+    })
+}
+
+fn log_format(format: LogFormat) -> logging::LogFormat {
+    match format {
+        LogFormat::Terminal => logging::LogFormat::Terminal,
+        LogFormat::Json => logging::LogFormat::Json,
+    }
+}
+
+fn log_level(level: LogLevel) -> slog::Level {
+    match level {
+        LogLevel::Error => slog::Level::Error,
+        LogLevel::Warning => slog::Level::Warning,
+        LogLevel::Info => slog::Level::Info,
+        LogLevel::Debug => slog::Level::Debug,
+    }
+}
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -236,8 +236,8 @@
     leases::on_elected(&mut board.leases, now);
     failover::on_elected(board);
     board.announcements = Announcements::default();
-    shares::on_elected(&mut board.shares, now);
-    permits::on_elected(&mut board.permits, now);
+    shares::on_elected(&mut board.shares, now, term);
+    permits::on_elected(&mut board.permits, now, term);
     replicate::on_elected(board, now);
     replicate::propose(board, now, Command::Open, out);
     members::bind(board, now, &votes, out);
--- a/crates/cumincart-entry/src/lib.rs
+++ b/crates/cumincart-entry/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod daemon;
 pub mod engine;
 pub mod http;
+pub mod options;
--- /dev/null
+++ b/crates/cumincart-entry/src/main.rs
@@ -0,0 +1,35 @@
+//! The entry daemon `cumincart-entry`.
+
+use {
+    clap::{Arg, Command, value_parser},
+    cumincart_config::read_entry_settings,
+    cumincart_entry::{daemon, options},
+    cumincart_runtime::signal,
+    miette::{IntoDiagnostic, Result},
+    std::path::PathBuf,
+};
+
+fn command() -> Command {
+    Command::new("cumincart-entry")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Serves callers: routes their requests to endpoints within the rates of their plans")
+        .arg(
+            Arg::new("settings")
+                .help("The instance's settings, JSON with comments")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let matches = command().get_matches();
+    let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
+    let settings = read_entry_settings(path)?;
+    let handle = daemon::spawn(options::open(&settings)?).await?;
+    println!("http {}", handle.http_address);
+    println!("peer {}", handle.peer_address);
+    signal::stop_asked().await.into_diagnostic()?;
+    handle.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cumincart-runtime/src/files.rs
@@ -0,0 +1,78 @@
+//! Secrets that settings name by file.
+
+use {
+    crate::{
+        endpoint::EndpointLogin,
+        link::{LinkError, handshake::FleetSecret},
+    },
+    std::{
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
+    zeroize::Zeroizing,
+};
+
+/// Why a secret's file can't be used.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum SecretFileError {
+    /// The file can't be read.
+    #[error("the file {path} can't be read: {source}")]
+    #[diagnostic(
+        code(cumincart::secret_file::unreadable),
+        help("check the path in the settings and the file's permissions")
+    )]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The operating system's reason.
+        source: std::io::Error,
+    },
+    /// The file is not text, or holds nothing.
+    #[error("the file {path} must hold one line of text")]
+    #[diagnostic(code(cumincart::secret_file::text), help("write the secret alone into the file"))]
+    NotText {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The fleet secret can't be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    FleetSecret(#[from] LinkError),
+}
+
+/// Reads the fleet secret.
+pub fn read_fleet_secret(path: &Path) -> Result<FleetSecret, SecretFileError> {
+    Ok(FleetSecret::new(read(path)?.as_bytes())?)
+}
+
+/// Reads a token or a password: the file's text without surrounding white space.
+pub fn read_token(path: &Path) -> Result<Arc<str>, SecretFileError> {
+    let text = read(path)?;
+    match text.trim() {
+        "" => Err(SecretFileError::NotText { path: path.to_owned() }),
+        token => Ok(token.into()),
+    }
+}
+
+/// The login of the settings, with its password read.
+pub fn read_login(
+    user: Arc<str>,
+    database: Arc<str>,
+    password_file: Option<&Path>,
+    connect_timeout_ms: u64,
+) -> Result<EndpointLogin, SecretFileError> {
+    Ok(EndpointLogin {
+        user,
+        password: password_file.map(read_token).transpose()?,
+        database,
+        connect_timeout: std::time::Duration::from_millis(connect_timeout_ms),
+    })
+}
+
+fn read(path: &Path) -> Result<Zeroizing<String>, SecretFileError> {
+    let bytes = std::fs::read(path)
+        .map_err(|source| SecretFileError::Unreadable { path: path.to_owned(), source })?;
+    String::from_utf8(bytes)
+        .map(Zeroizing::new)
+        .map_err(|_| SecretFileError::NotText { path: path.to_owned() })
+}
--- a/crates/cumincart-runtime/src/lib.rs
+++ b/crates/cumincart-runtime/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod clock;
 pub mod data_folder;
 pub mod endpoint;
+pub mod files;
 pub mod link;
 pub mod logging;
 pub mod metrics;
 pub mod pending;
+pub mod signal;
--- a/crates/cumincart-runtime/src/link/handshake.rs
+++ b/crates/cumincart-runtime/src/link/handshake.rs
@@ -10,7 +10,7 @@
     rand::RngExt,
     serde::{Deserialize, Serialize},
     sha2::Sha256,
-    std::{fmt, path::Path},
+    std::fmt,
     zeroize::Zeroizing,
 };
 
@@ -40,13 +40,6 @@
         }
         Ok(Self { bytes: Zeroizing::new(trimmed.to_vec()) })
     }
-
-    /// Reads the secret from a file.
-    pub fn open(path: &Path) -> Result<Self, LinkError> {
-        let bytes = std::fs::read(path)
-            .map_err(|_| LinkError::Handshake { reason: "the fleet secret's file can't be read" })?;
-        Self::new(&Zeroizing::new(bytes))
-    }
 }
 
 /// The connecting side's first message.
