Add the stand-in database group and the endpoint adapter

Cause: nothing served the PostgreSQL protocol for tests, and works had nobody to do them.

Change: `cumincart-standin` runs a group of databases as tasks (pgwire before in-memory SQLite) with positions, timelines, lag, promotion and faults, and keeps received bytes and executed statements. `runtime::endpoint` does works through tokio-postgres; a read and a write are each sent as a whole before any answer. `protocol::endpoint_sql` holds the fixed SQL that both sides know.

Ruled out: SQLite's shared cache and memdb, since a reader waits there for a writer's open transaction; commits that wait for the statement's answer, since PostgreSQL turns a commit behind a failed statement into a rollback.

Seen failing first: a commit with a claim in a database without the claims' table took the whole transaction with it (42P01); the table is now asked for together with the first writable BEGIN of a connection.

Not run: anything against a real PostgreSQL server.

--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announcement;
 pub mod catalogue;
 pub mod change;
+pub mod endpoint_sql;
 pub mod heartbeat;
 pub mod lists;
 pub mod name;
--- a/crates/cumincart-runtime/src/endpoint.rs
+++ b/crates/cumincart-runtime/src/endpoint.rs
@@ -1,28 +1,27 @@
 //! The adapter to endpoints: the PostgreSQL wire protocol through `tokio-postgres`.
+//!
+//! Each connection is one task that drives the protocol and does its orders one after another. A work's statements are
+//! sent together, so that reads and writes take one round trip.
+
+mod login;
+mod promotion;
+mod rows;
+mod statement;
+mod work;
+
+pub use {login::EndpointLogin, promotion::promote};
 
 use {
     cumincart_core::{
-        control::{PromotedState, PromotionError},
         entry::Input,
-        work::{ConnectionId, Work, WorkId},
+        work::{ConnectionId, Work, WorkDone, WorkError, WorkId},
     },
-    std::{sync::Arc, time::Duration},
+    login::{Connected, connect},
+    std::{collections::VecDeque, sync::Arc},
     tokio::sync::mpsc,
+    work::Progress,
 };
 
-/// How to log in to endpoints.
-#[derive(Debug, Clone)]
-pub struct EndpointLogin {
-    /// The user.
-    pub user: Arc<str>,
-    /// The password, where the endpoint asks for one.
-    pub password: Option<Arc<str>>,
-    /// The database.
-    pub database: Arc<str>,
-    /// How long an attempt to connect may take.
-    pub connect_timeout: Duration,
-}
-
 /// A work for a connection.
 #[derive(Debug, Clone)]
 pub struct Order {
@@ -36,15 +35,95 @@
 ///
 /// Reports `Opened` or `Closed`, then `Done` for each order, and `Closed` at the end.
 pub fn spawn(
-    _connection: ConnectionId,
-    _address: Arc<str>,
-    _login: EndpointLogin,
-    _orders: mpsc::UnboundedReceiver<Order>,
-    _inputs: mpsc::UnboundedSender<Input>,
+    connection: ConnectionId,
+    address: Arc<str>,
+    login: EndpointLogin,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+    inputs: mpsc::UnboundedSender<Input>,
 ) {
+    let task = async move {
+        let opened = tokio::select! {
+            opened = connect(&address, &login) => opened.ok(),
+            // Orders come only after `Opened`; the end of the channel takes the attempt back.
+            _ = orders.recv() => None,
+        };
+        if let Some(connected) = opened {
+            // The receiver is gone only when the process ends.
+            let _ = inputs.send(Input::Opened(connection));
+            serve(connection, connected, &mut orders, &inputs).await;
+        }
+        fail_rest(connection, &mut orders, &inputs);
+        let _ = inputs.send(Input::Closed(connection));
+    };
+    tokio::spawn(task);
 }
 
-/// Promotes the endpoint at this address, unless it is a primary already, and gives its state after that.
-pub async fn promote(_address: &str, _login: &EndpointLogin) -> Result<PromotedState, PromotionError> {
-    Err(PromotionError::NotReached)
+/// Does orders until the channel closes or the connection is lost.
+async fn serve(
+    connection: ConnectionId,
+    mut connected: Connected,
+    orders: &mut mpsc::UnboundedReceiver<Order>,
+    inputs: &mpsc::UnboundedSender<Input>,
+) {
+    let mut waiting = VecDeque::new();
+    let progress = Progress::default();
+    loop {
+        let next = match waiting.pop_front() {
+            Some(order) => Some(order),
+            None => tokio::select! {
+                biased;
+                () = connected.lost() => None,
+                order = orders.recv() => order,
+            },
+        };
+        let Some(Order { id, work }) = next else { break };
+        let (result, go_on) = perform(&mut connected, &work, &progress, orders, &mut waiting).await;
+        let _ = inputs.send(Input::Done(connection, id, result));
+        if !go_on {
+            break;
+        }
+    }
+    for Order { id, .. } in waiting {
+        let _ = inputs.send(Input::Done(connection, id, Err(WorkError::NotSent)));
+    }
+}
+
+/// Does one work; the second value tells whether the connection may be used further.
+async fn perform(
+    connected: &mut Connected,
+    work: &Work,
+    progress: &Progress,
+    orders: &mut mpsc::UnboundedReceiver<Order>,
+    waiting: &mut VecDeque<Order>,
+) -> (Result<WorkDone, WorkError>, bool) {
+    if connected.is_lost() {
+        return (Err(WorkError::NotSent), false);
+    }
+    let Connected { client, driver, .. } = connected;
+    let doing = work::perform(client, work, progress);
+    tokio::pin!(doing);
+    let mut driving = true;
+    loop {
+        tokio::select! {
+            biased;
+            result = &mut doing => return (result, driving && !client.is_closed()),
+            // Once the driver has ended, every answer that arrived is there and the work ends by itself.
+            () = &mut *driver, if driving => driving = false,
+            order = orders.recv() => match order {
+                Some(order) => waiting.push_back(order),
+                None => return (Err(progress.lost()), false),
+            },
+        }
+    }
+}
+
+fn fail_rest(
+    connection: ConnectionId,
+    orders: &mut mpsc::UnboundedReceiver<Order>,
+    inputs: &mpsc::UnboundedSender<Input>,
+) {
+    orders.close();
+    while let Ok(Order { id, .. }) = orders.try_recv() {
+        let _ = inputs.send(Input::Done(connection, id, Err(WorkError::NotSent)));
+    }
 }
--- /dev/null
+++ b/crates/cumincart-runtime/src/endpoint/statement.rs
@@ -0,0 +1,126 @@
+//! Sending one statement, and what went wrong with it.
+
+use {
+    super::rows::read_row,
+    bytes::BytesMut,
+    cumincart_core::work::WorkError,
+    cumincart_protocol::request::{Rows, Statement, Value},
+    futures_util::{TryStreamExt, pin_mut},
+    std::error::Error,
+    tokio_postgres::{
+        Client,
+        types::{IsNull, ToSql, Type, to_sql_checked},
+    },
+};
+
+/// Why a statement gave no rows.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// The endpoint refused it.
+    Refused {
+        /// The SQLSTATE.
+        code: String,
+        /// The endpoint's message.
+        message: String,
+        /// Whether the endpoint closes the connection with it.
+        fatal: bool,
+    },
+    /// The connection was lost before the whole answer was there.
+    Lost,
+}
+
+impl Failure {
+    /// The failure of a statement whose transaction is rolled back by it.
+    pub fn before_commit(self) -> WorkError {
+        match self {
+            Self::Refused { code, message, fatal: false } => {
+                WorkError::Statement { code: code.into(), message: message.into() }
+            }
+            Self::Refused { fatal: true, .. } | Self::Lost => WorkError::LostBeforeCommit,
+        }
+    }
+
+    /// The failure of a commit itself.
+    pub fn in_commit(self) -> WorkError {
+        match self {
+            Self::Refused { code, message, fatal: false } if is_rollback(&code) => {
+                WorkError::Statement { code: code.into(), message: message.into() }
+            }
+            _ => WorkError::LostInCommit,
+        }
+    }
+}
+
+/// Whether a refused commit surely left nothing: integrity violations and rollbacks that the endpoint decided on.
+fn is_rollback(code: &str) -> bool {
+    ["23", "25", "40", "44"].iter().any(|class| code.starts_with(class))
+}
+
+impl From<tokio_postgres::Error> for Failure {
+    fn from(error: tokio_postgres::Error) -> Self {
+        let Some(refusal) = error.as_db_error() else { return Self::Lost };
+        Self::Refused {
+            code: refusal.code().code().to_owned(),
+            message: refusal.message().to_owned(),
+            fatal: refusal.severity() != "ERROR",
+        }
+    }
+}
+
+/// Sends a statement without parameters at the first poll and waits for its rows.
+pub(super) async fn run_plain(client: &Client, sql: &str) -> Result<Rows, Failure> {
+    run(client, sql, &[]).await
+}
+
+/// Sends a statement at the first poll and waits for its rows.
+pub(super) async fn run_statement(client: &Client, statement: &Statement) -> Result<Rows, Failure> {
+    run(client, &statement.sql, &statement.parameters).await
+}
+
+/// Sends SQL with parameters at the first poll and waits for the rows.
+pub(super) async fn run(client: &Client, sql: &str, parameters: &[Value]) -> Result<Rows, Failure> {
+    let parameters = parameters.iter().map(|value| (Parameter(value), parameter_type(value)));
+    let stream = client.query_typed_raw(sql, parameters.collect::<Vec<_>>()).await?;
+    pin_mut!(stream);
+    let mut rows = Rows::default();
+    while let Some(row) = stream.try_next().await? {
+        if rows.columns.is_empty() {
+            rows.columns = row.columns().iter().map(|column| column.name().into()).collect();
+        }
+        rows.rows.push(read_row(&row));
+    }
+    rows.affected = stream.rows_affected().unwrap_or_default();
+    Ok(rows)
+}
+
+fn parameter_type(value: &Value) -> Type {
+    match value {
+        Value::Null => Type::UNKNOWN,
+        Value::Bool(_) => Type::BOOL,
+        Value::Int(_) => Type::INT8,
+        Value::Float(_) => Type::FLOAT8,
+        Value::Text(_) => Type::TEXT,
+    }
+}
+
+/// A value as the protocol's parameter.
+#[derive(Debug)]
+struct Parameter<'a>(&'a Value);
+
+impl ToSql for Parameter<'_> {
+    fn to_sql(&self, kind: &Type, out: &mut BytesMut) -> Result<IsNull, Box<dyn Error + Sync + Send>> {
+        match self.0 {
+            Value::Null => Ok(IsNull::Yes),
+            Value::Bool(value) => value.to_sql(kind, out),
+            Value::Int(value) => value.to_sql(kind, out),
+            Value::Float(value) => value.to_sql(kind, out),
+            Value::Text(value) => value.as_ref().to_sql(kind, out),
+        }
+    }
+
+    fn accepts(_kind: &Type) -> bool {
+        true
+    }
+
+    to_sql_checked!();
+}
--- /dev/null
+++ b/crates/cumincart-runtime/src/endpoint/work.rs
@@ -0,0 +1,244 @@
+//! The works, each sent in as few round trips as it can be.
+//!
+//! Statements that are sent together are answered one after another. PostgreSQL aborts a transaction at its first failed
+//! statement and turns the commit behind it into a rollback, so a commit may be sent along with what it depends on.
+
+use {
+    super::statement::{Failure, run, run_plain, run_statement},
+    cumincart_core::work::{Claim, EndpointState, Work, WorkDone, WorkError},
+    cumincart_protocol::{
+        announcement::Role,
+        endpoint_sql::STATE_SQL,
+        number::{LogPosition, Timeline},
+        request::{Rows, Statement, Value},
+    },
+    futures_util::join,
+    std::sync::atomic::{AtomicBool, Ordering},
+    tokio_postgres::Client,
+};
+
+const BEGIN_SQL: &str = "BEGIN";
+const BEGIN_READ_ONLY_SQL: &str = "BEGIN READ ONLY";
+const COMMIT_SQL: &str = "COMMIT";
+const ROLLBACK_SQL: &str = "ROLLBACK";
+const CLAIM_SQL: &str = "INSERT INTO cumincart_claim (organisation, request_id) VALUES ($1, $2)";
+const CLAIM_TABLE_SQL: &str = "CREATE TABLE IF NOT EXISTS cumincart_claim \
+(organisation text, request_id text, PRIMARY KEY (organisation, request_id))";
+
+/// SQLSTATE: a unique key is there already.
+const UNIQUE_VIOLATION: &str = "23505";
+/// SQLSTATE: no such table.
+const UNDEFINED_TABLE: &str = "42P01";
+
+/// What is known of a connection's works.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Whether the work that is being done has a commit on its way.
+    committing: AtomicBool,
+    /// Whether the claims' table was asked for on this connection.
+    claim_table_made: AtomicBool,
+}
+
+impl Progress {
+    /// What the loss of the connection means now.
+    pub fn lost(&self) -> WorkError {
+        if self.committing.load(Ordering::Relaxed) {
+            WorkError::LostInCommit
+        } else {
+            WorkError::LostBeforeCommit
+        }
+    }
+}
+
+/// Does one work.
+pub(super) async fn perform(
+    client: &Client,
+    work: &Work,
+    progress: &Progress,
+) -> Result<WorkDone, WorkError> {
+    progress.committing.store(false, Ordering::Relaxed);
+    match work {
+        Work::Read(statement) => read(client, statement).await,
+        Work::Write(statement, claim) => write(client, statement, claim.as_ref(), progress).await,
+        Work::Begin { read_only } => begin(client, *read_only, progress).await,
+        Work::Within(statement) => within(client, statement).await,
+        Work::Commit(claim) => commit(client, claim.as_ref(), progress).await,
+        Work::Rollback => rollback(client).await,
+        Work::Probe => probe(client).await,
+    }
+}
+
+async fn read(client: &Client, statement: &Statement) -> Result<WorkDone, WorkError> {
+    let (begun, state, rows, ended) = join!(
+        run_plain(client, BEGIN_READ_ONLY_SQL),
+        run_plain(client, STATE_SQL),
+        run_statement(client, statement),
+        run_plain(client, COMMIT_SQL),
+    );
+    begun.map_err(Failure::before_commit)?;
+    let state = state.and_then(|rows| parse_state(&rows)).map_err(Failure::before_commit)?;
+    let mut rows = rows.map_err(Failure::before_commit)?;
+    ended.map_err(Failure::before_commit)?;
+    rows.affected = 0;
+    Ok(WorkDone { rows, state: Some(state) })
+}
+
+async fn write(
+    client: &Client,
+    statement: &Statement,
+    claim: Option<&Claim>,
+    progress: &Progress,
+) -> Result<WorkDone, WorkError> {
+    progress.committing.store(true, Ordering::Relaxed);
+    match write_once(client, statement, claim).await {
+        Err(ClaimedWriteError::NoClaimTable) => {
+            create_claim_table(client).await?;
+            write_once(client, statement, claim).await
+        }
+        result => result,
+    }
+    .map_err(ClaimedWriteError::into_work_error)
+}
+
+/// Why a work with a claim failed.
+enum ClaimedWriteError {
+    /// The claims' table has to be made first; nothing remains of the transaction.
+    NoClaimTable,
+    /// Any other reason.
+    Work(WorkError),
+}
+
+impl ClaimedWriteError {
+    fn into_work_error(self) -> WorkError {
+        match self {
+            Self::Work(error) => error,
+            Self::NoClaimTable => WorkError::Statement {
+                code: UNDEFINED_TABLE.into(),
+                message: "the claims' table is missing".into(),
+            },
+        }
+    }
+}
+
+impl From<WorkError> for ClaimedWriteError {
+    fn from(error: WorkError) -> Self {
+        Self::Work(error)
+    }
+}
+
+async fn write_once(
+    client: &Client,
+    statement: &Statement,
+    claim: Option<&Claim>,
+) -> Result<WorkDone, ClaimedWriteError> {
+    let (begun, claimed, rows, ended, state) = join!(
+        run_plain(client, BEGIN_SQL),
+        insert_claim(client, claim),
+        run_statement(client, statement),
+        run_plain(client, COMMIT_SQL),
+        run_plain(client, STATE_SQL),
+    );
+    begun.map_err(lost_or_refused)?;
+    check_claim(claimed)?;
+    let rows = rows.map_err(lost_or_refused)?;
+    ended.map_err(Failure::in_commit)?;
+    // Without the state the caller can't be told the position; the commit itself is done.
+    let state = state.and_then(|rows| parse_state(&rows)).map_err(|_| WorkError::LostInCommit)?;
+    Ok(WorkDone { rows, state: Some(state) })
+}
+
+/// A failure ahead of a commit that is on its way too: an answered refusal rolls back, a lost answer tells nothing.
+fn lost_or_refused(failure: Failure) -> WorkError {
+    match failure {
+        Failure::Lost => WorkError::LostInCommit,
+        refused @ Failure::Refused { .. } => refused.before_commit(),
+    }
+}
+
+async fn insert_claim(client: &Client, claim: Option<&Claim>) -> Result<(), Failure> {
+    let Some(claim) = claim else { return Ok(()) };
+    let organisation = claim.organisation.as_ref().map_or("", |name| name.as_str());
+    let parameters = [Value::Text(organisation.into()), Value::Text(claim.request_id.0.clone())];
+    run(client, CLAIM_SQL, &parameters).await.map(drop)
+}
+
+fn check_claim(claimed: Result<(), Failure>) -> Result<(), ClaimedWriteError> {
+    match claimed {
+        Err(Failure::Refused { code, .. }) if code == UNIQUE_VIOLATION => {
+            Err(WorkError::AlreadyClaimed.into())
+        }
+        Err(Failure::Refused { code, .. }) if code == UNDEFINED_TABLE => Err(ClaimedWriteError::NoClaimTable),
+        result => Ok(result.map_err(lost_or_refused)?),
+    }
+}
+
+/// Makes the claims' table; another connection may do the same at the same time.
+async fn create_claim_table(client: &Client) -> Result<(), WorkError> {
+    match run_plain(client, CLAIM_TABLE_SQL).await {
+        Ok(_) => Ok(()),
+        Err(Failure::Refused { code, .. }) if code == UNIQUE_VIOLATION => Ok(()),
+        Err(failure) => Err(failure.before_commit()),
+    }
+}
+
+async fn begin(client: &Client, read_only: bool, progress: &Progress) -> Result<WorkDone, WorkError> {
+    let sql = if read_only { BEGIN_READ_ONLY_SQL } else { BEGIN_SQL };
+    // A claim that failed at the commit for want of its table would take the whole transaction with it.
+    let make_table = !read_only && !progress.claim_table_made.swap(true, Ordering::Relaxed);
+    let (_, begun, state) = join!(
+        async { if make_table { create_claim_table(client).await } else { Ok(()) } },
+        run_plain(client, sql),
+        run_plain(client, STATE_SQL),
+    );
+    begun.map_err(Failure::before_commit)?;
+    let state = state.and_then(|rows| parse_state(&rows)).map_err(Failure::before_commit)?;
+    Ok(WorkDone { rows: Rows::default(), state: Some(state) })
+}
+
+async fn within(client: &Client, statement: &Statement) -> Result<WorkDone, WorkError> {
+    let rows = run_statement(client, statement).await.map_err(Failure::before_commit)?;
+    Ok(WorkDone { rows, state: None })
+}
+
+async fn commit(client: &Client, claim: Option<&Claim>, progress: &Progress) -> Result<WorkDone, WorkError> {
+    progress.committing.store(true, Ordering::Relaxed);
+    let (claimed, ended, state) =
+        join!(insert_claim(client, claim), run_plain(client, COMMIT_SQL), run_plain(client, STATE_SQL));
+    check_claim(claimed).map_err(ClaimedWriteError::into_work_error)?;
+    ended.map_err(Failure::in_commit)?;
+    let state = state.and_then(|rows| parse_state(&rows)).map_err(|_| WorkError::LostInCommit)?;
+    Ok(WorkDone { rows: Rows::default(), state: Some(state) })
+}
+
+async fn rollback(client: &Client) -> Result<WorkDone, WorkError> {
+    run_plain(client, ROLLBACK_SQL).await.map_err(Failure::before_commit)?;
+    Ok(WorkDone { rows: Rows::default(), state: None })
+}
+
+async fn probe(client: &Client) -> Result<WorkDone, WorkError> {
+    let state = run_plain(client, STATE_SQL)
+        .await
+        .and_then(|rows| parse_state(&rows))
+        .map_err(Failure::before_commit)?;
+    Ok(WorkDone { rows: Rows::default(), state: Some(state) })
+}
+
+/// Reads the answer to `STATE_SQL`.
+fn parse_state(rows: &Rows) -> Result<EndpointState, Failure> {
+    let unreadable = || Failure::Refused {
+        code: "XX000".into(),
+        message: "the endpoint's state is not in the expected form".into(),
+        fatal: false,
+    };
+    let row = rows.rows.first().ok_or_else(unreadable)?;
+    let [Value::Bool(in_recovery), Value::Int(timeline), Value::Int(position), Value::Int(lag_ms)] = row[..]
+    else {
+        return Err(unreadable());
+    };
+    Ok(EndpointState {
+        role: if in_recovery { Role::Replica } else { Role::Primary },
+        timeline: Timeline(timeline.unsigned_abs()),
+        position: LogPosition(position.unsigned_abs()),
+        lag_ms: lag_ms.unsigned_abs(),
+    })
+}
--- /dev/null
+++ b/crates/cumincart-standin/src/database.rs
@@ -0,0 +1,299 @@
+//! The handle on one database: its state, its faults and its records.
+
+use {
+    crate::{
+        engine::Engine,
+        error::SqlError,
+        record::{RanStatement, ReceivedBytes},
+        settings::{DatabaseSettings, GroupSettings},
+    },
+    cumincart_protocol::{
+        announcement::{Announcement, Role},
+        name::EndpointName,
+        number::{LogPosition, Timeline},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::sync::{Semaphore, watch},
+};
+
+/// A database's own view of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DatabaseState {
+    /// Its role.
+    pub role: Role,
+    /// Its timeline.
+    pub timeline: Timeline,
+    /// Where that timeline began.
+    pub timeline_start: LogPosition,
+    /// The end of the last record that it wrote or applied.
+    pub position: LogPosition,
+    /// For a replica: the time since it last had all of its primary's log.
+    pub lag_ms: u64,
+}
+
+/// A database of a running group. Clones share it; it ends with its group.
+#[derive(Debug, Clone)]
+pub struct Database {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: DatabaseSettings,
+    group: GroupSettings,
+    address: SocketAddr,
+    engine: Mutex<Engine>,
+    write_lock: Arc<tokio::sync::Mutex<()>>,
+    slots: Semaphore,
+    connections: AtomicU32,
+    faults: watch::Sender<Faults>,
+    lag_micros: AtomicU64,
+    leaving: AtomicBool,
+    received: ReceivedBytes,
+    announcements: AtomicU64,
+}
+
+/// What is wrong with a database at the moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Faults {
+    pub frozen: bool,
+    pub cut: bool,
+    pub crashed: bool,
+    pub silent: bool,
+    /// Grows whenever all connections are dropped.
+    pub epoch: u64,
+}
+
+impl Database {
+    pub(crate) fn new(
+        settings: DatabaseSettings,
+        group: GroupSettings,
+        address: SocketAddr,
+        role: Role,
+    ) -> Result<Self, SqlError> {
+        let shared = Shared {
+            engine: Mutex::new(Engine::open(role, group.recording)?),
+            write_lock: Arc::new(tokio::sync::Mutex::new(())),
+            slots: Semaphore::new(group.slots as usize),
+            connections: AtomicU32::new(0),
+            faults: watch::Sender::new(Faults::default()),
+            lag_micros: AtomicU64::new(micros(group.lag)),
+            leaving: AtomicBool::new(false),
+            received: ReceivedBytes::default(),
+            announcements: AtomicU64::new(0),
+            settings,
+            group,
+            address,
+        };
+        Ok(Self { shared: Arc::new(shared) })
+    }
+
+    /// Its name.
+    pub fn endpoint(&self) -> &EndpointName {
+        &self.shared.settings.endpoint
+    }
+
+    /// The address that it serves, as `ip:port`.
+    pub fn address(&self) -> Arc<str> {
+        self.shared.address.to_string().into()
+    }
+
+    /// Its view of itself, also when it is frozen.
+    pub fn state(&self) -> DatabaseState {
+        state_of(&self.engine())
+    }
+
+    /// Stops everything that it does, without closing a connection; nothing runs once this returns.
+    pub fn freeze(&self) {
+        self.engine().frozen = true;
+        self.shared.faults.send_modify(|faults| faults.frozen = true);
+    }
+
+    /// Lets it go on where it was frozen.
+    pub fn thaw(&self) {
+        self.engine().frozen = false;
+        self.shared.faults.send_modify(|faults| faults.frozen = false);
+    }
+
+    /// Drops its clients' connections and refuses new ones; replication and announcements go on.
+    pub fn cut(&self) {
+        self.shared.faults.send_modify(|faults| {
+            faults.cut = true;
+            faults.epoch += 1;
+        });
+    }
+
+    /// Accepts clients again after `cut`.
+    pub fn mend(&self) {
+        self.shared.faults.send_modify(|faults| faults.cut = false);
+    }
+
+    /// Ends it like a lost process: open transactions are gone, committed data stays. Nothing runs once this returns.
+    pub fn crash(&self) {
+        self.engine().frozen = true;
+        self.shared.faults.send_modify(|faults| {
+            faults.crashed = true;
+            faults.epoch += 1;
+        });
+    }
+
+    /// Starts it again after `crash`, in the role that it had.
+    pub fn restart(&self) {
+        self.engine().frozen = self.shared.faults.borrow().frozen;
+        self.shared.faults.send_modify(|faults| faults.crashed = false);
+    }
+
+    /// Drops every connection of clients and accepts new ones at once.
+    pub fn drop_connections(&self) {
+        self.shared.faults.send_modify(|faults| faults.epoch += 1);
+    }
+
+    /// Sets the time by which it trails its primary.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.lag_micros.store(micros(lag), Ordering::Relaxed);
+    }
+
+    /// Stops or resumes its announcements.
+    pub fn set_announcing(&self, announcing: bool) {
+        self.shared.faults.send_modify(|faults| faults.silent = !announcing);
+    }
+
+    /// Announces from now on that it wants no new work.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// The statements that it ran.
+    pub fn ran(&self) -> Vec<RanStatement> {
+        self.engine().ran.clone()
+    }
+
+    /// The bytes that its port received.
+    pub fn received(&self) -> &ReceivedBytes {
+        &self.shared.received
+    }
+
+    /// How many connections are open.
+    pub fn connections(&self) -> u32 {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// How many announcements some control instance received.
+    pub fn announcements(&self) -> u64 {
+        self.shared.announcements.load(Ordering::Relaxed)
+    }
+
+    /// What it announces at this moment.
+    pub fn announcement(&self) -> Announcement {
+        let state = self.state();
+        Announcement {
+            endpoint: self.shared.settings.endpoint.clone(),
+            service: self.shared.group.service.clone(),
+            address: self.address(),
+            domain: self.shared.settings.domain.clone(),
+            role: state.role,
+            timeline: state.timeline,
+            position: state.position,
+            lag_ms: state.lag_ms,
+            slots: self.shared.group.slots,
+            connection_limit: self.shared.group.connection_limit,
+            leaving: self.shared.leaving.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn group(&self) -> &GroupSettings {
+        &self.shared.group
+    }
+
+    pub(crate) fn lag(&self) -> Duration {
+        Duration::from_micros(self.shared.lag_micros.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn faults(&self) -> watch::Receiver<Faults> {
+        self.shared.faults.subscribe()
+    }
+
+    pub(crate) fn slots(&self) -> &Semaphore {
+        &self.shared.slots
+    }
+
+    pub(crate) fn write_lock(&self) -> Arc<tokio::sync::Mutex<()>> {
+        Arc::clone(&self.shared.write_lock)
+    }
+
+    pub(crate) fn count_announcement(&self) {
+        self.shared.announcements.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a connection while the returned guard lives; none over the limit.
+    pub(crate) fn count_connection(&self) -> Option<CountedConnection> {
+        let limit = self.shared.group.connection_limit;
+        let add = |count: u32| (count < limit).then_some(count + 1);
+        self.shared.connections.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok()?;
+        Some(CountedConnection { database: self.clone() })
+    }
+
+    /// Works on the data as soon as it is not frozen.
+    pub(crate) async fn with_engine<R>(&self, work: impl FnOnce(&mut Engine) -> R) -> R {
+        loop {
+            self.thawed().await;
+            let mut engine = self.engine();
+            if !engine.frozen {
+                return work(&mut engine);
+            }
+        }
+    }
+
+    /// Works on the data at once, unless it is frozen.
+    pub(crate) fn try_with_engine<R>(&self, work: impl FnOnce(&mut Engine) -> R) -> Option<R> {
+        let mut engine = self.engine();
+        if engine.frozen { None } else { Some(work(&mut engine)) }
+    }
+
+    pub(crate) async fn thawed(&self) {
+        let mut faults = self.faults();
+        let running = faults.wait_for(|faults| !faults.frozen && !faults.crashed);
+        running.await.expect("the sender lives as long as this handle");
+    }
+
+    pub(crate) fn engine(&self) -> std::sync::MutexGuard<'_, Engine> {
+        self.shared.engine.lock().expect("nothing panics under this lock")
+    }
+}
+
+/// A place among a database's connections, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct CountedConnection {
+    database: Database,
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.database.shared.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+pub(crate) fn state_of(engine: &Engine) -> DatabaseState {
+    let lag_ms = match engine.role {
+        Role::Primary => 0,
+        Role::Replica => Instant::now().saturating_duration_since(engine.caught_up_at).as_millis() as u64,
+    };
+    DatabaseState {
+        role: engine.role,
+        timeline: engine.timeline,
+        timeline_start: engine.timeline_start,
+        position: engine.position,
+        lag_ms,
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/cumincart-standin/src/wire.rs
@@ -0,0 +1,148 @@
+//! Values between SQLite's types and the protocol's.
+
+use {
+    crate::engine::{ColumnKind, ColumnShape, Output},
+    cumincart_protocol::request::{Statement, Value},
+    futures_util::stream,
+    pgwire::{
+        api::{
+            Type,
+            portal::{Format, Portal},
+            results::{DataRowEncoder, FieldInfo, QueryResponse, Response, Tag},
+        },
+        error::{PgWireError, PgWireResult},
+    },
+    std::sync::Arc,
+};
+
+/// The fields that describe columns to a client.
+pub fn fields(columns: &[ColumnShape], format: &Format) -> Vec<FieldInfo> {
+    let field = |(index, column): (usize, &ColumnShape)| {
+        FieldInfo::new(column.name.clone(), None, None, wire_type(column.kind), format.format_for(index))
+    };
+    columns.iter().enumerate().map(field).collect()
+}
+
+fn wire_type(kind: ColumnKind) -> Type {
+    match kind {
+        ColumnKind::Bool => Type::BOOL,
+        ColumnKind::Int => Type::INT8,
+        ColumnKind::Float => Type::FLOAT8,
+        ColumnKind::Text => Type::TEXT,
+    }
+}
+
+/// The answer to a statement, its columns typed as they were described.
+pub fn response(
+    sql: &str,
+    output: Output,
+    described: Option<Vec<ColumnShape>>,
+    format: &Format,
+) -> PgWireResult<Response> {
+    if output.columns.is_empty() {
+        return Ok(Response::Execution(command_tag(sql).with_rows(output.affected as usize)));
+    }
+    let columns = match described {
+        Some(columns) if columns.len() == output.columns.len() => columns,
+        _ => output.columns,
+    };
+    let schema = Arc::new(fields(&columns, format));
+    let mut encoder = DataRowEncoder::new(Arc::clone(&schema));
+    let mut rows = Vec::with_capacity(output.rows.len());
+    for row in &output.rows {
+        for (value, column) in row.iter().zip(&columns) {
+            encode(&mut encoder, value, column.kind)?;
+        }
+        rows.push(Ok(encoder.take_row()));
+    }
+    let mut response = QueryResponse::new(schema, stream::iter(rows));
+    if output.is_write {
+        response.set_command_tag(&command_name(sql));
+    }
+    Ok(Response::Query(response))
+}
+
+fn command_tag(sql: &str) -> Tag {
+    Tag::new(&command_name(sql))
+}
+
+fn command_name(sql: &str) -> String {
+    let word = sql.split_ascii_whitespace().next().unwrap_or_default().to_ascii_uppercase();
+    if word == "INSERT" { "INSERT 0".to_owned() } else { word }
+}
+
+fn encode(encoder: &mut DataRowEncoder, value: &Value, kind: ColumnKind) -> PgWireResult<()> {
+    match kind {
+        ColumnKind::Bool => encoder.encode_field(&as_bool(value)),
+        ColumnKind::Int => encoder.encode_field(&as_int(value)),
+        ColumnKind::Float => encoder.encode_field(&as_float(value)),
+        ColumnKind::Text => encoder.encode_field(&as_text(value)),
+    }
+}
+
+fn as_bool(value: &Value) -> Option<bool> {
+    match value {
+        Value::Null => None,
+        Value::Bool(value) => Some(*value),
+        Value::Int(value) => Some(*value != 0),
+        Value::Float(value) => Some(*value != 0.0),
+        Value::Text(value) => Some(matches!(value.as_ref(), "t" | "true" | "1")),
+    }
+}
+
+fn as_int(value: &Value) -> Option<i64> {
+    match value {
+        Value::Null => None,
+        Value::Bool(value) => Some(i64::from(*value)),
+        Value::Int(value) => Some(*value),
+        Value::Float(value) => Some(*value as i64),
+        Value::Text(value) => value.parse().ok(),
+    }
+}
+
+fn as_float(value: &Value) -> Option<f64> {
+    match value {
+        Value::Null => None,
+        Value::Bool(value) => Some(f64::from(*value)),
+        Value::Int(value) => Some(*value as f64),
+        Value::Float(value) => Some(*value),
+        Value::Text(value) => value.parse().ok(),
+    }
+}
+
+fn as_text(value: &Value) -> Option<String> {
+    match value {
+        Value::Null => None,
+        Value::Bool(value) => Some(value.to_string()),
+        Value::Int(value) => Some(value.to_string()),
+        Value::Float(value) => Some(value.to_string()),
+        Value::Text(value) => Some(value.as_ref().to_owned()),
+    }
+}
+
+/// The statement that a portal holds, with its parameters.
+pub fn statement(portal: &Portal<String>) -> PgWireResult<Statement> {
+    let parameters: PgWireResult<Vec<_>> =
+        (0..portal.parameter_len()).map(|index| parameter(portal, index)).collect();
+    Ok(Statement { sql: portal.statement.statement.as_str().into(), parameters: parameters? })
+}
+
+fn parameter(portal: &Portal<String>, index: usize) -> PgWireResult<Value> {
+    let declared = portal.statement.parameter_types.get(index).cloned().flatten().unwrap_or(Type::UNKNOWN);
+    if portal.parameters.get(index).is_some_and(Option::is_none) {
+        return Ok(Value::Null);
+    }
+    let value = match declared {
+        Type::BOOL => portal.parameter::<bool>(index, &declared)?.map(Value::Bool),
+        Type::INT2 => portal.parameter::<i16>(index, &declared)?.map(|value| Value::Int(value.into())),
+        Type::INT4 => portal.parameter::<i32>(index, &declared)?.map(|value| Value::Int(value.into())),
+        Type::INT8 => portal.parameter::<i64>(index, &declared)?.map(Value::Int),
+        Type::FLOAT4 => portal.parameter::<f32>(index, &declared)?.map(|value| Value::Float(value.into())),
+        Type::FLOAT8 => portal.parameter::<f64>(index, &declared)?.map(Value::Float),
+        Type::TEXT | Type::VARCHAR | Type::UNKNOWN => {
+            portal.parameter::<String>(index, &Type::TEXT)?.map(|text| Value::Text(text.into()))
+        }
+        other => return Err(PgWireError::InvalidRustTypeForParameter(other.name().to_owned())),
+    };
+    Ok(value.unwrap_or(Value::Null))
+}
