--- a/crates/cumincart-control/src/options.rs
+++ b/crates/cumincart-control/src/options.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::daemon::{ControlOptions, MemberAddress},
-    cumincart_config::{ControlSettings, LogFormat, LogLevel},
+    cumincart_config::ControlSettings,
     cumincart_runtime::{
         files::{SecretFileError, read_fleet_secret, read_login, read_token},
         logging,
@@ -15,7 +15,6 @@
 ///
 /// Never with checked settings: their addresses parse.
 pub fn open(settings: &ControlSettings) -> Result<ControlOptions, SecretFileError> {
-    let login = &settings.endpoint_login;
     Ok(ControlOptions {
         instance: settings.instance.clone(),
         domain: settings.domain.clone(),
@@ -32,28 +31,7 @@
             .collect(),
         fleet_secret: read_fleet_secret(&settings.fleet_secret_file)?,
         operator_token: read_token(&settings.operator_token_file)?,
-        endpoint_login: read_login(
-            login.user.clone(),
-            login.database.clone(),
-            login.password_file.as_deref(),
-            login.connect_timeout_ms,
-        )?,
-        logger: logging::open(log_format(settings.log.format), log_level(settings.log.level)),
+        endpoint_login: read_login(&settings.endpoint_login)?,
+        logger: logging::open(settings.log),
     })
 }
-
-fn log_format(format: LogFormat) -> logging::LogFormat {
-    match format {
-        LogFormat::Terminal => logging::LogFormat::Terminal,
-        LogFormat::Json => logging::LogFormat::Json,
-    }
-}
-
-fn log_level(level: LogLevel) -> slog::Level {
-    match level {
-        LogLevel::Error => slog::Level::Error,
-        LogLevel::Warning => slog::Level::Warning,
-        LogLevel::Info => slog::Level::Info,
-        LogLevel::Debug => slog::Level::Debug,
-    }
-}
--- a/crates/cumincart-runtime/src/files.rs
+++ b/crates/cumincart-runtime/src/files.rs
@@ -8,6 +8,7 @@
     std::{
         path::{Path, PathBuf},
         sync::Arc,
+        time::Duration,
     },
     zeroize::Zeroizing,
 };
@@ -55,17 +56,12 @@
 }
 
 /// The login of the settings, with its password read.
-pub fn read_login(
-    user: Arc<str>,
-    database: Arc<str>,
-    password_file: Option<&Path>,
-    connect_timeout_ms: u64,
-) -> Result<EndpointLogin, SecretFileError> {
+pub fn read_login(settings: &cumincart_config::EndpointLogin) -> Result<EndpointLogin, SecretFileError> {
     Ok(EndpointLogin {
-        user,
-        password: password_file.map(read_token).transpose()?,
-        database,
-        connect_timeout: std::time::Duration::from_millis(connect_timeout_ms),
+        user: settings.user.clone(),
+        password: settings.password_file.as_deref().map(read_token).transpose()?,
+        database: settings.database.clone(),
+        connect_timeout: Duration::from_millis(settings.connect_timeout_ms),
     })
 }
 
--- a/crates/cumincart-runtime/src/logging.rs
+++ b/crates/cumincart-runtime/src/logging.rs
@@ -1,22 +1,14 @@
 //! Structured logs: lines for changes of state only, on standard error.
 
 use {
+    cumincart_config::{LogFormat, LogLevel, LogSettings},
     slog::{Drain, Level, LevelFilter, Logger, o},
     std::sync::Mutex,
 };
 
-/// How log lines are written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogFormat {
-    /// For a person at a terminal.
-    Terminal,
-    /// One JSON object a line.
-    Json,
-}
-
-/// A logger that writes lines of `level` and above to standard error from a thread of its own.
-pub fn open(format: LogFormat, level: Level) -> Logger {
-    let drain = match format {
+/// A logger that writes to standard error from a thread of its own.
+pub fn open(settings: LogSettings) -> Logger {
+    let drain = match settings.format {
         LogFormat::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
@@ -27,10 +19,19 @@
             slog_async::Async::new(drain).build()
         }
     };
-    Logger::root(LevelFilter::new(drain.fuse(), level).fuse(), o!())
+    Logger::root(LevelFilter::new(drain.fuse(), level(settings.level)).fuse(), o!())
 }
 
 /// A logger that writes nothing.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
 }
+
+fn level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    }
+}
