Serve one request through the entry core: admit, route, queue, execute, answer

Cause: step() did nothing. Change: heartbeats and their answers, routing by term lease and session, a pool with a warm reserve and probes, a weighted queue for each endpoint, retries with a budget, the planned stop's skeleton. Refusal gains an optional session token, so that a session whose write was lost can go on. Not run yet: the path end to end, since admission is a stub on this base.

--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -1,10 +1,22 @@
 //! The entry instances' decisions: admission, quota, sessions, routing, pools, fairness, transactions, retries.
 
 pub mod admission;
+pub mod counters;
+pub mod drain;
+pub mod fairness;
 pub mod freshness;
 pub mod membership;
+pub mod heartbeat;
+pub mod maintenance;
 pub mod permits;
+pub mod pool;
 pub mod quota;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod session;
+
+pub use drain::is_ready;
 
 use {
     crate::work::{ConnectionId, Work, WorkDone, WorkError, WorkId},
@@ -13,6 +25,7 @@
         name::{DomainName, EndpointName, InstanceName},
         number::Incarnation,
         request::{CallerRequest, CallerResult},
+        sorted::SortedVec,
         time::Instant,
     },
     rand_chacha::ChaCha20Rng,
@@ -111,6 +124,20 @@
     pub quota: quota::Quota,
     /// The permits for connections.
     pub permits: permits::Permits,
+    /// The connections and what is known of endpoints.
+    pub pool: pool::Pool,
+    /// The requests that have no answer yet.
+    pub requests: SortedVec<request::Pending>,
+    /// What bounds further attempts.
+    pub retry_budget: retry::RetryBudget,
+    /// How far a planned stop has got.
+    pub drain: drain::DrainState,
+    /// When the next heartbeat is due.
+    pub next_heartbeat_at: Instant,
+    /// When the next round of the pool's upkeep is due.
+    pub next_maintenance_at: Instant,
+    /// What has happened in this run.
+    pub counters: counters::Counters,
 }
 
 impl Board {
@@ -123,9 +150,37 @@
             membership: membership::Membership::default(),
             quota: quota::Quota::default(),
             permits: permits::Permits::default(),
+            pool: pool::Pool::default(),
+            requests: SortedVec::new(),
+            retry_budget: retry::RetryBudget::default(),
+            drain: drain::DrainState::default(),
+            next_heartbeat_at: Instant::ZERO,
+            next_maintenance_at: Instant::ZERO,
+            counters: counters::Counters::default(),
         }
     }
 }
 
 /// Takes one input and appends what the runtime must do.
-pub fn step(_board: &mut Board, _now: Instant, _input: Input, _out: &mut Vec<Effect>) {}
+pub fn step(board: &mut Board, now: Instant, input: Input, out: &mut Vec<Effect>) {
+    match input {
+        Input::Tick => on_tick(board, now, out),
+        Input::Request(ticket, caller_request) => {
+            request::on_request(board, now, ticket, caller_request, out);
+        }
+        Input::CallerGone(ticket) => request::on_caller_gone(board, ticket),
+        Input::Forwarded(ticket, result) => out.push(Effect::Answer(ticket, result)),
+        Input::HeartbeatAnswer(answer) => heartbeat::on_answer(board, now, &answer, out),
+        Input::Opened(connection) => request::on_opened(board, now, connection, out),
+        Input::Closed(connection) => request::on_closed(board, now, connection, out),
+        Input::Done(connection, work, result) => request::on_done(board, now, connection, work, result, out),
+        Input::Stop => drain::begin(board, now, out),
+    }
+}
+
+fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    request::on_tick(board, now, out);
+    maintenance::run_when_due(board, now, out);
+    drain::advance(board, now, out);
+    heartbeat::send_when_due(board, now, out);
+}
--- /dev/null
+++ b/crates/cumincart-core/src/entry/pool.rs
@@ -0,0 +1,322 @@
+//! The connections to endpoints, and what is known of each endpoint.
+
+use {
+    super::{
+        Effect, Ticket,
+        fairness::FairQueue,
+        permits::{self, Permits},
+    },
+    crate::work::{ConnectionId, EndpointState, Work, WorkId},
+    cumincart_protocol::{
+        catalogue::EndpointEntry,
+        name::EndpointName,
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two attempts to connect to an endpoint that can't be reached, in milliseconds.
+pub const REOPEN_INTERVAL_MS: u64 = 200;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// It is being opened.
+    Opening,
+    /// It can take a work.
+    Idle,
+    /// A work is on it, for a request or for the pool itself.
+    Busy {
+        /// The work.
+        work: WorkId,
+        /// The request.
+        ticket: Option<Ticket>,
+        /// When the work was sent.
+        since: Instant,
+    },
+    /// A transaction holds it and runs nothing now.
+    Pinned,
+    /// It is to be closed; its place is not free before it is.
+    Closing,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Connection {
+    /// Its id.
+    pub id: ConnectionId,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// What it is doing.
+    pub state: ConnectionState,
+}
+
+impl Keyed for Connection {
+    type Key = ConnectionId;
+
+    fn key(&self) -> &ConnectionId {
+        &self.id
+    }
+}
+
+/// An endpoint's state and when its answer came.
+#[derive(Debug, Clone, Copy)]
+pub struct Observed {
+    /// The state.
+    pub state: EndpointState,
+    /// When the answer came.
+    pub at: Instant,
+}
+
+/// What this instance knows of an endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: EndpointName,
+    /// Its address, as `ip:port`.
+    pub address: Arc<str>,
+    /// How many statements it runs at once.
+    pub slots: u32,
+    /// Connections that are open, opening or closing.
+    pub connections: u32,
+    /// Connections that are being opened.
+    pub opening: u32,
+    /// Connections that are being closed.
+    pub closing: u32,
+    /// Connections that can take a work; the last one was used last.
+    pub idle: Vec<ConnectionId>,
+    /// Works under way.
+    pub in_flight: u32,
+    /// Requests that wait for it.
+    pub queue: FairQueue,
+    /// Its last known state.
+    pub observed: Option<Observed>,
+    /// Since when the last attempt to reach it has failed, or has succeeded.
+    pub contact: Option<Contact>,
+    /// Not before then is another connection opened, after one could not be.
+    pub open_again_at: Instant,
+    /// When the last answer came.
+    pub answered_at: Instant,
+}
+
+/// Whether an endpoint could be reached, and since when that has been so.
+#[derive(Debug, Clone, Copy)]
+pub struct Contact {
+    /// Whether the last attempt succeeded.
+    pub reachable: bool,
+    /// Since when.
+    pub since: Instant,
+    /// Whether there was an attempt since the last heartbeat.
+    pub news: bool,
+}
+
+impl Keyed for Endpoint {
+    type Key = EndpointName;
+
+    fn key(&self) -> &EndpointName {
+        &self.name
+    }
+}
+
+impl Endpoint {
+    fn new(entry: &EndpointEntry) -> Self {
+        Self {
+            name: entry.name.clone(),
+            address: entry.address.clone(),
+            slots: entry.slots,
+            connections: 0,
+            opening: 0,
+            closing: 0,
+            idle: Vec::new(),
+            in_flight: 0,
+            queue: FairQueue::default(),
+            observed: None,
+            contact: None,
+            open_again_at: Instant::ZERO,
+            answered_at: Instant::ZERO,
+        }
+    }
+
+    /// Works under way and requests that wait.
+    pub fn load(&self) -> usize {
+        self.in_flight as usize + self.queue.len()
+    }
+
+    /// Whether the last attempt to reach it did not fail.
+    pub fn is_reachable(&self) -> bool {
+        self.contact.is_none_or(|contact| contact.reachable)
+    }
+
+    /// Notes the outcome of an attempt to reach it.
+    pub fn note_contact(&mut self, now: Instant, reachable: bool) {
+        let since = match self.contact {
+            Some(contact) if contact.reachable == reachable => contact.since,
+            _ => now,
+        };
+        self.contact = Some(Contact { reachable, since, news: true });
+    }
+
+    /// Notes its state as an answer gave it.
+    pub fn note_state(&mut self, now: Instant, state: EndpointState) {
+        self.observed = Some(Observed { state, at: now });
+    }
+}
+
+/// All connections and endpoints.
+#[derive(Debug, Default)]
+pub struct Pool {
+    /// The connections.
+    pub connections: SortedVec<Connection>,
+    /// The endpoints.
+    pub endpoints: SortedVec<Endpoint>,
+    last_connection: u64,
+    last_work: u64,
+}
+
+impl Pool {
+    /// What is known of an endpoint.
+    pub fn endpoint(&self, name: &EndpointName) -> Option<&Endpoint> {
+        self.endpoints.get(name)
+    }
+
+    /// Takes an endpoint in, or its new address and slots.
+    pub fn learn(&mut self, entry: &EndpointEntry) {
+        let endpoint = self.endpoints.get_or_insert_with(&entry.name, || Endpoint::new(entry));
+        endpoint.slots = entry.slots;
+        if endpoint.address != entry.address {
+            endpoint.address = entry.address.clone();
+        }
+    }
+
+    /// Opens a connection where the permits leave room.
+    pub fn open(
+        &mut self,
+        now: Instant,
+        permits: &Permits,
+        name: &EndpointName,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(name) else {
+            return false;
+        };
+        if now < endpoint.open_again_at || endpoint.connections >= permits::allowed(permits, now, name) {
+            return false;
+        }
+        self.last_connection += 1;
+        let id = ConnectionId(self.last_connection);
+        endpoint.connections += 1;
+        endpoint.opening += 1;
+        self.connections.insert(Connection { id, endpoint: name.clone(), state: ConnectionState::Opening });
+        out.push(Effect::Open { connection: id, endpoint: name.clone(), address: endpoint.address.clone() });
+        true
+    }
+
+    /// A connection is open; gives its endpoint.
+    pub fn opened(&mut self, now: Instant, id: ConnectionId) -> Option<EndpointName> {
+        let connection = self.connections.get_mut(&id)?;
+        if connection.state != ConnectionState::Opening {
+            return None;
+        }
+        connection.state = ConnectionState::Idle;
+        let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
+        endpoint.opening -= 1;
+        endpoint.idle.push(id);
+        endpoint.note_contact(now, true);
+        Some(endpoint.name.clone())
+    }
+
+    /// A connection is gone; gives what it was.
+    pub fn closed(&mut self, now: Instant, id: ConnectionId) -> Option<Connection> {
+        let connection = self.connections.remove(&id)?;
+        let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
+        endpoint.connections -= 1;
+        match connection.state {
+            ConnectionState::Opening => {
+                endpoint.opening -= 1;
+                endpoint.note_contact(now, false);
+                endpoint.open_again_at = now + Duration::from_millis(REOPEN_INTERVAL_MS);
+            }
+            ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
+            ConnectionState::Busy { .. } => endpoint.in_flight -= 1,
+            ConnectionState::Closing => endpoint.closing -= 1,
+            ConnectionState::Pinned => {}
+        }
+        Some(connection)
+    }
+
+    /// Sends a work on an idle or pinned connection.
+    pub fn execute(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        ticket: Option<Ticket>,
+        work: Work,
+        out: &mut Vec<Effect>,
+    ) -> Option<WorkId> {
+        let connection = self.connections.get_mut(&id)?;
+        let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
+        match connection.state {
+            ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
+            ConnectionState::Pinned => {}
+            _ => return None,
+        }
+        self.last_work += 1;
+        let work_id = WorkId(self.last_work);
+        connection.state = ConnectionState::Busy { work: work_id, ticket, since: now };
+        endpoint.in_flight += 1;
+        out.push(Effect::Execute(id, work_id, work));
+        Some(work_id)
+    }
+
+    /// A work ended: gives the request that waits for it. An answer to anything but the work on the connection is
+    /// dropped. The connection is pinned afterwards; give it back with [`Pool::release`] when it is clean.
+    pub fn done(&mut self, now: Instant, id: ConnectionId, work: WorkId) -> Option<Option<Ticket>> {
+        let connection = self.connections.get_mut(&id)?;
+        let ConnectionState::Busy { work: expected, ticket, .. } = connection.state else {
+            return None;
+        };
+        if expected != work {
+            return None;
+        }
+        connection.state = ConnectionState::Pinned;
+        let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
+        endpoint.in_flight -= 1;
+        endpoint.answered_at = now;
+        Some(ticket)
+    }
+
+    /// Gives a clean connection back.
+    pub fn release(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if connection.state != ConnectionState::Pinned {
+            return;
+        }
+        connection.state = ConnectionState::Idle;
+        if let Some(endpoint) = self.endpoints.get_mut(&connection.endpoint) {
+            endpoint.idle.push(id);
+        }
+    }
+
+    /// Closes a connection; its place is free once it is gone.
+    pub fn close(&mut self, id: ConnectionId, out: &mut Vec<Effect>) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(&connection.endpoint) else {
+            return;
+        };
+        match connection.state {
+            ConnectionState::Closing => return,
+            ConnectionState::Opening => endpoint.opening -= 1,
+            ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
+            ConnectionState::Busy { .. } => endpoint.in_flight -= 1,
+            ConnectionState::Pinned => {}
+        }
+        connection.state = ConnectionState::Closing;
+        endpoint.closing += 1;
+        out.push(Effect::Close(id));
+    }
+}
--- a/crates/cumincart-protocol/src/refusal.rs
+++ b/crates/cumincart-protocol/src/refusal.rs
@@ -62,22 +62,25 @@
     pub message: Arc<str>,
     /// The earliest time at which a repeat can succeed, where it is known.
     pub retry_after_ms: Option<u64>,
+    /// The session token with which to go on, where the one that came can't be kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<Arc<str>>,
 }
 
 impl Refusal {
     /// A refusal of a request that did not run.
     pub fn not_run(code: RefusalCode, message: impl Into<Arc<str>>) -> Self {
-        Self { verdict: Verdict::NotRun, code, message: message.into(), retry_after_ms: None }
+        Self { verdict: Verdict::NotRun, code, message: message.into(), retry_after_ms: None, session: None }
     }
 
     /// A refusal of a request that may have run.
     pub fn unknown(code: RefusalCode, message: impl Into<Arc<str>>) -> Self {
-        Self { verdict: Verdict::Unknown, code, message: message.into(), retry_after_ms: None }
+        Self { verdict: Verdict::Unknown, code, message: message.into(), retry_after_ms: None, session: None }
     }
 
     /// A refusal that comes after the request has run.
     pub fn ran(code: RefusalCode, message: impl Into<Arc<str>>) -> Self {
-        Self { verdict: Verdict::Ran, code, message: message.into(), retry_after_ms: None }
+        Self { verdict: Verdict::Ran, code, message: message.into(), retry_after_ms: None, session: None }
     }
 
     /// The same refusal with the earliest time of a useful repeat.
