--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -2,23 +2,28 @@
 
 pub mod admission;
 pub mod counters;
+pub mod dispatch;
 pub mod drain;
 pub mod fairness;
 pub mod freshness;
-pub mod membership;
 pub mod heartbeat;
 pub mod maintenance;
+pub mod membership;
+pub mod outcome;
 pub mod permits;
 pub mod pool;
 pub mod quota;
+pub mod replication;
 pub mod request;
 pub mod retry;
 pub mod routing;
 pub mod session;
+pub mod transaction;
 
 pub use drain::is_ready;
 
 use {
+    self::pool::{ConnectionState, Owner},
     crate::work::{ConnectionId, Work, WorkDone, WorkError, WorkId},
     cumincart_protocol::{
         heartbeat::{Heartbeat, HeartbeatAnswer},
@@ -128,12 +133,18 @@
     pub pool: pool::Pool,
     /// The requests that have no answer yet.
     pub requests: SortedVec<request::Pending>,
+    /// The open transactions.
+    pub transactions: SortedVec<transaction::Transaction>,
+    /// Requests that were passed on to another entry instance.
+    pub forwards: SortedVec<transaction::Forwarded>,
+    /// How a replica is chosen for a read.
+    pub replica_choice: routing::policy::ReplicaChoice,
     /// What bounds further attempts.
     pub retry_budget: retry::RetryBudget,
     /// How far a planned stop has got.
     pub drain: drain::DrainState,
-    /// When the next heartbeat is due.
-    pub next_heartbeat_at: Instant,
+    /// Since when this instance or its failure domain is out of service.
+    pub out_since: Option<Instant>,
     /// When the next round of the pool's upkeep is due.
     pub next_maintenance_at: Instant,
     /// What has happened in this run.
@@ -152,9 +163,12 @@
             permits: permits::Permits::default(),
             pool: pool::Pool::default(),
             requests: SortedVec::new(),
+            transactions: SortedVec::new(),
+            forwards: SortedVec::new(),
+            replica_choice: routing::policy::local_without_stalled,
             retry_budget: retry::RetryBudget::default(),
             drain: drain::DrainState::default(),
-            next_heartbeat_at: Instant::ZERO,
+            out_since: None,
             next_maintenance_at: Instant::ZERO,
             counters: counters::Counters::default(),
         }
@@ -168,12 +182,12 @@
         Input::Request(ticket, caller_request) => {
             request::on_request(board, now, ticket, caller_request, out);
         }
-        Input::CallerGone(ticket) => request::on_caller_gone(board, ticket),
-        Input::Forwarded(ticket, result) => out.push(Effect::Answer(ticket, result)),
+        Input::CallerGone(ticket) => on_caller_gone(board, ticket, out),
+        Input::Forwarded(ticket, result) => on_forwarded(board, ticket, *result, out),
         Input::HeartbeatAnswer(answer) => heartbeat::on_answer(board, now, &answer, out),
-        Input::Opened(connection) => request::on_opened(board, now, connection, out),
-        Input::Closed(connection) => request::on_closed(board, now, connection, out),
-        Input::Done(connection, work, result) => request::on_done(board, now, connection, work, result, out),
+        Input::Opened(connection) => on_opened(board, now, connection, out),
+        Input::Closed(connection) => on_closed(board, now, connection, out),
+        Input::Done(connection, work, result) => outcome::on_done(board, now, connection, work, result, out),
         Input::Stop => drain::begin(board, now, out),
     }
 }
@@ -184,3 +198,37 @@
     drain::advance(board, now, out);
     heartbeat::send_when_due(board, now, out);
 }
+
+fn on_caller_gone(board: &mut Board, ticket: Ticket, out: &mut Vec<Effect>) {
+    board.forwards.remove(&ticket);
+    request::on_caller_gone(board, ticket, out);
+    transaction::on_caller_gone(board, ticket, out);
+}
+
+fn on_forwarded(board: &mut Board, ticket: Ticket, result: CallerResult, out: &mut Vec<Effect>) {
+    if board.forwards.remove(&ticket).is_some() {
+        request::answer(board, ticket, result, out);
+    }
+}
+
+fn on_opened(board: &mut Board, now: Instant, connection: ConnectionId, out: &mut Vec<Effect>) {
+    let Some(endpoint) = board.pool.opened(now, connection) else {
+        return;
+    };
+    board.counters.connections_opened += 1;
+    dispatch::pump(board, now, &endpoint, out);
+    maintenance::probe(board, now, &endpoint, out);
+}
+
+fn on_closed(board: &mut Board, now: Instant, connection: ConnectionId, out: &mut Vec<Effect>) {
+    let Some(lost) = board.pool.closed(now, connection) else {
+        return;
+    };
+    board.counters.connections_closed += 1;
+    transaction::end_with_connection(board, connection, out);
+    if let ConnectionState::Busy { work, owner: Owner::Request(ticket), .. } = lost.state {
+        outcome::on_outcome(board, now, ticket, work, Err(WorkError::LostInCommit), out);
+    }
+    dispatch::park_queue(board, now, &lost.endpoint);
+    dispatch::pump(board, now, &lost.endpoint, out);
+}
--- a/crates/cumincart-core/src/entry/admission.rs
+++ b/crates/cumincart-core/src/entry/admission.rs
@@ -11,7 +11,7 @@
         lists::Route,
         name::{OrganisationName, ServiceName},
         refusal::{Refusal, RefusalCode},
-        request::{Call, CallerRequest, Statement},
+        request::{Call, CallerRequest, Operation, Statement},
         time::Instant,
     },
     std::sync::Arc,
@@ -43,7 +43,7 @@
         return Err(if fresh { route_unknown(call) } else { not_fresh() });
     };
     if entry.route.open {
-        return admitted(entry, None, call);
+        return admitted(entry, None, request, call);
     }
     if !fresh {
         return Err(not_fresh());
@@ -55,7 +55,7 @@
             "the organisation's plan does not allow this route",
         ));
     }
-    admitted(entry, Some(organisation), call)
+    admitted(entry, Some(organisation), request, call)
 }
 
 /// The organisation that a request may act for outside any route, as when it ends a transaction: the lists must be
@@ -97,10 +97,15 @@
 fn admitted(
     entry: &RouteEntry,
     organisation: Option<&OrganisationEntry>,
+    request: &CallerRequest,
     call: &Call,
 ) -> Result<Admitted, Refusal> {
     let name = organisation.map(|organisation| organisation.name.clone());
-    let statement = statement::bind(&entry.route, name.as_ref(), call)?;
+    let statement = match request.operation {
+        // Beginning a transaction runs no statement of the route.
+        Operation::Begin(_) => Statement { sql: "".into(), parameters: Vec::new() },
+        _ => statement::bind(&entry.route, name.as_ref(), call)?,
+    };
     Ok(Admitted {
         organisation: name,
         weight: organisation.map_or(OPEN_WEIGHT, |organisation| organisation.weight),
--- /dev/null
+++ b/crates/cumincart-core/src/entry/dispatch.rs
@@ -0,0 +1,206 @@
+//! From an admitted request to a work on a connection: routing, the endpoint's queue, the start.
+
+use {
+    super::{
+        Board, Effect, Ticket, admission,
+        fairness::Waiting,
+        pool::Owner,
+        request::{self, Kind, Pending, Run, Stage},
+        routing::{self, Destination, Question},
+        session,
+    },
+    crate::work::{ConnectionId, Work},
+    cumincart_protocol::{
+        catalogue::Group,
+        lists::Access,
+        name::EndpointName,
+        refusal::{Refusal, RefusalCode},
+        session::Session,
+        time::Instant,
+    },
+    rand::Rng,
+    std::time::Duration,
+};
+
+/// How often a request without an endpoint is routed again, in milliseconds.
+const REROUTE_INTERVAL_MS: u64 = 10;
+
+/// Chooses an endpoint for a request and queues it there.
+pub fn route(board: &mut Board, now: Instant, ticket: Ticket, out: &mut Vec<Effect>) {
+    let draw = board.random.next_u64();
+    let catalogue = board.freshness.catalogue.clone();
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    let Some(group) = catalogue.group(&pending.admitted.service) else {
+        return park_for_a_round(board, now, ticket);
+    };
+    let question = Question {
+        group,
+        route: &pending.admitted.route,
+        kind: pending.kind,
+        session: &pending.request.session,
+        tried: &pending.tried,
+        missed: pending.missed,
+        draw,
+    };
+    match routing::choose(board, now, &question) {
+        Destination::Endpoint(endpoint) => enqueue(board, now, ticket, &endpoint, out),
+        Destination::Wait => park_for_a_round(board, now, ticket),
+        Destination::Lost => {
+            let refusal = write_lost(&pending.request.session, group);
+            request::finish(board, ticket, Err(refusal), out);
+        }
+    }
+}
+
+/// Tells a session that something that it has seen is lost, and gives it a token to go on with.
+pub fn write_lost(session: &Session, group: &Group) -> Refusal {
+    let refreshed = session::without_lost_points(session, group);
+    let message = "what this session has seen was lost in a failover: go on with the session in this answer";
+    let mut refusal = Refusal::not_run(RefusalCode::WriteLost, message);
+    refusal.session = Some(refreshed.encode().into());
+    refusal
+}
+
+fn park_for_a_round(board: &mut Board, now: Instant, ticket: Ticket) {
+    park(board, ticket, now + Duration::from_millis(REROUTE_INTERVAL_MS));
+}
+
+/// Has a request routed again at some instant.
+pub fn park(board: &mut Board, ticket: Ticket, until: Instant) {
+    if let Some(pending) = board.requests.get_mut(&ticket) {
+        pending.stage = Stage::Parked { until };
+    }
+}
+
+fn enqueue(board: &mut Board, now: Instant, ticket: Ticket, name: &EndpointName, out: &mut Vec<Effect>) {
+    let Some(pending) = board.requests.get_mut(&ticket) else {
+        return;
+    };
+    let Some(endpoint) = board.pool.endpoints.get_mut(name) else {
+        return park_for_a_round(board, now, ticket);
+    };
+    let organisation = pending.admitted.organisation.as_ref();
+    let weight = pending.admitted.weight;
+    let wait = endpoint.expected_wait(endpoint.queue.places_ahead(organisation, weight));
+    if now + wait > pending.deadline {
+        let refusal =
+            Refusal::not_run(RefusalCode::DeadlineExceeded, "its turn would come after its deadline")
+                .retry_after_ms(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        return request::finish(board, ticket, Err(refusal), out);
+    }
+    if endpoint.queue.push(organisation, weight, Waiting { ticket }).is_err() {
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, "the endpoint's queue is full");
+        return request::finish(board, ticket, Err(refusal), out);
+    }
+    pending.stage = Stage::Queued(name.clone());
+    pump(board, now, name, out);
+}
+
+/// Starts requests that wait for an endpoint, as far as its slots and connections go.
+pub fn pump(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
+    loop {
+        let Some(endpoint) = board.pool.endpoints.get_mut(name) else {
+            return;
+        };
+        if endpoint.queue.is_empty() || endpoint.in_flight >= endpoint.slots.max(1) {
+            return;
+        }
+        let Some(connection) = endpoint.idle.last().copied() else {
+            open_for_queue(board, now, name, out);
+            return;
+        };
+        let Some(waiting) = endpoint.queue.pop() else {
+            return;
+        };
+        start(board, now, waiting.ticket, name, connection, out);
+    }
+}
+
+fn open_for_queue(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
+    let missing = board.pool.endpoint(name).map_or(0, |endpoint| {
+        let useful = endpoint.slots.saturating_sub(endpoint.in_flight) as usize;
+        endpoint.queue.len().min(useful).saturating_sub(endpoint.opening as usize)
+    });
+    for _ in 0..missing {
+        if !board.pool.open(now, &board.permits, name, out) {
+            return;
+        }
+    }
+}
+
+/// Has the requests of an endpoint that can't be reached routed again, unless another connection to it is left.
+pub fn park_queue(board: &mut Board, now: Instant, name: &EndpointName) {
+    let Some(endpoint) = board.pool.endpoints.get_mut(name) else {
+        return;
+    };
+    if endpoint.connections > endpoint.closing {
+        return;
+    }
+    for ticket in endpoint.queue.drain() {
+        park_for_a_round(board, now, ticket);
+    }
+}
+
+fn start(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    name: &EndpointName,
+    connection: ConnectionId,
+    out: &mut Vec<Effect>,
+) {
+    let catalogue = board.freshness.catalogue.clone();
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    if let Some(refusal) = late_refusal(board, now, pending) {
+        return request::finish(board, ticket, Err(refusal), out);
+    }
+    let group = catalogue.group(&pending.admitted.service);
+    let Some(group) = group.filter(|group| may_start(board, now, group, pending, name)) else {
+        return park(board, ticket, now);
+    };
+    let work = work_for(pending);
+    let Some(work) = board.pool.execute(now, connection, Owner::Request(ticket), work, out) else {
+        return park(board, ticket, now);
+    };
+    let run = Run { endpoint: name.clone(), connection, work, term: group.term };
+    if let Some(pending) = board.requests.get_mut(&ticket) {
+        pending.attempts += 1;
+        pending.stage = Stage::Running(run);
+    }
+}
+
+/// Why a request that waited can't start any more: its deadline has passed, or its key was withdrawn meanwhile.
+fn late_refusal(board: &Board, now: Instant, pending: &Pending) -> Option<Refusal> {
+    if now >= pending.deadline {
+        return Some(Refusal::not_run(RefusalCode::DeadlineExceeded, "it waited until its deadline"));
+    }
+    let organisation = pending.admitted.organisation.as_ref()?;
+    let allowed = admission::still_allowed(board, now, pending.request.key_digest.as_ref(), organisation);
+    (!allowed)
+        .then(|| Refusal::not_run(RefusalCode::KeyRefused, "the key was withdrawn or can't be confirmed"))
+}
+
+/// Whether the endpoint that was chosen when the request was queued is still right now that it is sent.
+fn may_start(board: &Board, now: Instant, group: &Group, pending: &Pending, name: &EndpointName) -> bool {
+    let is_primary = group.primary.as_ref() == Some(name);
+    if is_primary || pending.admitted.route.access == Access::Write {
+        return routing::usable_primary(board, now, group).as_ref() == Some(name);
+    }
+    group.endpoints.get(name).is_some_and(|entry| routing::takes_new_work(&board.freshness.catalogue, entry))
+}
+
+fn work_for(pending: &Pending) -> Work {
+    let access = pending.admitted.route.access;
+    if pending.kind == Kind::Begin {
+        return Work::Begin { read_only: access == Access::Read };
+    }
+    let statement = pending.admitted.statement.clone();
+    match access {
+        Access::Read => Work::Read(statement),
+        Access::Write => Work::Write(statement, request::claim(&pending.admitted, &pending.request)),
+    }
+}
--- a/crates/cumincart-core/src/entry/drain.rs
+++ b/crates/cumincart-core/src/entry/drain.rs
@@ -1,7 +1,7 @@
 //! The planned stop: out of the balancer, no new requests, running ones end, everything is given back.
 
 use {
-    super::{Board, Effect},
+    super::{Board, Effect, heartbeat, request::Kind},
     cumincart_protocol::{
         refusal::{Refusal, RefusalCode},
         time::Instant,
@@ -13,6 +13,9 @@
 /// time that a balancer may need to notice.
 pub const GRACE_MS: u64 = 2_000;
 
+/// How long new requests are still taken after the instance or its failure domain was taken out, in milliseconds.
+pub const OUT_GRACE_MS: u64 = 1_000;
+
 /// How far a planned stop has got.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum DrainState {
@@ -34,11 +37,8 @@
 
 /// Whether the platform's balancer may send requests here.
 pub fn is_ready(board: &Board, _now: Instant) -> bool {
-    let catalogue = board.freshness.catalogue.as_ref();
-    board.drain == DrainState::Serving
-        && catalogue.revision.0 > 0
-        && !catalogue.instances_out.contains(&board.settings.instance)
-        && !catalogue.is_domain_out(&board.settings.domain)
+    let knows_lists = board.freshness.revision().0 > 0;
+    board.drain == DrainState::Serving && knows_lists && is_in_service(board)
 }
 
 /// Begins a planned stop.
@@ -50,27 +50,61 @@
     out.push(Effect::Note("planned stop: not ready any more".into()));
 }
 
-/// Why a request that arrives now is not taken, if it isn't.
-pub fn refusal(board: &Board) -> Option<Refusal> {
+/// Why a request that arrives now is not taken, if it isn't. Requests within open transactions always are.
+pub fn refusal(board: &Board, now: Instant, kind: Kind) -> Option<Refusal> {
     match board.drain {
-        DrainState::Serving | DrainState::Grace { .. } => None,
+        DrainState::Serving => out_of_service(board, now),
+        // A transaction begun now could outlast the grace period.
+        DrainState::Grace { .. } if kind == Kind::Run => None,
         _ => Some(Refusal::not_run(RefusalCode::OutOfService, "this instance is stopping")),
     }
 }
 
+fn out_of_service(board: &Board, now: Instant) -> Option<Refusal> {
+    let since = board.out_since?;
+    let over = now.saturating_since(since) >= Duration::from_millis(OUT_GRACE_MS);
+    let message = "this instance or its failure domain is out of service";
+    over.then(|| Refusal::not_run(RefusalCode::OutOfService, message))
+}
+
+/// Notes whether this instance is in service, after the catalogue has changed.
+pub fn note_service(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    match (is_in_service(board), board.out_since) {
+        (true, Some(_)) => {
+            board.out_since = None;
+            out.push(Effect::Note("in service again".into()));
+        }
+        (false, None) => {
+            board.out_since = Some(now);
+            out.push(Effect::Note("out of service".into()));
+        }
+        _ => {}
+    }
+}
+
+fn is_in_service(board: &Board) -> bool {
+    let catalogue = board.freshness.catalogue.as_ref();
+    !catalogue.instances_out.contains(&board.settings.instance)
+        && !catalogue.is_domain_out(&board.settings.domain)
+}
+
 /// Carries a planned stop forward.
 pub fn advance(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     match board.drain {
         DrainState::Serving | DrainState::Stopped => {}
         DrainState::Grace { until } if now < until => {}
         DrainState::Grace { .. } => board.drain = DrainState::Ending,
-        DrainState::Ending if board.requests.is_empty() => close_all(board, out),
+        DrainState::Ending if is_idle(board) => close_all(board, out),
         DrainState::Ending => {}
         DrainState::Closing if board.pool.connections.is_empty() => stop(board, now, out),
         DrainState::Closing => {}
     }
 }
 
+fn is_idle(board: &Board) -> bool {
+    board.requests.is_empty() && board.transactions.is_empty() && board.forwards.is_empty()
+}
+
 fn close_all(board: &mut Board, out: &mut Vec<Effect>) {
     board.drain = DrainState::Closing;
     let connections: Vec<_> = board.pool.connections.iter().map(|connection| connection.id).collect();
@@ -81,6 +115,7 @@
 
 fn stop(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     board.drain = DrainState::Stopped;
-    super::heartbeat::send(board, now, out);
+    board.membership.leaving = true;
+    heartbeat::send(board, now, out);
     out.push(Effect::Stopped);
 }
--- a/crates/cumincart-core/src/entry/fairness.rs
+++ b/crates/cumincart-core/src/entry/fairness.rs
@@ -1,13 +1,9 @@
-//! The queue of one endpoint: deficit round robin over organisations, bounded, with deadlines.
+//! The queue of one endpoint: deficit round robin over organisations, bounded.
 //!
 //! Each organisation has a queue of its own; a round gives each its weight in statements. Source: M. Shreedhar and
 //! G. Varghese, "Efficient Fair Queuing using Deficit Round Robin", SIGCOMM 1995. Every statement has the cost 1.
 
-use {
-    super::Ticket,
-    cumincart_protocol::{name::OrganisationName, time::Instant},
-    std::collections::VecDeque,
-};
+use {super::Ticket, cumincart_protocol::name::OrganisationName, std::collections::VecDeque};
 
 /// Requests that wait for one endpoint, over all organisations.
 pub const QUEUE_LIMIT: usize = 1_024;
@@ -20,8 +16,6 @@
 pub struct Waiting {
     /// The request.
     pub ticket: Ticket,
-    /// When it must have ended.
-    pub deadline: Instant,
 }
 
 /// The requests of one organisation; open routes share one without a name.
@@ -56,12 +50,14 @@
         self.len == 0
     }
 
-    /// The requests of one organisation.
-    pub fn organisation_len(&self, organisation: Option<&OrganisationName>) -> usize {
-        self.lanes
-            .iter()
-            .find(|lane| lane.organisation.as_ref() == organisation)
-            .map_or(0, |lane| lane.waiting.len())
+    /// How many requests would be served before a new one of this organisation.
+    pub fn places_ahead(&self, organisation: Option<&OrganisationName>, weight: u32) -> usize {
+        let own = self.lanes.iter().find(|lane| lane.organisation.as_ref() == organisation);
+        let own_len = own.map_or(0, |lane| lane.waiting.len());
+        let rounds = own_len / weight.max(1) as usize + 1;
+        let others = self.lanes.iter().filter(|lane| lane.organisation.as_ref() != organisation);
+        let served = others.map(|lane| lane.waiting.len().min(rounds * lane.weight as usize));
+        own_len + served.sum::<usize>()
     }
 
     /// Adds a request at the end of its organisation's queue.
--- a/crates/cumincart-core/src/entry/heartbeat.rs
+++ b/crates/cumincart-core/src/entry/heartbeat.rs
@@ -1,112 +1,76 @@
-//! Heartbeats to the control leader and their answers.
+//! What this instance reports of endpoints with each heartbeat, and what follows from an answer.
 
 use {
-    super::{Board, Effect, drain::DrainState, freshness::Freshness, pool::Endpoint},
-    crate::timing::HEARTBEAT_INTERVAL_MS,
+    super::{
+        Board, Effect,
+        drain::{self, DrainState},
+        maintenance, membership,
+        permits::ConnectionUse,
+        pool::Endpoint,
+        request,
+    },
     cumincart_protocol::{
         catalogue::Catalogue,
-        heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer},
+        heartbeat::{EndpointReport, HeartbeatAnswer},
+        sorted::SortedVec,
         time::Instant,
     },
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
 };
 
 /// Sends a heartbeat when one is due.
 pub fn send_when_due(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
-    if now < board.next_heartbeat_at || board.drain == DrainState::Stopped {
-        return;
+    if board.drain != DrainState::Stopped && membership::due(board, now) {
+        send(board, now, out);
     }
-    send(board, now, out);
 }
 
 /// Sends a heartbeat now.
 pub fn send(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
-    board.next_heartbeat_at = now + Duration::from_millis(HEARTBEAT_INTERVAL_MS);
-    let endpoints = board.pool.endpoints.iter_mut().filter_map(|endpoint| report(endpoint, now)).collect();
-    let heartbeat = Heartbeat {
-        instance: board.settings.instance.clone(),
-        incarnation: board.settings.incarnation,
-        domain: board.settings.domain.clone(),
-        peer_address: board.settings.peer_address.clone(),
-        asked_at: now,
-        revision: board.freshness.revision(),
-        leaving: board.drain == DrainState::Stopped,
-        endpoints,
-        shares: Vec::new(),
-        permits: Vec::new(),
-    };
+    let reports = board.pool.endpoints.iter_mut().filter_map(|endpoint| report(endpoint, now)).collect();
+    let uses: SortedVec<ConnectionUse> = board.pool.endpoints.iter().map(connection_use).collect();
+    let heartbeat = membership::heartbeat(board, now, reports, &uses);
     out.push(Effect::Heartbeat(Box::new(heartbeat)));
 }
 
+/// What is open to an endpoint and could be used: what runs and waits, within its slots, above the warm reserve.
+fn connection_use(endpoint: &Endpoint) -> ConnectionUse {
+    let running = endpoint.connections - endpoint.closing - endpoint.idle_len();
+    let waiting = u32::try_from(endpoint.queue.len()).unwrap_or(u32::MAX);
+    let busy = running.saturating_add(waiting.min(endpoint.slots));
+    ConnectionUse {
+        endpoint: endpoint.name.clone(),
+        open: endpoint.connections,
+        wanted: busy.saturating_add(maintenance::WARM_RESERVE),
+    }
+}
+
 /// Takes the leader's answer in.
 pub fn on_answer(board: &mut Board, now: Instant, answer: &HeartbeatAnswer, out: &mut Vec<Effect>) {
-    if answer.incarnation != board.settings.incarnation {
-        return;
-    }
     let before = board.freshness.catalogue.clone();
-    apply(&mut board.freshness, answer);
+    membership::on_answer(board, now, answer);
     let after = board.freshness.catalogue.clone();
-    if after.revision == before.revision {
-        return;
+    if after.revision != before.revision {
+        on_catalogue(board, now, &before, &after, out);
     }
-    note_new_terms(board, &before, &after, out);
+    maintenance::run(board, now, out);
+    request::release_tokens(board, now, out);
+}
+
+fn on_catalogue(
+    board: &mut Board,
+    now: Instant,
+    before: &Catalogue,
+    after: &Arc<Catalogue>,
+    out: &mut Vec<Effect>,
+) {
+    note_new_terms(board, before, after, out);
+    drain::note_service(board, now, out);
     for group in &after.groups {
         for entry in &group.endpoints {
             board.pool.learn(entry);
         }
     }
-    super::maintenance::run(board, now, out);
-}
-
-fn apply(freshness: &mut Freshness, answer: &HeartbeatAnswer) {
-    update(freshness, &answer.update);
-    if freshness.revision() < answer.revision {
-        return;
-    }
-    let term_lease_until = answer.asked_at + Duration::from_millis(answer.term_lease_ms);
-    let fresh_until = answer.asked_at + Duration::from_millis(answer.freshness_lease_ms);
-    freshness.term_lease_until = freshness.term_lease_until.max(term_lease_until);
-    freshness.fresh_until = freshness.fresh_until.max(fresh_until);
-    if let Some(instances) = &answer.instances {
-        freshness.instances = instances.iter().cloned().collect();
-    }
-}
-
-fn update(freshness: &mut Freshness, update: &CatalogueUpdate) {
-    match update {
-        CatalogueUpdate::None => {}
-        CatalogueUpdate::Snapshot(catalogue) => {
-            if catalogue.revision > freshness.revision() {
-                freshness.catalogue = catalogue.clone();
-            }
-        }
-        CatalogueUpdate::Deltas(deltas) => {
-            for delta in deltas {
-                if delta.from != freshness.revision() {
-                    continue;
-                }
-                let mut catalogue = Catalogue::clone(&freshness.catalogue);
-                change(&mut catalogue, &delta.change);
-                catalogue.revision = delta.to;
-                freshness.catalogue = Arc::new(catalogue);
-            }
-        }
-    }
-}
-
-fn change(catalogue: &mut Catalogue, change: &CatalogueChange) {
-    match change {
-        CatalogueChange::Nothing => {}
-        CatalogueChange::Lists(revision, lists) => {
-            catalogue.lists_revision = *revision;
-            catalogue.lists = lists.clone();
-        }
-        CatalogueChange::DomainsOut(domains) => catalogue.domains_out = domains.clone(),
-        CatalogueChange::InstancesOut(instances) => catalogue.instances_out = instances.clone(),
-        CatalogueChange::Group(group) => {
-            catalogue.groups.insert(Clone::clone(group));
-        }
-    }
 }
 
 fn note_new_terms(board: &mut Board, before: &Catalogue, after: &Catalogue, out: &mut Vec<Effect>) {
@@ -123,6 +87,9 @@
 }
 
 fn report(endpoint: &mut Endpoint, now: Instant) -> Option<EndpointReport> {
+    if endpoint.is_stalled(now) {
+        endpoint.note_contact(now, false);
+    }
     let contact = endpoint.contact.as_mut()?;
     if !contact.news && contact.reachable {
         return None;
--- a/crates/cumincart-core/src/entry/maintenance.rs
+++ b/crates/cumincart-core/src/entry/maintenance.rs
@@ -1,15 +1,23 @@
-//! Upkeep of the pool: the warm reserve, connections that must go, and probes of replicas' positions.
+//! Upkeep of the pool: the warm reserve, connections that must go, probes of positions, stalled endpoints.
 //!
 //! Opening a connection takes a multiple of a statement's time, so connections are opened before requests need them.
 
 use {
     super::{
-        Board, Effect, permits,
-        pool::{Connection, ConnectionState, Endpoint},
-        routing,
+        Board, Effect, Ticket, dispatch,
+        drain::DrainState,
+        permits,
+        pool::{Connection, ConnectionState, Endpoint, Owner},
+        request::{self, Kind, Pending, Stage},
+        retry, routing, transaction,
     },
     crate::work::{ConnectionId, Work},
-    cumincart_protocol::{catalogue::Catalogue, name::EndpointName, time::Instant},
+    cumincart_protocol::{
+        catalogue::{Catalogue, EndpointEntry},
+        lists::Access,
+        name::EndpointName,
+        time::Instant,
+    },
     std::time::Duration,
 };
 
@@ -17,21 +25,20 @@
 pub const WARM_RESERVE: u32 = 2;
 
 /// Time between two rounds of upkeep, in milliseconds.
-pub const MAINTENANCE_INTERVAL_MS: u64 = 100;
+pub const MAINTENANCE_INTERVAL_MS: u64 = 50;
 
-/// How old a replica's last known state may get before it is asked for, in milliseconds.
+/// How old an endpoint's last known state may get before it is asked for, in milliseconds.
 pub const PROBE_INTERVAL_MS: u64 = 250;
 
-/// How long after its request has ended a work may stay without an answer before its connection is closed, in
-/// milliseconds, counted from when it was sent.
+/// How long a work may stay without an answer before its connection is closed, in milliseconds. Until then the
+/// connection is kept, although its request has ended, since the endpoint may still hold its side of it.
 pub const STUCK_WORK_MS: u64 = 10_000;
 
 /// Does a round of upkeep when one is due.
 pub fn run_when_due(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
-    if now < board.next_maintenance_at {
-        return;
+    if now >= board.next_maintenance_at {
+        run(board, now, out);
     }
-    run(board, now, out);
 }
 
 /// Does a round of upkeep now.
@@ -41,19 +48,31 @@
     let names: Vec<EndpointName> =
         board.pool.endpoints.iter().map(|endpoint| endpoint.name.clone()).collect();
     for name in &names {
-        let allowed =
-            if is_usable(&catalogue, name) { permits::allowed(&board.permits, now, name) } else { 0 };
+        let allowed = allowed(board, now, &catalogue, name);
         close_surplus(board, name, allowed, out);
         open_reserve(board, now, name, allowed, out);
         probe(board, now, name, out);
+        leave_stalled(board, now, name, out);
     }
     close_stuck(board, now, out);
+    transaction::end_where_due(board, now, out);
 }
 
-/// Whether an endpoint is in the catalogue and may get new work.
-fn is_usable(catalogue: &Catalogue, name: &EndpointName) -> bool {
-    let entry = catalogue.groups.iter().find_map(|group| group.endpoints.get(name));
-    entry.is_some_and(|entry| routing::takes_new_work(catalogue, entry))
+/// How many connections to an endpoint may be open; none to one that may get no new work.
+fn allowed(board: &Board, now: Instant, catalogue: &Catalogue, name: &EndpointName) -> u32 {
+    if matches!(board.drain, DrainState::Closing | DrainState::Stopped) {
+        return 0;
+    }
+    match entry(catalogue, name) {
+        Some(entry) if routing::takes_new_work(catalogue, entry) => {
+            permits::allowed(&board.permits, now, name)
+        }
+        _ => 0,
+    }
+}
+
+fn entry<'a>(catalogue: &'a Catalogue, name: &EndpointName) -> Option<&'a EndpointEntry> {
+    catalogue.groups.iter().find_map(|group| group.endpoints.get(name))
 }
 
 fn close_surplus(board: &mut Board, name: &EndpointName, allowed: u32, out: &mut Vec<Effect>) {
@@ -77,7 +96,8 @@
     }
 }
 
-fn probe(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
+/// Asks for an endpoint's state where what is known of it is old and nothing else asks.
+pub fn probe(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
     let Some(endpoint) = board.pool.endpoint(name) else {
         return;
     };
@@ -87,7 +107,7 @@
     let Some(connection) = endpoint.idle.first().copied() else {
         return;
     };
-    board.pool.execute(now, connection, None, Work::Probe, out);
+    board.pool.execute(now, connection, Owner::Pool, Work::Probe, out);
 }
 
 fn is_probe_due(endpoint: &Endpoint, now: Instant) -> bool {
@@ -96,9 +116,46 @@
         && endpoint.observed.is_none_or(|observed| now.saturating_since(observed.at) >= interval)
 }
 
+/// Sends the reads that wait for a stalled endpoint or run there to another one; late answers are dropped.
+fn leave_stalled(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
+    if !board.pool.endpoint(name).is_some_and(|endpoint| endpoint.is_stalled(now)) {
+        return;
+    }
+    for ticket in request::tickets(board, |pending| is_read_at(pending, name)) {
+        if !board.retry_budget.spend() {
+            return;
+        }
+        board.counters.retries += 1;
+        move_away(board, now, ticket, name, out);
+    }
+}
+
+fn is_read_at(pending: &Pending, name: &EndpointName) -> bool {
+    let is_read = pending.kind == Kind::Run
+        && pending.admitted.route.access == Access::Read
+        && pending.admitted.route.max_staleness_ms > 0;
+    let is_here = match &pending.stage {
+        Stage::Queued(at) => at == name,
+        Stage::Running(run) => run.endpoint == *name,
+        _ => false,
+    };
+    is_read && is_here && pending.attempts < retry::MAX_ATTEMPTS && !pending.tried.contains(name)
+}
+
+fn move_away(board: &mut Board, now: Instant, ticket: Ticket, name: &EndpointName, out: &mut Vec<Effect>) {
+    if let Some(endpoint) = board.pool.endpoints.get_mut(name) {
+        endpoint.queue.remove(ticket);
+    }
+    if let Some(pending) = board.requests.get_mut(&ticket) {
+        pending.tried.push(name.clone());
+    }
+    dispatch::route(board, now, ticket, out);
+}
+
 fn close_stuck(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let connections = board.pool.connections.iter();
     let stuck: Vec<ConnectionId> =
-        board.pool.connections.iter().filter(|connection| is_stuck(connection, now)).map(|c| c.id).collect();
+        connections.filter(|connection| is_stuck(connection, now)).map(|connection| connection.id).collect();
     for connection in stuck {
         board.pool.close(connection, out);
     }
--- /dev/null
+++ b/crates/cumincart-core/src/entry/outcome.rs
@@ -0,0 +1,299 @@
+//! The end of a work: which answer it gives, or what follows from its failure.
+
+use {
+    super::{
+        Board, Effect, Ticket, dispatch,
+        pool::Owner,
+        replication,
+        request::{self, Kind, Run, Stage},
+        retry, routing,
+        session::{self, Standing},
+        transaction,
+    },
+    crate::work::{ConnectionId, EndpointState, WorkDone, WorkError, WorkId},
+    cumincart_protocol::{
+        announcement::Role,
+        catalogue::Group,
+        lists::Access,
+        name::EndpointName,
+        number::Term,
+        refusal::{Refusal, RefusalCode},
+        request::{CallerAnswer, Rows},
+        session::Session,
+        time::Instant,
+        verdict::Verdict,
+    },
+};
+
+/// Takes the end of a work. An answer to anything but the work on the connection is dropped.
+pub fn on_done(
+    board: &mut Board,
+    now: Instant,
+    connection: ConnectionId,
+    work: WorkId,
+    result: Result<WorkDone, WorkError>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(finished) = board.pool.done(now, connection, work) else {
+        board.counters.stray_answers += 1;
+        return;
+    };
+    note_outcome(board, now, &finished.endpoint, &result);
+    match finished.owner {
+        Owner::Pool => give_back(board, connection, &result, out),
+        Owner::Request(ticket) => on_request_done(board, now, ticket, connection, work, result, out),
+        Owner::Transaction(number) => transaction::on_done(board, now, number, connection, result, out),
+    }
+    replication::on_state(board, now, &finished.endpoint, out);
+    dispatch::pump(board, now, &finished.endpoint, out);
+}
+
+fn note_outcome(board: &mut Board, now: Instant, name: &EndpointName, result: &Result<WorkDone, WorkError>) {
+    let Some(endpoint) = board.pool.endpoints.get_mut(name) else {
+        return;
+    };
+    let reached = result.as_ref().err().is_none_or(retry::leaves_connection_clean);
+    endpoint.note_contact(now, reached);
+    if let Ok(WorkDone { state: Some(state), .. }) = result {
+        endpoint.note_state(now, *state);
+    }
+}
+
+/// Gives a connection back when it is clean, closes it otherwise.
+fn give_back(
+    board: &mut Board,
+    connection: ConnectionId,
+    result: &Result<WorkDone, WorkError>,
+    out: &mut Vec<Effect>,
+) {
+    match result {
+        Err(error) if !retry::leaves_connection_clean(error) => board.pool.close(connection, out),
+        _ => board.pool.release(connection),
+    }
+}
+
+fn on_request_done(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    connection: ConnectionId,
+    work: WorkId,
+    result: Result<WorkDone, WorkError>,
+    out: &mut Vec<Effect>,
+) {
+    let began = result.is_ok() && waits_for_begin(board, ticket, work);
+    if !began {
+        give_back(board, connection, &result, out);
+    }
+    on_outcome(board, now, ticket, work, result, out);
+}
+
+fn waits_for_begin(board: &Board, ticket: Ticket, work: WorkId) -> bool {
+    board.requests.get(&ticket).is_some_and(|pending| {
+        pending.kind == Kind::Begin && matches!(&pending.stage, Stage::Running(run) if run.work == work)
+    })
+}
+
+/// Goes on with a request whose work ended.
+pub fn on_outcome(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    work: WorkId,
+    result: Result<WorkDone, WorkError>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    let Stage::Running(run) = &pending.stage else {
+        return;
+    };
+    if run.work != work {
+        return;
+    }
+    let run = run.clone();
+    match (result, pending.kind, pending.admitted.route.access) {
+        (Err(error), _, _) => on_error(board, now, ticket, &run, &error, out),
+        (Ok(_), Kind::Begin, _) => transaction::on_begun(board, now, ticket, &run, out),
+        (Ok(done), Kind::Run, Access::Read) => on_read(board, now, ticket, &run, done, out),
+        (Ok(done), Kind::Run, Access::Write) => on_written(board, now, ticket, &run, done, out),
+    }
+}
+
+fn on_read(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    run: &Run,
+    done: WorkDone,
+    out: &mut Vec<Effect>,
+) {
+    let catalogue = board.freshness.catalogue.clone();
+    let Some(pending) = board.requests.get_mut(&ticket) else {
+        return;
+    };
+    let session = pending.request.session.clone();
+    let staleness_ms = pending.admitted.route.max_staleness_ms;
+    let (Some(group), Some(state)) = (catalogue.group(&pending.admitted.service), done.state) else {
+        let refusal = Refusal::unknown(RefusalCode::Internal, "the endpoint gave no state with its answer");
+        return request::finish(board, ticket, Err(refusal), out);
+    };
+    if is_primary_answer(board, now, group, run.term, &run.endpoint, &state) && is_kept(group, &session) {
+        board.counters.primary_reads += 1;
+        return answer_read(board, ticket, group, &state, done.rows, out);
+    }
+    if is_replica_answer(board, now, group, &session, staleness_ms, &state) {
+        board.counters.replica_reads += 1;
+        return answer_read(board, ticket, group, &state, done.rows, out);
+    }
+    board.counters.replica_misses += 1;
+    if let Some(pending) = board.requests.get_mut(&ticket) {
+        pending.missed = true;
+    }
+    dispatch::route(board, now, ticket, out);
+}
+
+/// Whether an answer came from the primary of the present term: the term is the one in which the work was sent, the
+/// lease on it is live, and the endpoint itself confirms it.
+pub fn is_primary_answer(
+    board: &Board,
+    now: Instant,
+    group: &Group,
+    sent_in: Term,
+    endpoint: &EndpointName,
+    state: &EndpointState,
+) -> bool {
+    is_still_primary(board, now, group, sent_in, endpoint) && session::is_primary_state(group, sent_in, state)
+}
+
+/// Whether the term in which a work was sent is still the present one, under a live lease.
+pub fn is_still_primary(
+    board: &Board,
+    now: Instant,
+    group: &Group,
+    sent_in: Term,
+    endpoint: &EndpointName,
+) -> bool {
+    sent_in == group.term
+        && group.writable
+        && group.primary.as_ref() == Some(endpoint)
+        && board.freshness.holds_term_lease(now)
+}
+
+fn is_replica_answer(
+    board: &Board,
+    now: Instant,
+    group: &Group,
+    session: &Session,
+    staleness_ms: u64,
+    state: &EndpointState,
+) -> bool {
+    let needed = session::needed_position(&session::seen(session, &group.service));
+    state.role == Role::Replica
+        && is_kept(group, session)
+        && session::covers(group, state, needed)
+        && routing::age_ms(board, now, state.lag_ms) <= staleness_ms
+}
+
+fn is_kept(group: &Group, session: &Session) -> bool {
+    let seen = session::seen(session, &group.service);
+    [seen.write, seen.read].into_iter().all(|point| session::standing(group, point) == Standing::Kept)
+}
+
+fn answer_read(
+    board: &mut Board,
+    ticket: Ticket,
+    group: &Group,
+    state: &EndpointState,
+    rows: Rows,
+    out: &mut Vec<Effect>,
+) {
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    let session = session::after_read(&pending.request.session, group, state.position);
+    let from_replica = state.role == Role::Replica;
+    request::finish(board, ticket, Ok(CallerAnswer { rows, session, transaction: None, from_replica }), out);
+}
+
+fn on_written(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    run: &Run,
+    done: WorkDone,
+    out: &mut Vec<Effect>,
+) {
+    let catalogue = board.freshness.catalogue.clone();
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    let service = pending.admitted.service.clone();
+    let state = done.state.filter(|state| {
+        catalogue
+            .group(&service)
+            .is_some_and(|group| is_primary_answer(board, now, group, run.term, &run.endpoint, state))
+    });
+    let Some(state) = state else {
+        return request::finish(board, ticket, Err(term_changed()), out);
+    };
+    let session = session::after_write(&pending.request.session, &service, run.term, state.position);
+    let replicated = pending.admitted.route.replicated;
+    let answer = CallerAnswer { rows: done.rows, session, transaction: None, from_replica: false };
+    if !replicated {
+        board.counters.writes += 1;
+        return request::finish(board, ticket, Ok(answer), out);
+    }
+    replication::wait(board, now, ticket, run, state.position, Ok(answer), out);
+}
+
+/// The refusal for a write that an endpoint committed but that can't be acknowledged.
+pub fn term_changed() -> Refusal {
+    Refusal::unknown(RefusalCode::TermChanged, "the primary changed, or may have, while the write ran")
+}
+
+fn on_error(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    run: &Run,
+    error: &WorkError,
+    out: &mut Vec<Effect>,
+) {
+    let Some(pending) = board.requests.get_mut(&ticket) else {
+        return;
+    };
+    if *error == WorkError::AlreadyClaimed {
+        return on_already_claimed(board, now, ticket, run, out);
+    }
+    let route = &pending.admitted.route;
+    let repeatable = pending.kind == Kind::Begin || route.access == Access::Read || route.repeatable;
+    let harmless = repeatable || retry::verdict(error) == Verdict::NotRun;
+    let more = retry::is_transient(error) && harmless && pending.attempts < retry::MAX_ATTEMPTS;
+    if !more || !board.retry_budget.spend() {
+        return request::finish(board, ticket, Err(retry::refusal(error)), out);
+    }
+    pending.tried.push(run.endpoint.clone());
+    let until = retry::next_attempt_at(&mut board.random, now, pending.attempts);
+    board.counters.retries += 1;
+    dispatch::park(board, ticket, until);
+}
+
+/// The claim was there, so the request ran before; that counts only if the endpoint is the present primary, and on a
+/// replicated route only once a replica has it.
+fn on_already_claimed(board: &mut Board, now: Instant, ticket: Ticket, run: &Run, out: &mut Vec<Effect>) {
+    let catalogue = board.freshness.catalogue.clone();
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    let group = catalogue.group(&pending.admitted.service);
+    if !group.is_some_and(|group| is_still_primary(board, now, group, run.term, &run.endpoint)) {
+        return request::finish(board, ticket, Err(term_changed()), out);
+    }
+    let refusal = retry::refusal(&WorkError::AlreadyClaimed);
+    if !pending.admitted.route.replicated {
+        return request::finish(board, ticket, Err(refusal), out);
+    }
+    replication::wait_from_probe(board, now, ticket, run, refusal, out);
+}
--- a/crates/cumincart-core/src/entry/pool.rs
+++ b/crates/cumincart-core/src/entry/pool.rs
@@ -19,6 +19,12 @@
 /// Time between two attempts to connect to an endpoint that can't be reached, in milliseconds.
 pub const REOPEN_INTERVAL_MS: u64 = 200;
 
+/// Over how many works an endpoint's mean service time is taken.
+const SERVICE_TIME_WINDOW: u64 = 16;
+
+/// How long an endpoint with works under way may stay without an answer before it counts as stalled, in milliseconds.
+pub const STALL_MS: u64 = 100;
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionState {
@@ -30,8 +36,8 @@
     Busy {
         /// The work.
         work: WorkId,
-        /// The request.
-        ticket: Option<Ticket>,
+        /// What waits for it.
+        owner: Owner,
         /// When the work was sent.
         since: Instant,
     },
@@ -41,6 +47,26 @@
     Closing,
 }
 
+/// What waits for a work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Owner {
+    /// A request that is not part of an open transaction.
+    Request(Ticket),
+    /// The open transaction with this number.
+    Transaction(u64),
+    /// The pool itself, for the endpoint's state.
+    Pool,
+}
+
+/// A work that ended.
+#[derive(Debug)]
+pub struct Finished {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// What waited for it.
+    pub owner: Owner,
+}
+
 /// One connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -88,6 +114,10 @@
     pub idle: Vec<ConnectionId>,
     /// Works under way.
     pub in_flight: u32,
+    /// Whether a probe is under way.
+    pub probing: bool,
+    /// The mean time from a work's start to its end, over the last ones, in microseconds.
+    pub service_micros: u64,
     /// Requests that wait for it.
     pub queue: FairQueue,
     /// Its last known state.
@@ -96,6 +126,8 @@
     pub contact: Option<Contact>,
     /// Not before then is another connection opened, after one could not be.
     pub open_again_at: Instant,
+    /// When the first of the works under way was sent, since none was.
+    pub oldest_work_at: Option<Instant>,
     /// When the last answer came.
     pub answered_at: Instant,
 }
@@ -130,19 +162,59 @@
             closing: 0,
             idle: Vec::new(),
             in_flight: 0,
+            probing: false,
+            service_micros: 0,
             queue: FairQueue::default(),
             observed: None,
             contact: None,
             open_again_at: Instant::ZERO,
+            oldest_work_at: None,
             answered_at: Instant::ZERO,
         }
     }
 
+    /// The number of connections that can take a work.
+    pub fn idle_len(&self) -> u32 {
+        u32::try_from(self.idle.len()).unwrap_or(u32::MAX)
+    }
+
     /// Works under way and requests that wait.
     pub fn load(&self) -> usize {
         self.in_flight as usize + self.queue.len()
     }
 
+    /// How long a request with so many before it in the queue is expected to wait.
+    pub fn expected_wait(&self, places_ahead: usize) -> Duration {
+        let in_parallel = u64::from(self.slots.min(self.connections).max(1));
+        let rounds = places_ahead as u64 / in_parallel;
+        Duration::from_micros(self.service_micros.saturating_mul(rounds))
+    }
+
+    /// Whether works are under way and no answer has come for a while.
+    pub fn is_stalled(&self, now: Instant) -> bool {
+        let Some(oldest) = self.oldest_work_at else {
+            return false;
+        };
+        let quiet_since = oldest.max(self.answered_at);
+        now.saturating_since(quiet_since) >= Duration::from_millis(STALL_MS)
+    }
+
+    fn note_service_time(&mut self, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.service_micros = match self.service_micros {
+            0 => micros,
+            mean => mean - mean / SERVICE_TIME_WINDOW + micros / SERVICE_TIME_WINDOW,
+        };
+    }
+
+    fn work_ended(&mut self, owner: Owner) {
+        self.in_flight -= 1;
+        self.probing &= owner != Owner::Pool;
+        if self.in_flight == 0 {
+            self.oldest_work_at = None;
+        }
+    }
+
     /// Whether the last attempt to reach it did not fail.
     pub fn is_reachable(&self) -> bool {
         self.contact.is_none_or(|contact| contact.reachable)
@@ -238,7 +310,7 @@
                 endpoint.open_again_at = now + Duration::from_millis(REOPEN_INTERVAL_MS);
             }
             ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
-            ConnectionState::Busy { .. } => endpoint.in_flight -= 1,
+            ConnectionState::Busy { owner, .. } => endpoint.work_ended(owner),
             ConnectionState::Closing => endpoint.closing -= 1,
             ConnectionState::Pinned => {}
         }
@@ -250,7 +322,7 @@
         &mut self,
         now: Instant,
         id: ConnectionId,
-        ticket: Option<Ticket>,
+        owner: Owner,
         work: Work,
         out: &mut Vec<Effect>,
     ) -> Option<WorkId> {
@@ -263,17 +335,19 @@
         }
         self.last_work += 1;
         let work_id = WorkId(self.last_work);
-        connection.state = ConnectionState::Busy { work: work_id, ticket, since: now };
+        connection.state = ConnectionState::Busy { work: work_id, owner, since: now };
         endpoint.in_flight += 1;
+        endpoint.oldest_work_at.get_or_insert(now);
+        endpoint.probing |= owner == Owner::Pool;
         out.push(Effect::Execute(id, work_id, work));
         Some(work_id)
     }
 
-    /// A work ended: gives the request that waits for it. An answer to anything but the work on the connection is
+    /// A work ended: gives what waited for it. An answer to anything but the work on the connection is
     /// dropped. The connection is pinned afterwards; give it back with [`Pool::release`] when it is clean.
-    pub fn done(&mut self, now: Instant, id: ConnectionId, work: WorkId) -> Option<Option<Ticket>> {
+    pub fn done(&mut self, now: Instant, id: ConnectionId, work: WorkId) -> Option<Finished> {
         let connection = self.connections.get_mut(&id)?;
-        let ConnectionState::Busy { work: expected, ticket, .. } = connection.state else {
+        let ConnectionState::Busy { work: expected, owner, since } = connection.state else {
             return None;
         };
         if expected != work {
@@ -281,9 +355,10 @@
         }
         connection.state = ConnectionState::Pinned;
         let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
-        endpoint.in_flight -= 1;
+        endpoint.work_ended(owner);
         endpoint.answered_at = now;
-        Some(ticket)
+        endpoint.note_service_time(now.saturating_since(since));
+        Some(Finished { endpoint: endpoint.name.clone(), owner })
     }
 
     /// Gives a clean connection back.
@@ -312,7 +387,7 @@
             ConnectionState::Closing => return,
             ConnectionState::Opening => endpoint.opening -= 1,
             ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
-            ConnectionState::Busy { .. } => endpoint.in_flight -= 1,
+            ConnectionState::Busy { owner, .. } => endpoint.work_ended(owner),
             ConnectionState::Pinned => {}
         }
         connection.state = ConnectionState::Closing;
--- a/crates/cumincart-core/src/entry/retry.rs
+++ b/crates/cumincart-core/src/entry/retry.rs
@@ -9,7 +9,7 @@
     },
     rand::RngExt,
     rand_chacha::ChaCha20Rng,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Attempts for one request, the first included.
@@ -86,7 +86,7 @@
 
 /// The refusal for a work that ended like this.
 pub fn refusal(error: &WorkError) -> Refusal {
-    let (code, message): (_, std::sync::Arc<str>) = match error {
+    let (code, message): (_, Arc<str>) = match error {
         WorkError::NotSent => (RefusalCode::ConnectionLost, "the endpoint could not be reached".into()),
         WorkError::AlreadyClaimed => {
             (RefusalCode::AlreadyRun, "this request id has been committed before".into())
--- a/crates/cumincart-core/src/entry/routing.rs
+++ b/crates/cumincart-core/src/entry/routing.rs
@@ -1,9 +1,12 @@
 //! Which endpoint gets a request.
 
+pub mod policy;
+
 use {
     super::{
         Board,
         pool::Endpoint,
+        request::Kind,
         session::{self, Standing},
     },
     cumincart_protocol::{
@@ -14,6 +17,7 @@
         session::Session,
         time::Instant,
     },
+    policy::Candidate,
     std::time::Duration,
 };
 
@@ -35,12 +39,16 @@
     pub group: &'a Group,
     /// Its route.
     pub route: &'a Route,
+    /// What it asks for.
+    pub kind: Kind,
     /// What its session has seen.
     pub session: &'a Session,
     /// The endpoints that it was sent to before.
     pub tried: &'a [EndpointName],
     /// Whether a replica did not have what it needed, so that only the primary is left.
     pub missed: bool,
+    /// A random number.
+    pub draw: u64,
 }
 
 /// Chooses an endpoint.
@@ -89,7 +97,10 @@
 }
 
 fn reads_from_replicas(question: &Question<'_>) -> bool {
-    question.route.access == Access::Read && question.route.max_staleness_ms > 0 && !question.missed
+    question.kind == Kind::Run
+        && question.route.access == Access::Read
+        && question.route.max_staleness_ms > 0
+        && !question.missed
 }
 
 fn choose_replica(
@@ -98,18 +109,24 @@
     question: &Question<'_>,
     needed: LogPosition,
 ) -> Option<EndpointName> {
-    let mut best: Option<(bool, usize, &EndpointEntry)> = None;
-    for entry in &question.group.endpoints {
-        if !is_candidate(board, now, question, entry, needed) {
-            continue;
-        }
-        let distant = entry.domain != board.settings.domain;
-        let load = board.pool.endpoint(&entry.name).map_or(0, Endpoint::load);
-        if best.is_none_or(|(other_distant, other_load, _)| (distant, load) < (other_distant, other_load)) {
-            best = Some((distant, load, entry));
-        }
+    let entries: Vec<&EndpointEntry> = question
+        .group
+        .endpoints
+        .iter()
+        .filter(|entry| is_candidate(board, now, question, entry, needed))
+        .collect();
+    let candidates: Vec<Candidate> = entries.iter().map(|entry| candidate(board, now, entry)).collect();
+    let index = (board.replica_choice)(&candidates, question.draw)?;
+    entries.get(index).map(|entry| entry.name.clone())
+}
+
+fn candidate(board: &Board, now: Instant, entry: &EndpointEntry) -> Candidate {
+    let endpoint = board.pool.endpoint(&entry.name);
+    Candidate {
+        distant: entry.domain != board.settings.domain,
+        load: endpoint.map_or(0, Endpoint::load),
+        stalled: endpoint.is_some_and(|endpoint| endpoint.is_stalled(now)),
     }
-    best.map(|(_, _, entry)| entry.name.clone())
 }
 
 fn is_candidate(
@@ -137,6 +154,9 @@
     let Some(observed) = endpoint.observed else {
         return true;
     };
+    if !session::is_current_replica(question.group, &observed.state) {
+        return false;
+    }
     let recently =
         now.saturating_since(observed.at) < Duration::from_millis(observed.state.lag_ms.max(OBSERVATION_MS));
     let suits = session::covers(question.group, &observed.state, needed)
--- a/crates/cumincart-core/src/entry/session.rs
+++ b/crates/cumincart-core/src/entry/session.rs
@@ -56,6 +56,12 @@
     state.timeline == start.timeline && state.position >= needed
 }
 
+/// Whether a state is a replica's on the group's present timeline.
+pub fn is_current_replica(group: &Group, state: &EndpointState) -> bool {
+    let start = current_start(group);
+    state.role == Role::Replica && start.is_some_and(|start| start.timeline == state.timeline)
+}
+
 /// Whether a state is the primary's of this term.
 pub fn is_primary_state(group: &Group, term: Term, state: &EndpointState) -> bool {
     let Some(start) = current_start(group) else {
--- /dev/null
+++ b/crates/cumincart-core/tests/entry_data_path.rs
@@ -0,0 +1,12 @@
+//! The data path of one entry instance, each promise with the failure that threatens it.
+
+#[path = "entry_data_path/fixture.rs"]
+mod fixture;
+#[path = "entry_data_path/path.rs"]
+mod path;
+#[path = "entry_data_path/sessions.rs"]
+mod sessions;
+#[path = "entry_data_path/transactions.rs"]
+mod transactions;
+#[path = "entry_data_path/verdicts.rs"]
+mod verdicts;
--- /dev/null
+++ b/crates/cumincart-core/tests/entry_data_path/path.rs
@@ -0,0 +1,122 @@
+//! One request end to end, the pool's limits, the planned stop.
+
+use {
+    crate::fixture::{Entry, call, done, name, primary, replica, run, run_once},
+    cumincart_core::{entry::drain, work::Work},
+    cumincart_protocol::{
+        refusal::RefusalCode,
+        request::{CallerRequest, Operation},
+        verdict::Verdict,
+    },
+};
+
+#[test]
+fn a_write_goes_to_the_primary_and_a_read_to_the_replica_of_this_domain() {
+    let mut entry = Entry::open();
+    let write = entry.ask(run("save"));
+    let sent = entry.last_sent();
+    assert_eq!(sent.endpoint, name("pbx-1"));
+    assert!(matches!(sent.work, Work::Write(_, None)));
+    entry.finish(&sent, done(primary(1, 150)));
+    let session = entry.result(write).expect("answered").clone().expect("written").session;
+    assert_eq!(session.seen.iter().next().expect("seen").write.position.0, 150);
+
+    let read = entry.ask(run("lookup"));
+    let sent = entry.last_sent();
+    assert_eq!(sent.endpoint, name("pbx-2"));
+    entry.finish(&sent, done(replica(1, 120, 5)));
+    assert!(entry.result(read).expect("answered").clone().expect("read").from_replica);
+}
+
+#[test]
+fn no_heartbeat_answer_refuses_keyed_requests_but_serves_open_reads_within_their_age() {
+    let mut entry = Entry::open();
+    entry.control_up = false;
+    entry.advance_ms(3_950);
+    let keyed = entry.ask(run("lookup"));
+    assert!(entry.result(keyed).is_none(), "the freshness lease is still live");
+    let open = entry.ask(CallerRequest { key_digest: None, ..run("public") });
+    let sent = entry.last_sent();
+    entry.finish(&sent, done(replica(1, 100, 0)));
+    assert!(entry.result(open).expect("answered").is_ok(), "the data is at most 2.5 s old");
+
+    entry.advance_ms(100);
+    let refused = entry.ask(run("lookup"));
+    let refusal = entry.result(refused).expect("answered").clone().expect_err("refused");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::NotFresh, Verdict::NotRun));
+}
+
+#[test]
+fn connections_stay_within_the_permits_whatever_waits() {
+    let mut entry = Entry::open();
+    for _ in 0..50 {
+        entry.ask(run("save"));
+    }
+    assert_eq!(entry.sent.len(), 4, "four permits, five slots");
+    entry.advance_ms(200);
+    assert!(entry.board.pool.endpoints.iter().all(|endpoint| endpoint.connections <= 4));
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_new() {
+    let mut entry = Entry::open();
+    entry.change(|catalogue| {
+        let group = catalogue.groups.get_mut(&"pbx".into()).expect("it is there");
+        group.endpoints.get_mut(&name("pbx-2")).expect("it is there").leaving = true;
+    });
+    entry.ask(run("lookup"));
+    assert_eq!(entry.last_sent().endpoint, name("pbx-3"));
+    let left = entry.board.pool.endpoint(&name("pbx-2")).expect("it is known");
+    assert_eq!(left.connections, 0);
+}
+
+#[test]
+fn a_domain_that_is_out_gets_nothing_new_and_its_instances_are_not_ready() {
+    let mut entry = Entry::open();
+    entry.change(|catalogue| {
+        catalogue.domains_out.insert("sofia-a".into());
+    });
+    assert!(!entry.is_ready());
+    entry.ask(run("lookup"));
+    assert_eq!(entry.last_sent().endpoint, name("pbx-3"), "taken within the grace, but not to pbx-2");
+    entry.advance_ms(drain::OUT_GRACE_MS);
+    let late = entry.ask(run("lookup"));
+    let refusal = entry.result(late).expect("answered").clone().expect_err("refused");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::OutOfService, Verdict::NotRun));
+    entry.change(|catalogue| catalogue.domains_out.retain(|_| false));
+    assert!(entry.is_ready());
+    entry.ask(run("lookup"));
+    assert_eq!(entry.last_sent().endpoint, name("pbx-2"));
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    let mut entry = Entry::open();
+    let running = entry.ask(run_once("record", "call-1"));
+    let sent = entry.last_sent();
+    let transaction = entry.begin("edit", None);
+    entry.input(cumincart_core::entry::Input::Stop);
+    assert!(!entry.is_ready());
+    let in_grace = entry.ask(run("lookup"));
+    let read = entry.last_sent();
+    entry.finish(&read, done(replica(1, 100, 0)));
+    assert!(entry.result(in_grace).expect("answered").is_ok());
+    entry.finish(&sent, done(primary(1, 120)));
+    assert!(entry.result(running).expect("answered").is_ok());
+
+    entry.advance_ms(drain::GRACE_MS + 10);
+    let refused = entry.ask(run("lookup"));
+    assert_eq!(
+        entry.result(refused).expect("answered").clone().expect_err("refused").verdict,
+        Verdict::NotRun
+    );
+    assert!(!entry.stopped, "a transaction is open");
+    let commit = entry.ask(call("edit", |_| Operation::Commit(transaction)));
+    let sent = entry.last_sent();
+    entry.finish(&sent, done(primary(1, 130)));
+    assert!(entry.result(commit).expect("answered").is_ok());
+    entry.advance_ms(50);
+    assert!(entry.stopped);
+    assert!(entry.heartbeats.last().expect("one was sent").leaving);
+    assert_eq!(entry.board.pool.connections.len(), 0);
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/entry_data_path/verdicts.rs
@@ -0,0 +1,179 @@
+//! Verdicts, retries, strayed answers, acknowledgement under the term lease, claims, replicated writes.
+
+use {
+    crate::fixture::{Entry, done, name, primary, replica, run, run_once},
+    cumincart_core::{
+        entry::Input,
+        work::{Work, WorkError},
+    },
+    cumincart_protocol::{refusal::RefusalCode, verdict::Verdict},
+    test_case::test_case,
+};
+
+#[test]
+fn an_old_primarys_write_is_not_acknowledged_after_the_lease_ends() {
+    let mut entry = Entry::open();
+    entry.control_up = false;
+    let ticket = entry.ask(run("save"));
+    let sent = entry.last_sent();
+    entry.advance_ms(1_500);
+    entry.finish(&sent, done(primary(1, 120)));
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("not acknowledged");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::TermChanged, Verdict::Unknown));
+}
+
+#[test]
+fn an_old_primarys_write_is_not_acknowledged_in_the_next_term() {
+    let mut entry = Entry::open();
+    let ticket = entry.ask(run("save"));
+    let sent = entry.last_sent();
+    entry.fail_over("pbx-2", 100);
+    entry.finish(&sent, done(primary(1, 120)));
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("not acknowledged");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::TermChanged, Verdict::Unknown));
+}
+
+#[test]
+fn writes_wait_while_the_group_has_no_writable_primary() {
+    let mut entry = Entry::open();
+    entry.change(|catalogue| catalogue.groups.get_mut(&"pbx".into()).expect("it is there").writable = false);
+    let ticket = entry.ask(run("save"));
+    assert!(entry.sent.is_empty());
+    entry.change(|catalogue| catalogue.groups.get_mut(&"pbx".into()).expect("it is there").writable = true);
+    entry.advance_ms(20);
+    let sent = entry.last_sent();
+    entry.finish(&sent, done(primary(1, 120)));
+    assert!(entry.result(ticket).expect("answered").is_ok());
+}
+
+#[test_case("save", WorkError::LostBeforeCommit, 2; "not run")]
+#[test_case("save", WorkError::LostInCommit, 2; "repeatable")]
+#[test_case("record", WorkError::LostBeforeCommit, 2; "not repeatable but not run")]
+#[test_case("record", WorkError::LostInCommit, 1; "may have run")]
+fn only_what_did_not_run_or_may_be_repeated_is_sent_again(route: &str, error: WorkError, sends: usize) {
+    let mut entry = Entry::open();
+    let ticket = entry.ask(run_once(route, "r-1"));
+    let sent = entry.last_sent();
+    entry.finish(&sent, Err(error));
+    entry.advance_ms(300);
+    assert_eq!(1 + entry.sent.len(), sends);
+    if sends == 1 {
+        let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+        assert_eq!(refusal.verdict, Verdict::Unknown);
+    }
+}
+
+#[test]
+fn attempts_end_with_the_retry_budget() {
+    let mut entry = Entry::open();
+    for _ in 0..60 {
+        entry.ask(run("lookup"));
+    }
+    for _ in 0..100 {
+        entry.advance_ms(10);
+        for sent in std::mem::take(&mut entry.sent) {
+            entry.finish(&sent, Err(WorkError::LostBeforeCommit));
+        }
+    }
+    // 20 are saved up at the start; that is the most, so the requests add nothing.
+    assert_eq!(entry.board.counters.retries, 20);
+}
+
+#[test]
+fn late_doubled_and_crossed_answers_are_dropped() {
+    let mut entry = Entry::open();
+    let first = entry.ask(run("save"));
+    let first_sent = entry.last_sent();
+    let second = entry.ask(run("save"));
+    let second_sent = entry.last_sent();
+    assert_ne!(first_sent.connection, second_sent.connection);
+    entry.input(Input::Done(first_sent.connection, second_sent.id, done(primary(1, 111))));
+    assert!(entry.result(first).is_none() && entry.result(second).is_none(), "crossed");
+    entry.finish(&first_sent, done(primary(1, 120)));
+    entry.finish(&first_sent, done(primary(1, 999)));
+    let answer = entry.result(first).expect("answered once").clone().expect("written");
+    assert_eq!(answer.session.seen.iter().next().expect("seen").write.position.0, 120, "doubled");
+    entry.advance_ms(2_100);
+    let refusal = entry.result(second).expect("answered").clone().expect_err("timed out");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::DeadlineExceeded, Verdict::Unknown));
+    entry.finish(&second_sent, done(primary(1, 130)));
+    assert!(entry.result(second).is_some_and(Result::is_err), "late");
+    assert_eq!(entry.board.counters.stray_answers, 2);
+}
+
+#[test]
+fn a_late_answer_never_reaches_the_next_request_on_its_connection() {
+    let mut entry = Entry::open();
+    let tickets: Vec<_> = (0..4).map(|_| entry.ask(run("save"))).collect();
+    let held: Vec<_> = std::mem::take(&mut entry.sent);
+    entry.advance_ms(2_100);
+    assert!(tickets.iter().all(|ticket| entry.result(*ticket).is_some_and(Result::is_err)));
+    let next = entry.ask(run("save"));
+    assert!(entry.sent.is_empty(), "every connection still has a work on it");
+    entry.finish(&held[0], done(primary(1, 120)));
+    assert!(entry.result(next).is_none());
+    let sent = entry.last_sent();
+    assert_eq!(sent.connection, held[0].connection);
+    entry.finish(&held[0], done(primary(1, 121)));
+    assert!(entry.result(next).is_none());
+    entry.finish(&sent, done(primary(1, 122)));
+    assert!(entry.result(next).expect("answered").is_ok());
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_needs_an_id_and_leaves_a_claim() {
+    let mut entry = Entry::open();
+    let without = entry.ask(run("record"));
+    let refusal = entry.result(without).expect("answered").clone().expect_err("refused");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::RequestIdMissing, Verdict::NotRun));
+    entry.ask(run_once("record", "call-1"));
+    let Work::Write(_, Some(claim)) = entry.last_sent().work else { panic!("it carries a claim") };
+    assert_eq!(claim.request_id.0.as_ref(), "call-1");
+    assert_eq!(claim.organisation, Some("clinic".into()));
+}
+
+#[test]
+fn a_claim_that_is_there_says_that_the_request_ran_but_not_on_an_old_primary() {
+    let mut entry = Entry::open();
+    let ticket = entry.ask(run_once("record", "call-1"));
+    let sent = entry.last_sent();
+    entry.finish(&sent, Err(WorkError::AlreadyClaimed));
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::AlreadyRun, Verdict::Ran));
+
+    let ticket = entry.ask(run_once("record", "call-2"));
+    let sent = entry.last_sent();
+    entry.fail_over("pbx-2", 100);
+    entry.finish(&sent, Err(WorkError::AlreadyClaimed));
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+    assert_eq!(refusal.verdict, Verdict::Unknown);
+}
+
+#[test]
+fn a_replicated_write_is_acknowledged_only_when_a_replica_has_it() {
+    let mut entry = Entry::open();
+    let ticket = entry.ask(run_once("hold", "hold-1"));
+    let sent = entry.last_sent();
+    entry.probes_answered = false;
+    entry.finish(&sent, done(primary(1, 200)));
+    assert!(entry.result(ticket).is_none());
+    let probe = entry.last_sent();
+    assert_ne!(probe.endpoint, name("pbx-1"));
+    entry.finish(&probe, done(replica(1, 199, 3)));
+    assert!(entry.result(ticket).is_none());
+    let probe = entry.last_sent();
+    entry.finish(&probe, done(replica(1, 200, 0)));
+    assert!(entry.result(ticket).expect("answered").is_ok());
+}
+
+#[test]
+fn a_replicated_write_that_no_replica_confirms_is_unknown_and_its_loss_would_be_told() {
+    let mut entry = Entry::open();
+    let ticket = entry.ask(run_once("hold", "hold-1"));
+    let sent = entry.last_sent();
+    entry.finish(&sent, done(primary(1, 200)));
+    entry.advance_ms(2_100);
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+    assert_eq!(refusal.verdict, Verdict::Unknown);
+    assert!(refusal.session.is_some());
+}
