--- /dev/null
+++ b/crates/cumincart-core/src/entry/maintenance.rs
@@ -0,0 +1,169 @@
+//! Upkeep of the pool: the warm reserve, connections that must go, probes of positions, stalled endpoints.
+//!
+//! Opening a connection takes a multiple of a statement's time, so connections are opened before requests need them.
+
+use {
+    super::{
+        Board, Effect, Ticket, dispatch,
+        drain::DrainState,
+        permits,
+        pool::{Connection, ConnectionState, Endpoint, Owner},
+        request::{self, Kind, Pending, Stage},
+        retry, routing, transaction,
+    },
+    crate::work::{ConnectionId, Work},
+    cumincart_protocol::{
+        catalogue::{Catalogue, EndpointEntry},
+        lists::Access,
+        name::EndpointName,
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+/// Connections to each endpoint that are kept open, as far as the permits go.
+pub const WARM_RESERVE: u32 = 2;
+
+/// Time between two rounds of upkeep, in milliseconds.
+pub const MAINTENANCE_INTERVAL_MS: u64 = 50;
+
+/// How old an endpoint's last known state may get before it is asked for, in milliseconds.
+pub const PROBE_INTERVAL_MS: u64 = 250;
+
+/// How long a work may stay without an answer before its connection is closed, in milliseconds. Until then the
+/// connection is kept, although its request has ended, since the endpoint may still hold its side of it.
+pub const STUCK_WORK_MS: u64 = 10_000;
+
+/// Does a round of upkeep when one is due.
+pub fn run_when_due(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if now >= board.next_maintenance_at {
+        run(board, now, out);
+    }
+}
+
+/// Does a round of upkeep now.
+pub fn run(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    board.next_maintenance_at = now + Duration::from_millis(MAINTENANCE_INTERVAL_MS);
+    let catalogue = board.freshness.catalogue.clone();
+    let names: Vec<EndpointName> =
+        board.pool.endpoints.iter().map(|endpoint| endpoint.name.clone()).collect();
+    for name in &names {
+        let allowed = allowed(board, now, &catalogue, name);
+        close_surplus(board, name, allowed, out);
+        open_reserve(board, now, name, allowed, out);
+        probe(board, now, name, out);
+        leave_stalled(board, now, name, out);
+    }
+    close_stuck(board, now, out);
+    transaction::end_where_due(board, now, out);
+}
+
+/// How many connections to an endpoint may be open; none to one that may get no new work.
+fn allowed(board: &Board, now: Instant, catalogue: &Catalogue, name: &EndpointName) -> u32 {
+    if matches!(board.drain, DrainState::Closing | DrainState::Stopped) {
+        return 0;
+    }
+    match entry(catalogue, name) {
+        Some(entry) if routing::takes_new_work(catalogue, entry) => {
+            permits::allowed(&board.permits, now, name)
+        }
+        _ => 0,
+    }
+}
+
+fn entry<'a>(catalogue: &'a Catalogue, name: &EndpointName) -> Option<&'a EndpointEntry> {
+    catalogue.groups.iter().find_map(|group| group.endpoints.get(name))
+}
+
+fn close_surplus(board: &mut Board, name: &EndpointName, allowed: u32, out: &mut Vec<Effect>) {
+    let Some(endpoint) = board.pool.endpoint(name) else {
+        return;
+    };
+    let surplus = (endpoint.connections - endpoint.closing).saturating_sub(allowed) as usize;
+    let oldest: Vec<ConnectionId> = endpoint.idle.iter().take(surplus).copied().collect();
+    for connection in oldest {
+        board.pool.close(connection, out);
+    }
+}
+
+fn open_reserve(board: &mut Board, now: Instant, name: &EndpointName, allowed: u32, out: &mut Vec<Effect>) {
+    let wanted = allowed.min(WARM_RESERVE);
+    let connections = board.pool.endpoint(name).map_or(0, |endpoint| endpoint.connections);
+    for _ in connections..wanted {
+        if !board.pool.open(now, &board.permits, name, out) {
+            return;
+        }
+    }
+}
+
+/// Asks for an endpoint's state where what is known of it is old and nothing else asks.
+pub fn probe(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
+    let Some(endpoint) = board.pool.endpoint(name) else {
+        return;
+    };
+    if !is_probe_due(endpoint, now) {
+        return;
+    }
+    let Some(connection) = endpoint.idle.first().copied() else {
+        return;
+    };
+    board.pool.execute(now, connection, Owner::Pool, Work::Probe, out);
+}
+
+fn is_probe_due(endpoint: &Endpoint, now: Instant) -> bool {
+    let interval = Duration::from_millis(PROBE_INTERVAL_MS);
+    endpoint.in_flight == 0
+        && endpoint.observed.is_none_or(|observed| now.saturating_since(observed.at) >= interval)
+}
+
+/// Sends the reads that wait for a stalled endpoint or run there to another one; late answers are dropped.
+fn leave_stalled(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
+    if !board.pool.endpoint(name).is_some_and(|endpoint| endpoint.is_stalled(now)) {
+        return;
+    }
+    for ticket in request::tickets(board, |pending| is_read_at(pending, name)) {
+        if !board.retry_budget.spend() {
+            return;
+        }
+        board.counters.retries += 1;
+        move_away(board, now, ticket, name, out);
+    }
+}
+
+fn is_read_at(pending: &Pending, name: &EndpointName) -> bool {
+    let is_read = pending.kind == Kind::Run
+        && pending.admitted.route.access == Access::Read
+        && pending.admitted.route.max_staleness_ms > 0;
+    let is_here = match &pending.stage {
+        Stage::Queued(at) => at == name,
+        Stage::Running(run) => run.endpoint == *name,
+        _ => false,
+    };
+    is_read && is_here && pending.attempts < retry::MAX_ATTEMPTS && !pending.tried.contains(name)
+}
+
+fn move_away(board: &mut Board, now: Instant, ticket: Ticket, name: &EndpointName, out: &mut Vec<Effect>) {
+    if let Some(endpoint) = board.pool.endpoints.get_mut(name) {
+        endpoint.queue.remove(ticket);
+    }
+    if let Some(pending) = board.requests.get_mut(&ticket) {
+        pending.tried.push(name.clone());
+    }
+    dispatch::route(board, now, ticket, out);
+}
+
+fn close_stuck(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let connections = board.pool.connections.iter();
+    let stuck: Vec<ConnectionId> =
+        connections.filter(|connection| is_stuck(connection, now)).map(|connection| connection.id).collect();
+    for connection in stuck {
+        board.pool.close(connection, out);
+    }
+}
+
+fn is_stuck(connection: &Connection, now: Instant) -> bool {
+    let ConnectionState::Busy { since, .. } = connection.state else {
+        return false;
+    };
+    now.saturating_since(since) >= Duration::from_millis(STUCK_WORK_MS)
+}
--- /dev/null
+++ b/crates/cumincart-core/src/entry/request.rs
@@ -0,0 +1,288 @@
+//! A request's way from its arrival to its answer.
+
+use {
+    super::{
+        Board, Effect, Ticket,
+        admission::{self, Admitted},
+        dispatch, drain,
+        quota::{self, QuotaDecision},
+        replication::Replication,
+        transaction,
+    },
+    crate::work::{Claim, ConnectionId, WorkId},
+    cumincart_protocol::{
+        lists::Access,
+        name::EndpointName,
+        number::Term,
+        refusal::{Refusal, RefusalCode},
+        request::{Call, CallerRequest, CallerResult, Operation},
+        sorted::Keyed,
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+/// A request that has no answer yet and is not part of an open transaction.
+#[derive(Debug)]
+pub struct Pending {
+    /// Its identity.
+    pub ticket: Ticket,
+    /// The request.
+    pub request: Box<CallerRequest>,
+    /// What its key and plan allow.
+    pub admitted: Admitted,
+    /// What it asks for.
+    pub kind: Kind,
+    /// When it must have ended.
+    pub deadline: Instant,
+    /// How far it has got.
+    pub stage: Stage,
+    /// Attempts that were sent.
+    pub attempts: u32,
+    /// The endpoints of failed attempts.
+    pub tried: Vec<EndpointName>,
+    /// Whether a replica turned out to be too old for it.
+    pub missed: bool,
+}
+
+impl Keyed for Pending {
+    type Key = Ticket;
+
+    fn key(&self) -> &Ticket {
+        &self.ticket
+    }
+}
+
+/// What a pending request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// To run one statement on its own.
+    Run,
+    /// To begin a transaction.
+    Begin,
+}
+
+/// How far a request has got.
+#[derive(Debug)]
+pub enum Stage {
+    /// It waits for a token of its organisation's rate.
+    AwaitingToken,
+    /// It waits for an endpoint, or for its next attempt.
+    Parked {
+        /// When to route it again.
+        until: Instant,
+    },
+    /// It waits in an endpoint's queue.
+    Queued(EndpointName),
+    /// It runs.
+    Running(Run),
+    /// It has run, and its answer waits for a replica.
+    Replicating(Replication),
+}
+
+/// An attempt under way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The connection.
+    pub connection: ConnectionId,
+    /// The work.
+    pub work: WorkId,
+    /// The group's term when it was sent.
+    pub term: Term,
+}
+
+/// Takes a caller's request.
+pub fn on_request(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    request: Box<CallerRequest>,
+    out: &mut Vec<Effect>,
+) {
+    board.counters.requests += 1;
+    match request.operation.clone() {
+        Operation::Run(call) => take_call(board, now, ticket, request, &call, Kind::Run, out),
+        Operation::Begin(call) => take_call(board, now, ticket, request, &call, Kind::Begin, out),
+        Operation::Within(id, call) => transaction::on_within(board, now, ticket, request, &id, &call, out),
+        Operation::Commit(id) => transaction::on_commit(board, now, ticket, request, &id, out),
+        Operation::Rollback(id) => transaction::on_rollback(board, now, ticket, request, &id, out),
+    }
+}
+
+fn take_call(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    request: Box<CallerRequest>,
+    call: &Call,
+    kind: Kind,
+    out: &mut Vec<Effect>,
+) {
+    if let Some(refusal) = drain::refusal(board, now, kind) {
+        return answer(board, ticket, Err(refusal), out);
+    }
+    let admitted = match admission::admit(board, now, &request, call) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return answer(board, ticket, Err(refusal), out),
+    };
+    if let Some(refusal) = unsuitable(&admitted, &request, kind) {
+        return answer(board, ticket, Err(refusal), out);
+    }
+    board.retry_budget.earn();
+    let deadline = deadline(now, &request, admitted.route.deadline_ms);
+    let pending = Pending {
+        ticket,
+        request,
+        admitted,
+        kind,
+        deadline,
+        stage: Stage::AwaitingToken,
+        attempts: 0,
+        tried: Vec::new(),
+        missed: false,
+    };
+    take_token(board, now, pending, out);
+}
+
+/// The earlier of the route's deadline and the caller's own.
+pub fn deadline(now: Instant, request: &CallerRequest, route_deadline_ms: u64) -> Instant {
+    let deadline_ms = request.deadline_ms.unwrap_or(u64::MAX).min(route_deadline_ms);
+    now + Duration::from_millis(deadline_ms)
+}
+
+fn unsuitable(admitted: &Admitted, request: &CallerRequest, kind: Kind) -> Option<Refusal> {
+    if kind == Kind::Begin && !admitted.route.transaction {
+        return Some(Refusal::not_run(RefusalCode::BadRequest, "this route does not allow transactions"));
+    }
+    needs_request_id(admitted, request).then(|| {
+        let message = "this route's requests may not be repeated: send a request id";
+        Refusal::not_run(RefusalCode::RequestIdMissing, message)
+    })
+}
+
+fn needs_request_id(admitted: &Admitted, request: &CallerRequest) -> bool {
+    let once = admitted.route.access == Access::Write && !admitted.route.repeatable;
+    once && request.request_id.is_none()
+}
+
+/// The claim that a write leaves; none where the route's requests may be repeated.
+pub fn claim(admitted: &Admitted, request: &CallerRequest) -> Option<Claim> {
+    if admitted.route.access == Access::Read || admitted.route.repeatable {
+        return None;
+    }
+    let request_id = request.request_id.clone()?;
+    Some(Claim { organisation: admitted.organisation.clone(), request_id })
+}
+
+fn take_token(board: &mut Board, now: Instant, pending: Pending, out: &mut Vec<Effect>) {
+    let ticket = pending.ticket;
+    let deadline = pending.deadline;
+    let organisation = pending.admitted.organisation.clone();
+    board.requests.insert(pending);
+    let Some(organisation) = organisation else {
+        return dispatch::route(board, now, ticket, out);
+    };
+    let decision = quota::take(&mut board.quota, now, &organisation, ticket, deadline);
+    on_token(board, now, ticket, decision, out);
+}
+
+fn on_token(board: &mut Board, now: Instant, ticket: Ticket, decision: QuotaDecision, out: &mut Vec<Effect>) {
+    match decision {
+        QuotaDecision::Waiting => {}
+        QuotaDecision::Admitted => dispatch::route(board, now, ticket, out),
+        QuotaDecision::Refused { retry_after_ms } => {
+            let refusal = Refusal::not_run(RefusalCode::OverRate, "the organisation is over its rate")
+                .retry_after_ms(retry_after_ms);
+            finish(board, ticket, Err(refusal), out);
+        }
+    }
+}
+
+/// Carries requests forward as time passes: tokens, deadlines, next attempts.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    release_tokens(board, now, out);
+    for ticket in tickets(board, |pending| now >= pending.deadline) {
+        expire(board, ticket, out);
+    }
+    for ticket in tickets(board, |pending| matches!(pending.stage, Stage::Parked { until } if now >= until)) {
+        dispatch::route(board, now, ticket, out);
+    }
+}
+
+/// Goes on with the requests that a token has reached.
+pub fn release_tokens(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    for (ticket, decision) in quota::released(&mut board.quota, now) {
+        on_token(board, now, ticket, decision, out);
+    }
+}
+
+/// The pending requests that a condition holds for.
+pub fn tickets(board: &Board, wanted: impl Fn(&Pending) -> bool) -> Vec<Ticket> {
+    board.requests.iter().filter(|pending| wanted(pending)).map(|pending| pending.ticket).collect()
+}
+
+fn expire(board: &mut Board, ticket: Ticket, out: &mut Vec<Effect>) {
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    let refusal = match &pending.stage {
+        Stage::AwaitingToken => Refusal::not_run(RefusalCode::OverRate, "no token came before the deadline"),
+        Stage::Parked { .. } => {
+            Refusal::not_run(RefusalCode::NoEndpoint, "no endpoint could serve it in time")
+        }
+        Stage::Queued(_) => Refusal::not_run(RefusalCode::DeadlineExceeded, "it waited until its deadline"),
+        Stage::Running(_) => expired_running(pending),
+        Stage::Replicating(replication) => replication.expired(),
+    };
+    withdraw(board, ticket, out);
+    finish(board, ticket, Err(refusal), out);
+}
+
+fn expired_running(pending: &Pending) -> Refusal {
+    match pending.kind {
+        // The connection is closed without a commit, so the endpoint rolls back.
+        Kind::Begin => {
+            Refusal::not_run(RefusalCode::DeadlineExceeded, "the transaction did not begin in time")
+        }
+        Kind::Run => Refusal::unknown(RefusalCode::DeadlineExceeded, "it ran until its deadline"),
+    }
+}
+
+/// Nobody waits for the answer any more: a request that has not started never does, and a write that runs ends.
+pub fn on_caller_gone(board: &mut Board, ticket: Ticket, out: &mut Vec<Effect>) {
+    withdraw(board, ticket, out);
+    board.requests.remove(&ticket);
+}
+
+/// Takes a request out of where it stands, without an answer.
+fn withdraw(board: &mut Board, ticket: Ticket, out: &mut Vec<Effect>) {
+    let Some(pending) = board.requests.get(&ticket) else {
+        return;
+    };
+    match &pending.stage {
+        Stage::AwaitingToken => quota::cancel(&mut board.quota, ticket),
+        Stage::Queued(name) => {
+            if let Some(endpoint) = board.pool.endpoints.get_mut(name) {
+                endpoint.queue.remove(ticket);
+            }
+        }
+        Stage::Running(run) if pending.kind == Kind::Begin => board.pool.close(run.connection, out),
+        Stage::Parked { .. } | Stage::Running(_) | Stage::Replicating(_) => {}
+    }
+}
+
+/// Ends a request with its answer.
+pub fn finish(board: &mut Board, ticket: Ticket, result: CallerResult, out: &mut Vec<Effect>) {
+    if board.requests.remove(&ticket).is_none() {
+        return;
+    }
+    answer(board, ticket, result, out);
+}
+
+/// Answers and counts.
+pub fn answer(board: &mut Board, ticket: Ticket, result: CallerResult, out: &mut Vec<Effect>) {
+    board.counters.count_result(&result);
+    out.push(Effect::Answer(ticket, Box::new(result)));
+}
