Keep callers' statements inside their transactions at the endpoint adapter

Cause: a COMMIT or ROLLBACK in a caller's SQL ended the transaction that the adapter had opened, and a SET stayed on the pooled connection for the next organisation. The commit of a transaction whose statement had failed came back as a success, since PostgreSQL answers such a COMMIT with a rollback and no error.

Ruled out: resetting the connection after each request (DISCARD ALL), which costs a statement and does not keep a COMMIT from splitting a write from its claim.

Change: commands that end transactions or leave something on the connection are refused before they are sent (0A000); inside a transaction the refusal makes it fail at the endpoint too. The commit of a failed transaction is a rollback and told as 25P02.

Functions such as set_config are not recognised; the page for operators has to say so.

--- a/crates/cumincart-runtime/src/endpoint.rs
+++ b/crates/cumincart-runtime/src/endpoint.rs
@@ -3,6 +3,7 @@
 //! Each connection is one task that drives the protocol and does its orders one after another. A work's statements are
 //! sent together, so that reads and writes take one round trip.
 
+mod guard;
 mod login;
 mod promotion;
 mod rows;
--- a/crates/cumincart-runtime/src/endpoint/work.rs
+++ b/crates/cumincart-runtime/src/endpoint/work.rs
@@ -4,7 +4,10 @@
 //! statement and turns the commit behind it into a rollback, so a commit may be sent along with what it depends on.
 
 use {
-    super::statement::{Failure, run, run_plain, run_statement},
+    super::{
+        guard::refused_command,
+        statement::{Failure, run, run_plain, run_statement},
+    },
     cumincart_core::work::{Claim, EndpointState, Work, WorkDone, WorkError},
     cumincart_protocol::{
         announcement::Role,
@@ -29,6 +32,13 @@
 const UNIQUE_VIOLATION: &str = "23505";
 /// SQLSTATE: no such table.
 const UNDEFINED_TABLE: &str = "42P01";
+/// SQLSTATE: the command is not allowed here.
+const NOT_SUPPORTED: &str = "0A000";
+/// SQLSTATE: the transaction has failed.
+const TRANSACTION_FAILED: &str = "25P02";
+
+/// No statement in any dialect: makes an open transaction fail.
+const FAILING_SQL: &str = "refused";
 
 /// What is known of a connection's works.
 #[derive(Debug, Default)]
@@ -37,6 +47,8 @@
     committing: AtomicBool,
     /// Whether the claims' table was asked for on this connection.
     claim_table_made: AtomicBool,
+    /// Whether the open transaction has failed, so that its commit would be a rollback.
+    transaction_failed: AtomicBool,
 }
 
 impl Progress {
@@ -58,16 +70,28 @@
 ) -> Result<WorkDone, WorkError> {
     progress.committing.store(false, Ordering::Relaxed);
     match work {
-        Work::Read(statement) => read(client, statement).await,
-        Work::Write(statement, claim) => write(client, statement, claim.as_ref(), progress).await,
+        Work::Read(statement) => {
+            check_command(statement)?;
+            read(client, statement).await
+        }
+        Work::Write(statement, claim) => {
+            check_command(statement)?;
+            write(client, statement, claim.as_ref(), progress).await
+        }
         Work::Begin { read_only } => begin(client, *read_only, progress).await,
-        Work::Within(statement) => within(client, statement).await,
+        Work::Within(statement) => within(client, statement, progress).await,
         Work::Commit(claim) => commit(client, claim.as_ref(), progress).await,
         Work::Rollback => rollback(client).await,
         Work::Probe => probe(client).await,
     }
 }
 
+fn check_command(statement: &Statement) -> Result<(), WorkError> {
+    let Some(command) = refused_command(&statement.sql) else { return Ok(()) };
+    let message = format!("{} is not allowed through the proxy", command.to_ascii_uppercase());
+    Err(WorkError::Statement { code: NOT_SUPPORTED.into(), message: message.into() })
+}
+
 async fn read(client: &Client, statement: &Statement) -> Result<WorkDone, WorkError> {
     let (begun, state, rows, ended) = join!(
         run_plain(client, BEGIN_READ_ONLY_SQL),
@@ -191,16 +215,33 @@
         run_plain(client, STATE_SQL),
     );
     begun.map_err(Failure::before_commit)?;
+    progress.transaction_failed.store(false, Ordering::Relaxed);
     let state = state.and_then(|rows| parse_state(&rows)).map_err(Failure::before_commit)?;
     Ok(WorkDone { rows: Rows::default(), state: Some(state) })
 }
 
-async fn within(client: &Client, statement: &Statement) -> Result<WorkDone, WorkError> {
-    let rows = run_statement(client, statement).await.map_err(Failure::before_commit)?;
-    Ok(WorkDone { rows, state: None })
+async fn within(client: &Client, statement: &Statement, progress: &Progress) -> Result<WorkDone, WorkError> {
+    let allowed = check_command(statement);
+    let sent = match &allowed {
+        Ok(()) => run_statement(client, statement).await,
+        Err(_) => run_plain(client, FAILING_SQL).await,
+    };
+    if sent.is_err() {
+        progress.transaction_failed.store(true, Ordering::Relaxed);
+    }
+    match (sent, allowed) {
+        (Ok(rows), _) => Ok(WorkDone { rows, state: None }),
+        (Err(Failure::Refused { fatal: false, .. }), Err(not_allowed)) => Err(not_allowed),
+        (Err(failure), _) => Err(failure.before_commit()),
+    }
 }
 
 async fn commit(client: &Client, claim: Option<&Claim>, progress: &Progress) -> Result<WorkDone, WorkError> {
+    if progress.transaction_failed.load(Ordering::Relaxed) {
+        rollback(client).await?;
+        let message = "a statement of the transaction failed, so it was rolled back".into();
+        return Err(WorkError::Statement { code: TRANSACTION_FAILED.into(), message });
+    }
     progress.committing.store(true, Ordering::Relaxed);
     let (claimed, ended, state) =
         join!(insert_claim(client, claim), run_plain(client, COMMIT_SQL), run_plain(client, STATE_SQL));
--- a/crates/cumincart-runtime/tests/endpoint.rs
+++ b/crates/cumincart-runtime/tests/endpoint.rs
@@ -252,6 +252,40 @@
     assert_eq!(done.rows.rows, [[Value::Int(1)]]);
 }
 
+#[test_case("INSERT INTO nowhere VALUES (1)", "42P01"; "a failed statement")]
+#[test_case("/* a /* b */ */ -- c\n ;Commit", "0A000"; "a refused command")]
+#[tokio::test]
+async fn commit_of_a_failed_transaction_is_no_success(sql: &str, code: &str) {
+    let group = group().await;
+    let mut link = Link::open(member(&group, 1)).await;
+    link.perform(Work::Begin { read_only: false }).await.expect("it opens");
+    link.perform(Work::Within(insert(1))).await.expect("it runs");
+    refused_with(link.perform(Work::Within(statement(sql, &[]))).await, code);
+    refused_with(link.perform(Work::Commit(None)).await, "25P02");
+    let done = link.perform(Work::Read(count())).await.expect("the connection is clean");
+    assert_eq!(done.rows.rows, [[Value::Int(0)]]);
+    link.perform(Work::Begin { read_only: false }).await.expect("the next one opens");
+    link.perform(Work::Within(insert(2))).await.expect("it runs");
+    link.perform(Work::Commit(None)).await.expect("it commits");
+}
+
+#[test_case("commit"; "commit")]
+#[test_case("ROLLBACK"; "rollback")]
+#[test_case("\tSET role other"; "set")]
+#[test_case("--\nPREPARE x AS SELECT 1"; "prepare")]
+#[test_case("copy call from stdin"; "copy")]
+#[tokio::test]
+async fn commands_beyond_the_transaction_never_reach_the_endpoint(sql: &str) {
+    let group = group().await;
+    let mut link = Link::open(member(&group, 1)).await;
+    refused_with(link.perform(Work::Read(statement(sql, &[]))).await, "0A000");
+    refused_with(link.perform(Work::Write(statement(sql, &[]), None)).await, "0A000");
+    assert!(!member(&group, 1).received().contains(sql.as_bytes()));
+    link.perform(Work::Write(statement("update call set caller = 'x'", &[]), None))
+        .await
+        .expect("others run");
+}
+
 #[tokio::test]
 async fn lost_connection_rolls_an_open_transaction_back() {
     let group = group().await;
