Drive one request end to end, in one process and in separate ones

Cause: the parts were joined but never driven together.

Found on the way: a new group's first leader waited a freshness lease of 4 s for grants of leaders that never were, so open routes answered deadline_exceeded for 4 s; a first leader now knows that nothing was granted before it. rocket installed its own logger and wrote a line a request while another interface of the process started; library logs are dropped.

Ruled out: sharing permits before the earlier leases have run out in every case, which a second leader must not do.

--- a/crates/cumincart-control/src/main.rs
+++ b/crates/cumincart-control/src/program.rs
@@ -1,9 +1,9 @@
-//! The control daemon `cumincart-control`.
+//! The program `cumincart-control`: reads the settings, starts the daemon and waits for a signal.
 
 use {
+    crate::{daemon, options},
     clap::{Arg, Command, value_parser},
     cumincart_config::read_control_settings,
-    cumincart_control::{daemon, options},
     cumincart_runtime::signal,
     miette::{IntoDiagnostic, Result, miette},
     std::path::PathBuf,
@@ -21,8 +21,9 @@
         )
 }
 
+/// Runs the program until it is asked to stop.
 #[tokio::main]
-async fn main() -> Result<()> {
+pub async fn run() -> Result<()> {
     let matches = command().get_matches();
     let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
     let settings = read_control_settings(path)?;
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -8,7 +8,7 @@
     },
     cumincart_protocol::{
         name::InstanceName,
-        number::ControlTerm,
+        number::{ControlTerm, LogIndex},
         peer::Leader,
         replication::{
             Ballot, Command, DiskId, Member, ReplicationBody, ReplicationMessage, VoteAnswer, VoteRequest,
@@ -228,6 +228,17 @@
     ask_voters(board, &ReplicationBody::Vote(ask), out);
 }
 
+/// A leader before this one would have left its opening record: it grants nothing before that is committed.
+fn begin_ledgers(board: &mut Board, now: Instant, term: ControlTerm) {
+    if board.log.last_index() == LogIndex::default() {
+        shares::on_first_elected(&mut board.shares, term);
+        permits::on_first_elected(&mut board.permits, term);
+    } else {
+        shares::on_elected(&mut board.shares, now, term);
+        permits::on_elected(&mut board.permits, now, term);
+    }
+}
+
 fn become_leader(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     let Role::Candidate(votes) = std::mem::replace(&mut board.election.role, Role::Leader) else { return };
     let term = board.election.ballot.term;
@@ -236,8 +247,7 @@
     leases::on_elected(&mut board.leases, now);
     failover::on_elected(board);
     board.announcements = Announcements::default();
-    shares::on_elected(&mut board.shares, now, term);
-    permits::on_elected(&mut board.permits, now, term);
+    begin_ledgers(board, now, term);
     replicate::on_elected(board, now);
     replicate::propose(board, now, Command::Open, out);
     members::bind(board, now, &votes, out);
--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -74,6 +74,12 @@
     };
 }
 
+/// Begins the first leadership of a new group: there was no leader before it, so nothing was granted.
+pub fn on_first_elected(ledger: &mut Ledger, control_term: ControlTerm) {
+    *ledger =
+        Ledger { control_term, last_grant_number: first_grant_number(control_term), ..Ledger::default() };
+}
+
 /// Takes a heartbeat's reports in and gives the grants to answer with. A heartbeat that another one of the same run
 /// has overtaken brings and gets nothing.
 pub fn on_heartbeat(
--- a/crates/cumincart-entry/src/lib.rs
+++ b/crates/cumincart-entry/src/lib.rs
@@ -1,10 +1,11 @@
 //! The entry daemon: callers' and the platform's interface.
 //!
-//! [`daemon::spawn`] starts an entry instance as tasks of this process and returns a running handle; the binary only
-//! reads settings, calls it and waits.
+//! [`daemon::spawn`] starts an entry instance as tasks of this process and returns a running handle; [`program::run`]
+//! is the whole program around it.
 
 pub mod control_link;
 pub mod daemon;
 pub mod engine;
 pub mod http;
 pub mod options;
+pub mod program;
--- a/crates/cumincart-entry/src/main.rs
+++ b/crates/cumincart-entry/src/program.rs
@@ -1,9 +1,9 @@
-//! The entry daemon `cumincart-entry`.
+//! The program `cumincart-entry`: reads the settings, starts the daemon and waits for a signal.
 
 use {
+    crate::{daemon, options},
     clap::{Arg, Command, value_parser},
     cumincart_config::read_entry_settings,
-    cumincart_entry::{daemon, options},
     cumincart_runtime::signal,
     miette::{IntoDiagnostic, Result},
     std::path::PathBuf,
@@ -21,8 +21,9 @@
         )
 }
 
+/// Runs the program until it is asked to stop.
 #[tokio::main]
-async fn main() -> Result<()> {
+pub async fn run() -> Result<()> {
     let matches = command().get_matches();
     let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
     let settings = read_entry_settings(path)?;
--- a/crates/cumincart-http/src/server.rs
+++ b/crates/cumincart-http/src/server.rs
@@ -34,8 +34,29 @@
     task: JoinHandle<()>,
 }
 
+/// Drops every line of `rocket` and the other libraries that write through `log`.
+struct DiscardLog;
+
+impl log::Log for DiscardLog {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        false
+    }
+
+    fn log(&self, _: &log::Record<'_>) {}
+
+    fn flush(&self) {}
+}
+
+/// Keeps `rocket` from installing its own logger, which writes a line for each request while another interface of
+/// the same process starts.
+fn discard_library_logs() {
+    // An error says that the program has installed a logger of its own.
+    let _ = log::set_logger(&DiscardLog);
+}
+
 /// The settings of an interface on this address; `body_limit_kib` bounds JSON bodies. Port 0 takes a free port.
 pub fn config(address: SocketAddr, body_limit_kib: u64) -> Config {
+    discard_library_logs();
     let mut config = Config {
         address: address.ip(),
         port: address.port(),
--- /dev/null
+++ b/src/bin/cumincart-control.rs
@@ -0,0 +1,5 @@
+//! The control daemon.
+
+fn main() -> miette::Result<()> {
+    cumincart_control::program::run()
+}
--- /dev/null
+++ b/src/bin/cumincart-entry.rs
@@ -0,0 +1,5 @@
+//! The entry daemon.
+
+fn main() -> miette::Result<()> {
+    cumincart_entry::program::run()
+}
