Summarise an entry instance's board for the dump

Cause: operators need each process's state on request. Change: entry::dump, serialisable, without key digests, sessions, statements or transaction numbers. Not tested beyond compiling; the daemon is to serve it.

--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -4,6 +4,7 @@
 pub mod counters;
 pub mod dispatch;
 pub mod drain;
+pub mod dump;
 pub mod fairness;
 pub mod freshness;
 pub mod heartbeat;
@@ -20,7 +21,7 @@
 pub mod session;
 pub mod transaction;
 
-pub use drain::is_ready;
+pub use {drain::is_ready, dump::dump};
 
 use {
     self::pool::{ConnectionState, Owner},
--- a/crates/cumincart-core/src/entry/drain.rs
+++ b/crates/cumincart-core/src/entry/drain.rs
@@ -6,6 +6,7 @@
         refusal::{Refusal, RefusalCode},
         time::Instant,
     },
+    serde::Serialize,
     std::time::Duration,
 };
 
@@ -17,7 +18,8 @@
 pub const OUT_GRACE_MS: u64 = 1_000;
 
 /// How far a planned stop has got.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum DrainState {
     /// No stop was asked for.
     #[default]
--- /dev/null
+++ b/crates/cumincart-core/src/entry/dump.rs
@@ -0,0 +1,225 @@
+//! A summary of the board for operators. It holds no key digest, no session and no statement.
+
+use {
+    super::{
+        Board,
+        counters::Counters,
+        drain::{self, DrainState},
+        pool::{ConnectionState, Endpoint, Pool},
+    },
+    cumincart_protocol::{
+        announcement::Role,
+        catalogue::Group,
+        name::{DomainName, EndpointName, InstanceName, OrganisationName, ServiceName},
+        number::{Incarnation, ListsRevision, LogPosition, Revision, Term, Timeline},
+        time::Instant,
+    },
+    serde::Serialize,
+    std::time::Duration,
+};
+
+/// The state of an entry instance.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Whether the balancer may send requests here.
+    pub ready: bool,
+    /// How far a planned stop has got.
+    pub drain: DrainState,
+    /// The catalogue revision in force.
+    pub revision: Revision,
+    /// The revision of the lists in force.
+    pub lists_revision: ListsRevision,
+    /// How long the lease on terms and service state still runs.
+    pub term_lease_left_ms: u64,
+    /// How long the lease on keys, plans, shares and permits still runs.
+    pub freshness_lease_left_ms: u64,
+    /// Other entry instances that are known here.
+    pub instances: Vec<InstanceName>,
+    /// Failure domains that are out.
+    pub domains_out: Vec<DomainName>,
+    /// Instances that are out.
+    pub instances_out: Vec<InstanceName>,
+    /// The database groups.
+    pub groups: Vec<GroupDump>,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointDump>,
+    /// The open transactions.
+    pub transactions: Vec<TransactionDump>,
+    /// Requests that have no answer yet and are not part of a transaction.
+    pub requests_pending: usize,
+    /// Requests that were passed on and have no answer yet.
+    pub requests_forwarded: usize,
+    /// What has happened in this run.
+    pub counters: Counters,
+}
+
+/// A database group.
+#[derive(Debug, Serialize)]
+pub struct GroupDump {
+    /// The service.
+    pub service: ServiceName,
+    /// Its term.
+    pub term: Term,
+    /// Its primary.
+    pub primary: Option<EndpointName>,
+    /// Whether the primary may take writes.
+    pub writable: bool,
+}
+
+/// An endpoint.
+#[derive(Debug, Serialize)]
+pub struct EndpointDump {
+    /// Its name.
+    pub endpoint: EndpointName,
+    /// Whether the last attempt to reach it succeeded; none before the first.
+    pub reachable: Option<bool>,
+    /// Whether works are under way and no answer has come for a while.
+    pub stalled: bool,
+    /// Connections by what they are doing.
+    pub connections: ConnectionsDump,
+    /// Requests that wait for it.
+    pub queued: usize,
+    /// The mean time of a work, over the last ones.
+    pub service_micros: u64,
+    /// Its last known state.
+    pub state: Option<StateDump>,
+}
+
+/// How many connections to an endpoint do what.
+#[derive(Debug, Default, Serialize)]
+pub struct ConnectionsDump {
+    /// Being opened.
+    pub opening: u32,
+    /// Free.
+    pub idle: u32,
+    /// With a work on them.
+    pub busy: u32,
+    /// Held by a transaction that runs nothing now.
+    pub pinned: u32,
+    /// Being closed.
+    pub closing: u32,
+}
+
+/// An endpoint's state as its last answer gave it.
+#[derive(Debug, Serialize)]
+pub struct StateDump {
+    /// Its role.
+    pub role: Role,
+    /// Its timeline.
+    pub timeline: Timeline,
+    /// Its position.
+    pub position: LogPosition,
+    /// Its lag.
+    pub lag_ms: u64,
+    /// How long ago the answer came.
+    pub age_ms: u64,
+}
+
+/// An open transaction. Its number is left out, since whoever knows it could use it.
+#[derive(Debug, Serialize)]
+pub struct TransactionDump {
+    /// The organisation that it belongs to.
+    pub organisation: Option<OrganisationName>,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The term in which it began.
+    pub term: Term,
+    /// Whether a request of it is under way.
+    pub busy: bool,
+    /// How long it may still stay open.
+    pub left_ms: u64,
+}
+
+/// Summarises the board.
+pub fn dump(board: &Board, now: Instant) -> Dump {
+    let catalogue = board.freshness.catalogue.as_ref();
+    Dump {
+        instance: board.settings.instance.clone(),
+        incarnation: board.settings.incarnation,
+        domain: board.settings.domain.clone(),
+        ready: drain::is_ready(board, now),
+        drain: board.drain,
+        revision: catalogue.revision,
+        lists_revision: catalogue.lists_revision,
+        term_lease_left_ms: left_ms(now, board.freshness.term_lease_until),
+        freshness_lease_left_ms: left_ms(now, board.freshness.fresh_until),
+        instances: board.freshness.instances.iter().map(|entry| entry.name.clone()).collect(),
+        domains_out: catalogue.domains_out.iter().cloned().collect(),
+        instances_out: catalogue.instances_out.iter().cloned().collect(),
+        groups: catalogue.groups.iter().map(group).collect(),
+        endpoints: board.pool.endpoints.iter().map(|known| endpoint(&board.pool, known, now)).collect(),
+        transactions: transactions(board, now),
+        requests_pending: board.requests.len(),
+        requests_forwarded: board.forwards.len(),
+        counters: board.counters.clone(),
+    }
+}
+
+fn group(group: &Group) -> GroupDump {
+    GroupDump {
+        service: group.service.clone(),
+        term: group.term,
+        primary: group.primary.clone(),
+        writable: group.writable,
+    }
+}
+
+fn endpoint(pool: &Pool, endpoint: &Endpoint, now: Instant) -> EndpointDump {
+    EndpointDump {
+        endpoint: endpoint.name.clone(),
+        reachable: endpoint.contact.map(|contact| contact.reachable),
+        stalled: endpoint.is_stalled(now),
+        connections: connections(pool, endpoint),
+        queued: endpoint.queue.len(),
+        service_micros: endpoint.service_micros,
+        state: endpoint.observed.map(|observed| StateDump {
+            role: observed.state.role,
+            timeline: observed.state.timeline,
+            position: observed.state.position,
+            lag_ms: observed.state.lag_ms,
+            age_ms: millis(now.saturating_since(observed.at)),
+        }),
+    }
+}
+
+fn connections(pool: &Pool, endpoint: &Endpoint) -> ConnectionsDump {
+    let mut counts = ConnectionsDump::default();
+    for connection in pool.connections.iter().filter(|connection| connection.endpoint == endpoint.name) {
+        let count = match connection.state {
+            ConnectionState::Opening => &mut counts.opening,
+            ConnectionState::Idle => &mut counts.idle,
+            ConnectionState::Busy { .. } => &mut counts.busy,
+            ConnectionState::Pinned => &mut counts.pinned,
+            ConnectionState::Closing => &mut counts.closing,
+        };
+        *count += 1;
+    }
+    counts
+}
+
+fn transactions(board: &Board, now: Instant) -> Vec<TransactionDump> {
+    let transactions = board.transactions.iter();
+    transactions
+        .map(|transaction| TransactionDump {
+            organisation: transaction.organisation.clone(),
+            endpoint: transaction.endpoint.clone(),
+            term: transaction.term,
+            busy: transaction.current.is_some(),
+            left_ms: left_ms(now, transaction.deadline),
+        })
+        .collect()
+}
+
+fn left_ms(now: Instant, until: Instant) -> u64 {
+    millis(until.saturating_since(now))
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
