Test what the data path's tests let pass

Cause: of 30 changes that each remove one check from the data path, four passed the tests: the unchanged term, the age counted from the end of the term lease, the check before a commit, and the incarnation of a transaction's owner. Change: tests for the first three; each now fails when its check is removed. The fourth is covered by the transaction's random number alone and stays untested. The other changes each fail the test of their promise.

--- a/crates/cumincart-core/tests/entry_data_path/sessions.rs
+++ b/crates/cumincart-core/tests/entry_data_path/sessions.rs
@@ -52,6 +52,18 @@
     assert_eq!(entry.last_sent().endpoint, name("pbx-1"));
 }
 
+#[test]
+fn a_replica_that_may_follow_a_deposed_primary_ages_from_the_end_of_the_term_lease() {
+    let mut entry = Entry::open();
+    entry.control_up = false;
+    entry.advance_ms(2_400);
+    let ticket = entry.ask(run("lookup"));
+    let sent = entry.last_sent();
+    entry.advance_ms(200);
+    entry.finish(&sent, done(replica(1, 100, 0)));
+    assert!(entry.result(ticket).is_none(), "the lease ended 1.1 s ago, the route accepts 1 s");
+}
+
 #[test]
 fn a_replica_of_a_deposed_primary_is_not_believed() {
     let mut entry = Entry::open();
--- a/crates/cumincart-core/tests/entry_data_path/transactions.rs
+++ b/crates/cumincart-core/tests/entry_data_path/transactions.rs
@@ -147,6 +147,18 @@
     assert!(!entry.sent.iter().any(|sent| matches!(sent.work, Work::Commit(_))));
 }
 
+#[test]
+fn nothing_is_committed_without_a_live_term_lease() {
+    let mut entry = Entry::open();
+    let id = entry.begin("edit", None);
+    entry.control_up = false;
+    entry.advance_ms(1_600);
+    let ticket = entry.ask(commit(&id));
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::TermChanged, Verdict::NotRun));
+    assert_eq!(entry.last_sent().work, Work::Rollback);
+}
+
 #[test]
 fn a_transaction_of_another_instance_is_passed_on_and_of_an_ended_run_refused() {
     let mut entry = Entry::open();
--- a/crates/cumincart-core/tests/entry_data_path/verdicts.rs
+++ b/crates/cumincart-core/tests/entry_data_path/verdicts.rs
@@ -132,8 +132,9 @@
     assert_eq!(claim.organisation, Some("clinic".into()));
 }
 
-#[test]
-fn a_claim_that_is_there_says_that_the_request_ran_but_not_on_an_old_primary() {
+#[test_case("pbx-2"; "another primary")]
+#[test_case("pbx-1"; "the same primary again")]
+fn a_claim_that_is_there_says_that_the_request_ran_but_not_after_a_failover(to: &str) {
     let mut entry = Entry::open();
     let ticket = entry.ask(run_once("record", "call-1"));
     let sent = entry.last_sent();
@@ -143,7 +144,7 @@
 
     let ticket = entry.ask(run_once("record", "call-2"));
     let sent = entry.last_sent();
-    entry.fail_over("pbx-2", 100);
+    entry.fail_over(to, 100);
     entry.finish(&sent, Err(WorkError::AlreadyClaimed));
     let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
     assert_eq!(refusal.verdict, Verdict::Unknown);
