Add the operators' command

Cause: operators drive the system by the two lists and by taking failure domains and instances out and in; they need a command that can't apply a bad edit, lose a change or apply one twice.

Ruled out: sending a change to the leader's address only. A leader's HTTP address is not known to followers, and an answer can be lost on any way; so every attempt goes to the next control instance under the same change id, and only an attempt that was never sent counts as not run. Ruled out: reporting a refusal that comes after a lost answer as "not changed"; the change may have been committed before it.

Change: `check`, `diff`, `apply`, `status`, `domain out|in`, `instance out|in`, `key new`, `dump`, `completions`, and the place of `demo`; `--json` on all; documented exit codes; progress while waiting. A misspelt failure domain or instance is refused, since taking it out would do nothing.

Not covered: `--wait` takes the leader's list of instances as whole. Shortly after an election it may lack instances whose leases an earlier leader gave.

--- /dev/null
+++ b/crates/cumincart-cli/src/change.rs
@@ -0,0 +1,177 @@
+//! Sending a change: its id, its outcome and the wait until it is in force.
+
+use {
+    crate::{
+        client::ControlClient,
+        error::CliError,
+        exit,
+        options::JSON,
+        report::Report,
+        wait::{InForce, wait_in_force},
+    },
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    cumincart_protocol::{
+        change::{Action, Change, ChangeId, Outcome},
+        number::{ListsRevision, Revision},
+    },
+    serde::Serialize,
+    std::{sync::Arc, time::Duration},
+    uuid::Uuid,
+};
+
+const CHANGE_ID: &str = "change-id";
+const WAIT: &str = "wait";
+const WAIT_TIMEOUT: &str = "wait-timeout-ms";
+
+/// How long `--wait` waits, in milliseconds.
+pub const DEFAULT_WAIT_TIMEOUT_MS: u64 = 15_000;
+
+/// The longest change id, in bytes.
+const CHANGE_ID_MAX_BYTES: usize = 64;
+
+/// Adds the arguments of commands that change something.
+pub fn with_change(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new(CHANGE_ID)
+                .long(CHANGE_ID)
+                .value_name("ID")
+                .value_parser(parse_change_id)
+                .help("Send a change again under its first id, after a lost answer"),
+        )
+        .arg(
+            Arg::new(WAIT)
+                .long(WAIT)
+                .action(ArgAction::SetTrue)
+                .help("Wait until the change is in force everywhere"),
+        )
+        .arg(
+            Arg::new(WAIT_TIMEOUT)
+                .long(WAIT_TIMEOUT)
+                .value_name("MS")
+                .default_value(DEFAULT_WAIT_TIMEOUT_MS.to_string())
+                .value_parser(value_parser!(u64).range(1..))
+                .help("How long to wait, in milliseconds"),
+        )
+}
+
+fn parse_change_id(text: &str) -> Result<ChangeId, String> {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    if !(1..=CHANGE_ID_MAX_BYTES).contains(&text.len()) || !text.bytes().all(is_allowed) {
+        return Err("a change id has 1 to 64 ASCII letters, digits, `-`, `_` and `.`".to_owned());
+    }
+    Ok(ChangeId(Arc::from(text)))
+}
+
+/// The id that the arguments name, or a new one.
+pub fn change_id(matches: &ArgMatches) -> ChangeId {
+    let named: Option<&ChangeId> = matches.get_one(CHANGE_ID);
+    named.cloned().unwrap_or_else(|| ChangeId(Uuid::now_v7().to_string().into()))
+}
+
+/// Whether the arguments name an id, so that this may be a change sent again.
+pub fn is_resend(matches: &ArgMatches) -> bool {
+    matches.contains_id(CHANGE_ID)
+}
+
+/// What became of a change, for programs.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+enum ChangeReport {
+    /// The change was committed.
+    Accepted { change_id: ChangeId, revision: Revision, lists_revision: ListsRevision, waited: Waited },
+    /// The lists had changed since the base of this edit.
+    Conflict { change_id: ChangeId, base: ListsRevision, current: ListsRevision },
+}
+
+/// Sends a change, waits where the arguments say so, and reports the outcome.
+pub async fn send(client: &ControlClient, matches: &ArgMatches, action: Action) -> Result<Report, CliError> {
+    let change = Change { id: change_id(matches), action };
+    announce_id(matches, &change.id);
+    match client.change(&change).await? {
+        Outcome::Accepted { revision, lists_revision } => {
+            let waited = match wait_timeout(matches) {
+                Some(timeout) => Waited::from_result(wait_in_force(client, revision, timeout).await),
+                None => Waited::NotAsked,
+            };
+            Ok(accepted(change.id, revision, lists_revision, waited))
+        }
+        Outcome::Conflict { base, current } => Ok(conflict(change.id, base, current)),
+    }
+}
+
+/// Tells the id before the change is sent, so that it can be sent again even if this process is killed.
+fn announce_id(matches: &ArgMatches, id: &ChangeId) {
+    if !matches.get_flag(JSON) {
+        eprintln!("change id: {}", id.0);
+    }
+}
+
+/// What is known of a committed change's spread.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Waited {
+    /// Nobody asked.
+    NotAsked,
+    /// The state at the end of the wait.
+    Seen(InForce),
+    /// The control instances could not be asked.
+    Failed(String),
+}
+
+impl Waited {
+    fn from_result(result: Result<InForce, CliError>) -> Self {
+        match result {
+            Ok(in_force) => Self::Seen(in_force),
+            Err(error) => Self::Failed(first_line(&error.to_string())),
+        }
+    }
+
+    fn text(&self) -> String {
+        match self {
+            Self::NotAsked => String::new(),
+            Self::Seen(in_force) => format!("\n{}", in_force.text()),
+            Self::Failed(reason) => format!("\nit is not known whether it is in force everywhere: {reason}"),
+        }
+    }
+
+    fn exit_code(&self) -> u8 {
+        match self {
+            Self::NotAsked => exit::DONE,
+            Self::Seen(in_force) if in_force.is_everywhere() => exit::DONE,
+            Self::Seen(_) | Self::Failed(_) => exit::NOT_IN_FORCE,
+        }
+    }
+}
+
+fn first_line(text: &str) -> String {
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+fn wait_timeout(matches: &ArgMatches) -> Option<Duration> {
+    let timeout_ms: u64 = *matches.get_one(WAIT_TIMEOUT).expect("the argument has a default");
+    matches.get_flag(WAIT).then(|| Duration::from_millis(timeout_ms))
+}
+
+fn accepted(
+    change_id: ChangeId,
+    revision: Revision,
+    lists_revision: ListsRevision,
+    waited: Waited,
+) -> Report {
+    let id = &change_id.0;
+    let spread = waited.text();
+    let text = format!("accepted: change {id}, revision {revision}, lists revision {lists_revision}{spread}");
+    let code = waited.exit_code();
+    let json = ChangeReport::Accepted { change_id, revision, lists_revision, waited };
+    Report::done(text, &json).with_code(code)
+}
+
+fn conflict(change_id: ChangeId, base: ListsRevision, current: ListsRevision) -> Report {
+    let id = &change_id.0;
+    let text = format!(
+        "conflict: change {id} is based on lists revision {base}, but lists revision {current} is in force; \
+         nothing was applied\nlook at `cumincart diff`, merge, and apply again under a new change id"
+    );
+    Report::done(text, &ChangeReport::Conflict { change_id, base, current }).with_code(exit::CONFLICT)
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/commands/dump.rs
@@ -0,0 +1,83 @@
+//! `cumincart dump`: the whole state of processes, with keys redacted.
+
+use {
+    super::Example,
+    crate::{
+        client::{ControlUrl, dump},
+        error::CliError,
+        exit,
+        options::{read_token, timeout, timeout_of, token_file},
+        report::Report,
+    },
+    clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command},
+    serde::Serialize,
+};
+
+/// The command's name.
+pub const NAME: &str = "dump";
+
+const ENTRY: &str = "entry";
+const CONTROL: &str = "control";
+const ENTRY_PATH: &str = "/dump";
+const CONTROL_PATH: &str = "/v1/dump";
+
+/// Examples of its use.
+pub const EXAMPLES: &[Example] = &[Example {
+    does: "Dump a control instance and an entry instance",
+    arguments: "dump --control http://10.10.1.10:8090 --entry http://10.10.1.11:8080 --token-file secrets/operator-token",
+    code: exit::DONE,
+}];
+
+/// The command's signature.
+pub fn signature() -> Command {
+    Command::new(NAME)
+        .about("Print the whole state of processes as JSON, with keys redacted")
+        .arg(url_argument(CONTROL, "The HTTP address of a control instance to dump"))
+        .arg(url_argument(ENTRY, "The HTTP address of an entry instance to dump"))
+        .group(ArgGroup::new("processes").args([CONTROL, ENTRY]).multiple(true).required(true))
+        .arg(token_file())
+        .arg(timeout())
+}
+
+fn url_argument(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("URL")
+        .action(ArgAction::Append)
+        .value_parser(ControlUrl::parse)
+        .help(help)
+}
+
+/// One process's dump.
+#[derive(Debug, Serialize)]
+struct ProcessDump {
+    url: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    dump: Option<serde_json::Value>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
+/// Runs the command. Ends with the exit code of the first process that could not be dumped.
+pub async fn run(matches: &ArgMatches) -> Result<Report, CliError> {
+    let token = read_token(matches)?;
+    let mut dumps = Vec::new();
+    let mut code = exit::DONE;
+    for (name, path) in [(CONTROL, CONTROL_PATH), (ENTRY, ENTRY_PATH)] {
+        for url in matches.get_many::<ControlUrl>(name).into_iter().flatten() {
+            let (mut got, mut failed) = (None, None);
+            match dump(url, path, &token, timeout_of(matches)).await {
+                Ok(value) => got = Some(value),
+                Err(error) => {
+                    if code == exit::DONE {
+                        code = error.exit_code();
+                    }
+                    failed = Some(error.to_string());
+                }
+            }
+            dumps.push(ProcessDump { url: url.to_string(), dump: got, error: failed });
+        }
+    }
+    let text = serde_json::to_string_pretty(&dumps).expect("dumps are plain data");
+    Ok(Report::done(text, &dumps).with_code(code))
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/commands/instance.rs
@@ -0,0 +1,54 @@
+//! `cumincart instance out|in`: takes an instance out of service and brings it back.
+
+use {
+    super::Example,
+    crate::{
+        change::send,
+        error::CliError,
+        exit,
+        options::control_client,
+        report::Report,
+        service_state::{asked, check_known, with_out_and_in},
+    },
+    clap::{ArgMatches, Command},
+    cumincart_protocol::{change::Action, name::InstanceName, operator_api::StatusBody},
+};
+
+/// The command's name.
+pub const NAME: &str = "instance";
+
+/// Examples of its use.
+pub const EXAMPLES: &[Example] = &[
+    Example {
+        does: "Take an instance out before its machine is restarted",
+        arguments: "instance out sofia-a-entry-1 --control http://10.10.1.10:8090 --token-file secrets/operator-token --wait",
+        code: exit::DONE,
+    },
+    Example {
+        does: "Bring it back",
+        arguments: "instance in sofia-a-entry-1 --control http://10.10.1.10:8090 --token-file secrets/operator-token",
+        code: exit::DONE,
+    },
+];
+
+/// The command's signature.
+pub fn signature() -> Command {
+    let about = "Take an instance out of service, or bring it back";
+    with_out_and_in(Command::new(NAME).about(about), "The instance")
+}
+
+/// Runs the command.
+pub async fn run(matches: &ArgMatches) -> Result<Report, CliError> {
+    let asked = asked(matches);
+    let client = control_client(asked.matches)?;
+    check_known(&client, &asked, "instance", known_instances).await?;
+    let action = Action::SetInstance { instance: InstanceName::from(&*asked.name), out: asked.out };
+    send(&client, asked.matches, action).await
+}
+
+/// An instance is known by a lease, as a control instance, or because it is out already.
+fn known_instances(status: &StatusBody) -> Vec<String> {
+    let entry = status.instances.iter().map(|instance| &instance.instance);
+    let control = status.members.iter().map(|member| &member.instance);
+    entry.chain(control).chain(&status.instances_out).map(InstanceName::to_string).collect()
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/difference.rs
@@ -0,0 +1,172 @@
+//! The differences between two pairs of lists.
+
+use {
+    cumincart_protocol::lists::{Lists, Organisation, Plan, Route, Service},
+    serde::Serialize,
+    serde_json::Value,
+    std::fmt,
+};
+
+/// The kind of a thing in the lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A customer.
+    Organisation,
+    /// A key of an organisation.
+    Key,
+    /// A database group.
+    Service,
+    /// A route of a service.
+    Route,
+    /// A plan.
+    Plan,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Organisation => "organisation",
+            Self::Key => "key",
+            Self::Service => "service",
+            Self::Route => "route",
+            Self::Plan => "plan",
+        })
+    }
+}
+
+/// How a thing differs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Only the edited lists have it.
+    Added,
+    /// Only the lists in force have it.
+    Removed,
+    /// Both have it, with different fields.
+    Changed(Vec<FieldChange>),
+}
+
+/// A field with two values.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct FieldChange {
+    /// The field.
+    pub field: String,
+    /// The value in force.
+    pub from: Value,
+    /// The edited value.
+    pub to: Value,
+}
+
+/// One difference.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Difference {
+    /// The kind of thing.
+    pub kind: Kind,
+    /// Its name; a key's or route's follows the name of its owner and a slash.
+    pub name: String,
+    /// How it differs.
+    pub change: Change,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (kind, name) = (self.kind, &self.name);
+        let fields = match &self.change {
+            Change::Added => return write!(f, "+ {kind} {name}"),
+            Change::Removed => return write!(f, "- {kind} {name}"),
+            Change::Changed(fields) => fields,
+        };
+        let show = |change: &FieldChange| format!("{} {} -> {}", change.field, change.from, change.to);
+        let shown: Vec<String> = fields.iter().map(show).collect();
+        write!(f, "~ {kind} {name}: {}", shown.join(", "))
+    }
+}
+
+/// A thing of the lists, with its own fields as JSON.
+struct Item {
+    kind: Kind,
+    name: String,
+    fields: Value,
+}
+
+impl Item {
+    fn key(&self) -> (Kind, &str) {
+        (self.kind, &self.name)
+    }
+}
+
+/// What the edited lists change in the lists in force: removals and changes in their order, then additions.
+pub fn compare_lists(current: &Lists, edited: &Lists) -> Vec<Difference> {
+    let (current, edited) = (items(current), items(edited));
+    let removed_or_changed = current.iter().filter_map(|item| compare_item(item, find(&edited, item)));
+    let is_new = |item: &&Item| find(&current, item).is_none();
+    let added = edited.iter().filter(is_new).map(|item| difference(item, Change::Added));
+    removed_or_changed.chain(added).collect()
+}
+
+/// The thing with the same kind and name; `items` are sorted by both.
+fn find<'a>(items: &'a [Item], wanted: &Item) -> Option<&'a Item> {
+    let index = items.binary_search_by(|item| item.key().cmp(&wanted.key())).ok()?;
+    Some(&items[index])
+}
+
+fn difference(item: &Item, change: Change) -> Difference {
+    Difference { kind: item.kind, name: item.name.clone(), change }
+}
+
+fn compare_item(current: &Item, edited: Option<&Item>) -> Option<Difference> {
+    let Some(edited) = edited else { return Some(difference(current, Change::Removed)) };
+    let changes = compare_fields(&current.fields, &edited.fields);
+    (!changes.is_empty()).then(|| difference(current, Change::Changed(changes)))
+}
+
+fn compare_fields(current: &Value, edited: &Value) -> Vec<FieldChange> {
+    let fields = current.as_object().into_iter().flatten();
+    let change = |(field, from): (&String, &Value)| {
+        let to = edited.get(field).cloned().unwrap_or_default();
+        (*from != to).then(|| FieldChange { field: field.clone(), from: from.clone(), to })
+    };
+    fields.filter_map(change).collect()
+}
+
+/// Everything in the lists, sorted by kind and name.
+fn items(lists: &Lists) -> Vec<Item> {
+    let mut items: Vec<Item> = Vec::new();
+    for organisation in &lists.organisations.organisations {
+        items.extend(organisation_items(organisation));
+    }
+    for service in &lists.plans.services {
+        items.extend(service_items(service));
+    }
+    items.extend(lists.plans.plans.iter().map(plan_item));
+    items.sort_by(|left, right| left.key().cmp(&right.key()));
+    items
+}
+
+fn item(kind: Kind, name: impl Into<String>, fields: &impl Serialize, without: &[&str]) -> Item {
+    let mut fields = serde_json::to_value(fields).expect("lists are plain data with string keys");
+    if let Some(object) = fields.as_object_mut() {
+        object.retain(|field, _| !without.contains(&field.as_str()));
+    }
+    Item { kind, name: name.into(), fields }
+}
+
+fn organisation_items(organisation: &Organisation) -> Vec<Item> {
+    let owner = &organisation.name;
+    let keys = organisation.keys.iter();
+    let keys = keys.map(|key| item(Kind::Key, format!("{owner}/{}", key.id), key, &["id"]));
+    let whole = item(Kind::Organisation, owner.as_str(), organisation, &["name", "keys"]);
+    std::iter::once(whole).chain(keys).collect()
+}
+
+fn service_items(service: &Service) -> Vec<Item> {
+    let owner = &service.name;
+    let route = |route: &Route| item(Kind::Route, format!("{owner}/{}", route.name), route, &["name"]);
+    let whole = item(Kind::Service, owner.as_str(), service, &["name", "routes"]);
+    std::iter::once(whole).chain(service.routes.iter().map(route)).collect()
+}
+
+fn plan_item(plan: &Plan) -> Item {
+    item(Kind::Plan, plan.name.as_str(), plan, &["name"])
+}
--- a/crates/cumincart-cli/src/lib.rs
+++ b/crates/cumincart-cli/src/lib.rs
@@ -1,1 +1,84 @@
 //! The operators' command line.
+//!
+//! [`execute`] parses arguments, runs one command and gives back what to print and the exit code; [`main`] does the
+//! same for the process's own arguments and prints.
+
+pub mod change;
+pub mod client;
+pub mod commands;
+pub mod demo;
+pub mod difference;
+pub mod error;
+pub mod exit;
+pub mod options;
+pub mod report;
+pub mod service_state;
+pub mod wait;
+
+use {
+    crate::{
+        commands::root,
+        error::{CliError, describe},
+        report::{Finished, Report},
+    },
+    clap::ArgMatches,
+    std::{
+        ffi::OsString,
+        io::{Write, stderr, stdout},
+        process::ExitCode,
+    },
+};
+
+/// Runs the command that the process's arguments name.
+pub fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let finished = match runtime {
+        Ok(runtime) => runtime.block_on(execute(std::env::args_os())),
+        Err(error) => Finished { stdout: String::new(), stderr: format!("{error}\n"), code: exit::FAILED },
+    };
+    // Nobody reads the output any more when writing it fails; the exit code still tells the outcome.
+    let _ = stdout().write_all(finished.stdout.as_bytes());
+    let _ = stderr().write_all(finished.stderr.as_bytes());
+    ExitCode::from(finished.code)
+}
+
+/// Runs the command that the arguments name; the first argument is the program's name.
+pub async fn execute(arguments: impl IntoIterator<Item = OsString>) -> Finished {
+    let matches = match root().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return usage(&error),
+    };
+    let as_json = matches.get_flag(options::JSON);
+    match run(&matches).await {
+        Ok(report) => report.finish(as_json),
+        Err(error) => {
+            Finished { stdout: String::new(), stderr: describe(&error, as_json), code: error.exit_code() }
+        }
+    }
+}
+
+/// What clap says about wrong arguments, or the help or version that was asked for.
+fn usage(error: &clap::Error) -> Finished {
+    let text = error.render().to_string();
+    if error.use_stderr() {
+        return Finished { stdout: String::new(), stderr: text, code: exit::USAGE };
+    }
+    Finished { stdout: text, stderr: String::new(), code: exit::DONE }
+}
+
+async fn run(matches: &ArgMatches) -> Result<Report, CliError> {
+    let (name, matches) = matches.subcommand().expect("the signature requires a command");
+    match name {
+        commands::apply::NAME => commands::apply::run(matches).await,
+        commands::check::NAME => commands::check::run(matches),
+        commands::completions::NAME => Ok(commands::completions::run(matches)),
+        commands::demo::NAME => Ok(commands::demo::run(matches).await),
+        commands::diff::NAME => commands::diff::run(matches).await,
+        commands::domain::NAME => commands::domain::run(matches).await,
+        commands::dump::NAME => commands::dump::run(matches).await,
+        commands::instance::NAME => commands::instance::run(matches).await,
+        commands::key::NAME => commands::key::run(matches),
+        commands::status::NAME => commands::status::run(matches).await,
+        other => unreachable!("the signature has no command `{other}`"),
+    }
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/options.rs
@@ -0,0 +1,140 @@
+//! Arguments that several commands share.
+
+use {
+    crate::{
+        client::{ControlClient, ControlUrl},
+        error::CliError,
+    },
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    cumincart_config::Source,
+    std::{
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// `--json`, which every command takes.
+pub const JSON: &str = "json";
+
+const CONTROL: &str = "control";
+const TOKEN_FILE: &str = "token-file";
+const TIMEOUT: &str = "timeout-ms";
+const ORGANISATIONS: &str = "organisations";
+const PLANS: &str = "plans";
+
+/// The environment variable that stands for `--control`, with commas between addresses.
+pub const CONTROL_VARIABLE: &str = "CUMINCART_CONTROL";
+
+/// The environment variable that stands for `--token-file`.
+pub const TOKEN_FILE_VARIABLE: &str = "CUMINCART_OPERATOR_TOKEN_FILE";
+
+/// How long a command tries to get an answer, in milliseconds.
+pub const DEFAULT_TIMEOUT_MS: u64 = 10_000;
+
+/// The argument `--json`.
+pub fn json_argument() -> Arg {
+    Arg::new(JSON).long(JSON).global(true).action(ArgAction::SetTrue).help("Print JSON, errors too")
+}
+
+/// Adds the arguments by which a command finds the control instances.
+pub fn with_control(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new(CONTROL)
+                .long(CONTROL)
+                .value_name("URL")
+                .env(CONTROL_VARIABLE)
+                .value_delimiter(',')
+                .action(ArgAction::Append)
+                .required(true)
+                .value_parser(ControlUrl::parse)
+                .help(
+                    "The HTTP address of a control instance; name several, and the others are tried in turn",
+                ),
+        )
+        .arg(token_file())
+        .arg(timeout())
+}
+
+/// The argument that names the operator token's file.
+pub fn token_file() -> Arg {
+    Arg::new(TOKEN_FILE)
+        .long(TOKEN_FILE)
+        .value_name("FILE")
+        .env(TOKEN_FILE_VARIABLE)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The file with the operator token")
+}
+
+/// The argument that bounds the tries.
+pub fn timeout() -> Arg {
+    Arg::new(TIMEOUT)
+        .long(TIMEOUT)
+        .value_name("MS")
+        .default_value(DEFAULT_TIMEOUT_MS.to_string())
+        .value_parser(value_parser!(u64).range(1..))
+        .help("How long to try to get an answer, in milliseconds")
+}
+
+/// Adds the arguments that name the two lists.
+pub fn with_lists(command: Command) -> Command {
+    command
+        .arg(list_file(ORGANISATIONS, "The list of organisations").required(true))
+        .arg(list_file(PLANS, "The list of services, routes and plans").required(true))
+}
+
+/// An argument that names a file.
+pub fn list_file(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name("FILE").value_parser(value_parser!(PathBuf)).help(help)
+}
+
+/// The client for the control instances that the arguments name.
+pub fn control_client(matches: &ArgMatches) -> Result<ControlClient, CliError> {
+    let urls = matches.get_many(CONTROL).expect("the argument is required").cloned().collect();
+    ControlClient::open(urls, read_token(matches)?, timeout_of(matches))
+}
+
+/// How long to try.
+pub fn timeout_of(matches: &ArgMatches) -> Duration {
+    Duration::from_millis(*matches.get_one(TIMEOUT).expect("the argument has a default"))
+}
+
+/// The operator token.
+pub fn read_token(matches: &ArgMatches) -> Result<String, CliError> {
+    let path: &PathBuf = matches.get_one(TOKEN_FILE).expect("the argument is required");
+    let unusable = |reason: String| CliError::TokenFile { path: path.display().to_string(), reason };
+    let text = std::fs::read_to_string(path).map_err(|error| unusable(error.to_string()))?;
+    let token = text.trim();
+    if token.is_empty() {
+        return Err(unusable("it is empty".to_owned()));
+    }
+    if !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(unusable("the token has characters other than visible ASCII".to_owned()));
+    }
+    Ok(token.to_owned())
+}
+
+/// The two lists that the arguments name, as texts.
+#[derive(Debug, Clone)]
+pub struct ListSources {
+    /// The list of organisations.
+    pub organisations: Source,
+    /// The list of services, routes and plans.
+    pub plans: Source,
+}
+
+impl ListSources {
+    /// Reads the files that the arguments name.
+    pub fn read(matches: &ArgMatches) -> Result<Self, CliError> {
+        let read = |name| {
+            let path: &PathBuf = matches.get_one(name).expect("the argument is required");
+            read_source(path)
+        };
+        Ok(Self { organisations: read(ORGANISATIONS)?, plans: read(PLANS)? })
+    }
+}
+
+fn read_source(path: &Path) -> Result<Source, CliError> {
+    Ok(Source::read(path)?)
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/service_state.rs
@@ -0,0 +1,84 @@
+//! What `domain` and `instance` share: taking something out of service and bringing it back.
+
+use {
+    crate::{change::with_change, client::ControlClient, error::CliError, options::with_control},
+    clap::{Arg, ArgAction, ArgMatches, Command},
+    cumincart_protocol::operator_api::StatusBody,
+};
+
+const OUT: &str = "out";
+const IN: &str = "in";
+const NAME: &str = "name";
+const FORCE: &str = "force";
+
+/// The greatest edit distance at which a name is offered in place of a wrong one.
+const NEAR_NAME_MAX_EDITS: usize = 2;
+
+/// Adds the subcommands `out` and `in`.
+pub fn with_out_and_in(command: Command, name_help: &'static str) -> Command {
+    let subcommand = |name: &'static str, about: &'static str| {
+        let subcommand = Command::new(name)
+            .about(about)
+            .arg(Arg::new(NAME).value_name("NAME").required(true).help(name_help))
+            .arg(
+                Arg::new(FORCE)
+                    .long(FORCE)
+                    .action(ArgAction::SetTrue)
+                    .help("Accept a name that nothing in the system has yet"),
+            );
+        with_change(with_control(subcommand))
+    };
+    command
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(subcommand(OUT, "Take it out: it gets no new work after a few seconds"))
+        .subcommand(subcommand(IN, "Bring it back"))
+}
+
+/// What the arguments ask for.
+#[derive(Debug)]
+pub struct Asked<'a> {
+    /// The arguments of `out` or `in`.
+    pub matches: &'a ArgMatches,
+    /// The name.
+    pub name: String,
+    /// Whether to take it out.
+    pub out: bool,
+}
+
+/// Reads what the arguments ask for.
+pub fn asked(matches: &ArgMatches) -> Asked<'_> {
+    let (direction, matches) = matches.subcommand().expect("the signature requires `out` or `in`");
+    let name: &String = matches.get_one(NAME).expect("the argument is required");
+    Asked { matches, name: name.clone(), out: direction == OUT }
+}
+
+/// Refuses a name that nothing in the system has: a misspelt one would take nothing out, and nobody would notice.
+pub async fn check_known(
+    client: &ControlClient,
+    asked: &Asked<'_>,
+    what: &'static str,
+    known: impl FnOnce(&StatusBody) -> Vec<String>,
+) -> Result<(), CliError> {
+    if asked.matches.get_flag(FORCE) {
+        return Ok(());
+    }
+    let mut names = known(&client.status().await?);
+    names.sort();
+    names.dedup();
+    if names.contains(&asked.name) {
+        return Ok(());
+    }
+    let help = near_name(&asked.name, &names);
+    Err(CliError::UnknownName { what, name: asked.name.clone(), help })
+}
+
+fn near_name(wrong: &str, names: &[String]) -> String {
+    let distance = |name: &&String| strsim::damerau_levenshtein(wrong, name);
+    let nearest = names.iter().filter(|name| distance(name) <= NEAR_NAME_MAX_EDITS).min_by_key(distance);
+    match nearest {
+        Some(nearest) => format!("did you mean `{nearest}`"),
+        None if names.is_empty() => "none is known yet".to_owned(),
+        None => format!("known are {}", names.join(", ")),
+    }
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/wait.rs
@@ -0,0 +1,116 @@
+//! Waiting until a change is in force everywhere.
+
+use {
+    crate::{client::ControlClient, error::CliError},
+    cumincart_protocol::{
+        name::InstanceName,
+        number::Revision,
+        operator_api::{InstanceBody, StatusBody},
+    },
+    indicatif::{ProgressBar, ProgressStyle},
+    serde::Serialize,
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// Time between two looks at the status.
+const POLL_PAUSE: Duration = Duration::from_millis(100);
+
+/// How far a revision has come.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct InForce {
+    /// Instances that confirmed it.
+    pub confirmed: Vec<InstanceName>,
+    /// Instances that did not confirm it and whose lease has run out: they refuse whatever needs a key.
+    pub lease_ran_out: Vec<InstanceName>,
+    /// Instances that did not confirm it and still hold a lease.
+    pub waiting: Vec<WaitingInstance>,
+}
+
+/// An instance that may still act on an earlier revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct WaitingInstance {
+    /// The instance.
+    pub instance: InstanceName,
+    /// The revision that it last confirmed.
+    pub revision: Revision,
+    /// How long its lease still runs.
+    pub lease_left_ms: u64,
+}
+
+impl InForce {
+    /// Sorts the instances of a status by whether `revision` is in force there.
+    pub fn of(status: &StatusBody, revision: Revision) -> Self {
+        let mut in_force = Self::default();
+        for instance in &status.instances {
+            in_force.add(instance, revision);
+        }
+        in_force
+    }
+
+    fn add(&mut self, instance: &InstanceBody, revision: Revision) {
+        let name = instance.instance.clone();
+        if instance.revision >= revision {
+            self.confirmed.push(name);
+        } else if instance.lease_left_ms == 0 {
+            self.lease_ran_out.push(name);
+        } else {
+            self.waiting.push(WaitingInstance {
+                instance: name,
+                revision: instance.revision,
+                lease_left_ms: instance.lease_left_ms,
+            });
+        }
+    }
+
+    /// Whether no instance can act on an earlier revision.
+    pub fn is_everywhere(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// The state in lines for people.
+    pub fn text(&self) -> String {
+        let spread = if self.is_everywhere() { "in force everywhere" } else { "not in force everywhere" };
+        let mut lines = vec![format!("{spread}; instances that confirmed it: {}", self.confirmed.len())];
+        for instance in &self.lease_ran_out {
+            lines.push(format!(
+                "{instance} has not confirmed it; its lease has run out, so it refuses keyed requests"
+            ));
+        }
+        for waiting in &self.waiting {
+            lines.push(format!(
+                "{} has not confirmed it: it is at revision {}, and its lease runs for {} ms more",
+                waiting.instance, waiting.revision, waiting.lease_left_ms
+            ));
+        }
+        lines.join("\n")
+    }
+}
+
+/// Waits until `revision` is in force everywhere, and at most until `timeout` has passed.
+pub async fn wait_in_force(
+    client: &ControlClient,
+    revision: Revision,
+    timeout: Duration,
+) -> Result<InForce, CliError> {
+    let until = Instant::now() + timeout;
+    let bar = progress_bar(revision);
+    loop {
+        let status = client.status().await?;
+        let in_force = InForce::of(&status, revision);
+        bar.set_length(u64::try_from(status.instances.len()).unwrap_or(u64::MAX));
+        bar.set_position(u64::try_from(in_force.confirmed.len()).unwrap_or(u64::MAX));
+        if in_force.is_everywhere() || Instant::now() + POLL_PAUSE >= until {
+            bar.finish_and_clear();
+            return Ok(in_force);
+        }
+        sleep(POLL_PAUSE).await;
+    }
+}
+
+/// A bar on standard error; it shows itself only on a terminal.
+fn progress_bar(revision: Revision) -> ProgressBar {
+    let style = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} instances")
+        .unwrap_or_else(|_| ProgressStyle::default_bar());
+    ProgressBar::new(0).with_style(style).with_message(format!("revision {revision}"))
+}
--- /dev/null
+++ b/crates/cumincart-cli/tests/commands.rs
@@ -0,0 +1,11 @@
+//! The commands against a small fake control instance.
+
+mod commands {
+    mod apply;
+    mod errors;
+    mod examples;
+    mod fake_control;
+    mod files;
+    mod service_state;
+    mod status;
+}
--- /dev/null
+++ b/crates/cumincart-cli/tests/commands/files.rs
@@ -0,0 +1,101 @@
+//! Commands that need no control instance: `check`, `key new`, `completions`.
+
+use {
+    super::fake_control::{Files, run},
+    cumincart_cli::{commands::key::KEY_PREFIX, exit},
+    serde_json::{Value, json},
+    sha2::{Digest, Sha256},
+    test_case::test_case,
+};
+
+#[tokio::test]
+async fn check_tells_what_is_good() {
+    let files = Files::write();
+    let finished =
+        files.run("check --organisations FILES/organisations.jsonc --plans FILES/plans.jsonc").await;
+    assert_eq!(finished.stdout, "the lists are good: 1 organisations, 0 services, 1 plans\n");
+    let finished =
+        files.run("check --json --organisations FILES/organisations.jsonc --plans FILES/plans.jsonc").await;
+    let report: Value = serde_json::from_str(&finished.stdout).expect("the report is JSON");
+    assert_eq!(report, json!({"organisations": 1, "services": 0, "plans": 1, "settings_files": 0}));
+}
+
+#[tokio::test]
+async fn check_shows_every_problem_with_its_place_and_help() {
+    let files = Files::write();
+    files.put(
+        "organisations.jsonc",
+        "{\"organisations\": [\n  {\"name\": \"clinic\", \"plan\": \"smal\", \"x\": 1}]}",
+    );
+    let finished =
+        files.run("check --organisations FILES/organisations.jsonc --plans FILES/plans.jsonc").await;
+    assert_eq!(finished.code, exit::INVALID);
+    for part in [
+        "2 problems were found",
+        "cumincart::config::unknown_plan",
+        "organisation `clinic` is on plan `smal`, which there is not",
+        "did you mean `small`?",
+        "cumincart::config::unknown_field",
+        "organisations.jsonc:2:30",
+        "2 │   {\"name\": \"clinic\", \"plan\": \"smal\", \"x\": 1}]}",
+    ] {
+        assert!(finished.stderr.contains(part), "`{part}` is missing from\n{}", finished.stderr);
+    }
+    assert!(finished.stdout.is_empty());
+}
+
+#[tokio::test]
+async fn check_gives_problems_as_json() {
+    let files = Files::write();
+    files.put("entry.jsonc", "{}");
+    let finished = files.run("check --json --entry FILES/entry.jsonc").await;
+    assert_eq!(finished.code, exit::INVALID);
+    let error: Value = serde_json::from_str(&finished.stderr).expect("the error is JSON");
+    let problems = error["related"].as_array().expect("the problems are an array");
+    assert!(problems.iter().all(|problem| problem["code"] == "cumincart::config::missing_field"));
+    assert_eq!(problems.len(), 7);
+}
+
+#[tokio::test]
+async fn check_of_a_file_that_is_not_there_fails() {
+    let finished = run("check --entry /nowhere/entry.jsonc").await;
+    assert_eq!(finished.code, exit::FAILED);
+    assert!(finished.stderr.contains("/nowhere/entry.jsonc can't be read"), "{}", finished.stderr);
+}
+
+#[tokio::test]
+async fn a_new_key_has_the_digest_of_its_entry_and_is_never_the_same() {
+    let mut keys = Vec::new();
+    for _ in 0..2 {
+        let finished = run("key new --json --id k1").await;
+        let report: Value = serde_json::from_str(&finished.stdout).expect("the report is JSON");
+        let key = report["key"].as_str().expect("the key is a string").to_owned();
+        assert!(key.starts_with(KEY_PREFIX) && key.len() == KEY_PREFIX.len() + 64);
+        assert_eq!(report["entry"], json!({"id": "k1", "sha256": hex::encode(Sha256::digest(&key))}));
+        keys.push(key);
+    }
+    assert_ne!(keys[0], keys[1]);
+}
+
+#[tokio::test]
+async fn a_new_keys_entry_fits_the_list() {
+    let files = Files::write();
+    let finished = run("key new").await;
+    let entry = finished.stdout.lines().last().expect("the last line is the entry").trim();
+    files.put(
+        "organisations.jsonc",
+        &format!(r#"{{"organisations": [{{"name": "clinic", "plan": "small", "keys": [{entry}]}}]}}"#),
+    );
+    let finished =
+        files.run("check --organisations FILES/organisations.jsonc --plans FILES/plans.jsonc").await;
+    assert_eq!(finished.code, exit::DONE, "{}", finished.stderr);
+}
+
+#[test_case("bash", "complete -F"; "bash")]
+#[test_case("fish", "complete -c cumincart"; "fish")]
+#[test_case("zsh", "#compdef cumincart"; "zsh")]
+#[tokio::test]
+async fn completions_are_printed(shell: &str, expected: &str) {
+    let finished = run(&format!("completions {shell}")).await;
+    assert!(finished.stdout.contains(expected));
+}
--- /dev/null
+++ b/crates/cumincart-cli/tests/commands/status.rs
@@ -0,0 +1,86 @@
+//! `status`, `diff` and `dump`.
+
+use {
+    super::fake_control::{Answer, FakeControl, Files, lists, status},
+    cumincart_cli::exit,
+    serde_json::{Value, json},
+};
+
+#[tokio::test]
+async fn status_is_shown_to_people_and_programs() {
+    let control = FakeControl::bind(|_| None).await;
+    let files = Files::write();
+    let arguments = format!("status --control {} --token-file FILES/token", control.url);
+    let finished = files.run(&arguments).await;
+    let expected = "\
+leader     sofia-a-control-1 in term 3
+revision   41, lists revision 7
+out        failure domains: plovdiv-a; instances: none
+control    sofia-a-control-1, varna-a-control-1 (learner)
+instances
+  sofia-a-entry-1          revision 41, lease for 3200 ms
+  varna-a-entry-1          revision 40, lease has run out
+service pbx: term 2, primary pbx-1
+  pbx-1                    sofia-a, 10.10.1.30:5432: primary at position 900, lag 0 ms, announced 120 ms ago
+  pbx-2                    varna-a, 10.10.3.30:5432: has not announced itself, leaving
+";
+    assert_eq!(finished.stdout, expected);
+    let finished = files.run(&format!("{arguments} --json")).await;
+    let shown: Value = serde_json::from_str(&finished.stdout).expect("the status is JSON");
+    assert_eq!(shown, status(41));
+}
+
+#[tokio::test]
+async fn diff_shows_what_would_change() {
+    let control = FakeControl::bind(|request| {
+        let mut body = lists(6);
+        body["lists"] = json!({
+            "organisations": {"organisations": [
+                {"name": "bakery", "plan": "small", "keys": [{"id": "b1", "sha256": "00"}]},
+                {"name": "clinic", "plan": "large", "keys": [{"id": "c1", "sha256": "11"}]}]},
+            "plans": {"services": [{"name": "pbx", "routes": [{"name": "rules", "access": "read"}]}],
+                "plans": [{"name": "small", "rate_per_s": 4.0, "burst": 9, "routes": []}]}});
+        (request.line == "GET /v1/lists").then_some(Answer::Json(200, body))
+    })
+    .await;
+    let files = Files::write();
+    files.put(
+        "plans.jsonc",
+        r#"{"services": [{"name": "pbx", "routes": [{"name": "rules", "access": "read", "deadline_ms": 300}, {"name": "calls", "access": "write"}]}],
+            "plans": [{"name": "small", "rate_per_s": 5, "burst": 9, "routes": []}]}"#,
+    );
+    let arguments = format!(
+        "diff --organisations FILES/organisations.jsonc --plans FILES/plans.jsonc --control {} --token-file FILES/token",
+        control.url
+    );
+    let finished = files.run(&arguments).await;
+    let expected = "\
+differences to lists revision 6:
+- organisation bakery
+~ organisation clinic: plan \"large\" -> \"small\"
+- key bakery/b1
+- key clinic/c1
+~ route pbx/rules: deadline_ms 2000 -> 300
+~ plan small: rate_per_s 4.0 -> 5.0
++ route pbx/calls
+";
+    assert_eq!((finished.stdout.as_str(), finished.code), (expected, exit::DONE));
+    assert_eq!(files.run(&format!("{arguments} --exit-code")).await.code, exit::DIFFERENT);
+}
+
+#[tokio::test]
+async fn dump_gives_each_process_and_tells_which_is_missing() {
+    let control = FakeControl::bind(|_| None).await;
+    let arguments = format!(
+        "dump --control {} --entry {} --entry http://127.0.0.1:1 --token-file FILES/token",
+        control.url, control.url
+    );
+    let finished = Files::write().run(&arguments).await;
+    assert_eq!(finished.code, exit::UNREACHABLE);
+    let dumps: Value = serde_json::from_str(&finished.stdout).expect("the dump is JSON");
+    assert_eq!(dumps[0], json!({"url": control.url, "dump": {"revision": 41}}));
+    assert_eq!(dumps[1], json!({"url": control.url, "dump": {"revision": 41}}));
+    assert_eq!(dumps[2]["url"], "http://127.0.0.1:1");
+    assert!(dumps[2]["error"].is_string());
+    assert_eq!((control.requests("GET /v1/dump").len(), control.requests("GET /dump").len()), (1, 1));
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The operators' command `cumincart`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cumincart_cli::main()
+}
