Publish an entry instance's dump, its counters and its readiness

The daemons' interfaces still gave the revision alone. Metrics come from the same dump that operators can ask for, so the two can't disagree; a refusal that carries a new session hands it on in the session header too.

--- a/crates/cumincart-control/src/http/operations.rs
+++ b/crates/cumincart-control/src/http/operations.rs
@@ -3,7 +3,7 @@
 use {
     crate::engine::Engine,
     cumincart_http::operator::Operator,
-    cumincart_runtime::metrics::{self, Metric, MetricKind},
+    cumincart_runtime::metrics::{self, Metric},
     rocket::{
         Route, State, get,
         http::{ContentType, Status},
@@ -34,12 +34,11 @@
 async fn show_metrics(engine: &State<Engine>) -> Result<(ContentType, String), Status> {
     let revision =
         engine.inspect(|board, _| board.catalogue.revision).await.ok_or(Status::ServiceUnavailable)?;
-    let text = metrics::render(&[Metric {
-        name: "catalogue_revision",
-        help: "The catalogue revision applied here",
-        kind: MetricKind::Gauge,
-        value: revision.0,
-    }]);
+    let text = metrics::render(&[Metric::gauge(
+        "catalogue_revision",
+        "The catalogue revision applied here",
+        revision.0,
+    )]);
     let content_type = ContentType::parse_flexible(metrics::CONTENT_TYPE).unwrap_or(ContentType::Plain);
     Ok((content_type, text))
 }
--- a/crates/cumincart-entry/src/http/operations.rs
+++ b/crates/cumincart-entry/src/http/operations.rs
@@ -1,19 +1,24 @@
 //! Health checks for the platform, metrics and the dump for operators.
 
 use {
-    crate::engine::Engine,
+    crate::{engine::Engine, metrics::entry_metrics},
+    cumincart_core::entry::{
+        dump::{self, Dump},
+        is_ready,
+    },
     cumincart_http::operator::Operator,
-    cumincart_runtime::metrics::{self, Metric, MetricKind},
+    cumincart_runtime::metrics,
     rocket::{
         Route, State, get,
         http::{ContentType, Status},
         routes,
+        serde::json::Json,
     },
 };
 
 /// The routes of this file.
 pub(crate) fn routes() -> Vec<Route> {
-    routes![live, ready, show_metrics, dump]
+    routes![live, ready, show_metrics, show_dump]
 }
 
 #[get("/health/live")]
@@ -23,7 +28,7 @@
 
 #[get("/health/ready")]
 async fn ready(engine: &State<Engine>) -> (Status, &'static str) {
-    match engine.inspect(|board, now| board.freshness.is_fresh(now)).await {
+    match engine.inspect(is_ready).await {
         Some(true) => (Status::Ok, "ready\n"),
         _ => (Status::ServiceUnavailable, "not ready\n"),
     }
@@ -31,23 +36,12 @@
 
 #[get("/metrics")]
 async fn show_metrics(engine: &State<Engine>) -> Result<(ContentType, String), Status> {
-    let revision =
-        engine.inspect(|board, _| board.freshness.revision()).await.ok_or(Status::ServiceUnavailable)?;
-    let text = metrics::render(&[Metric {
-        name: "catalogue_revision",
-        help: "The catalogue revision in force here",
-        kind: MetricKind::Gauge,
-        value: revision.0,
-    }]);
+    let dump = engine.inspect(dump::dump).await.ok_or(Status::ServiceUnavailable)?;
     let content_type = ContentType::parse_flexible(metrics::CONTENT_TYPE).unwrap_or(ContentType::Plain);
-    Ok((content_type, text))
+    Ok((content_type, metrics::render(&entry_metrics(&dump))))
 }
 
 #[get("/dump")]
-async fn dump(_operator: Operator, engine: &State<Engine>) -> Result<(ContentType, String), Status> {
-    let text = engine
-        .inspect(|board, _| format!("{:?}", board.freshness.revision()))
-        .await
-        .ok_or(Status::ServiceUnavailable)?;
-    Ok((ContentType::JSON, text))
+async fn show_dump(_operator: Operator, engine: &State<Engine>) -> Result<Json<Dump>, Status> {
+    engine.inspect(dump::dump).await.map(Json).ok_or(Status::ServiceUnavailable)
 }
--- a/crates/cumincart-entry/src/http/refusal.rs
+++ b/crates/cumincart-entry/src/http/refusal.rs
@@ -1,6 +1,7 @@
 //! Refusals as HTTP responses.
 
 use {
+    super::caller::SESSION_HEADER,
     cumincart_protocol::refusal::{Refusal, RefusalCode},
     rocket::{
         Request,
@@ -32,6 +33,9 @@
             // The header counts whole seconds; the body gives the exact time.
             response.raw_header("Retry-After", after_ms.div_ceil(MILLIS_PER_SECOND).to_string());
         }
+        if let Some(session) = &refusal.session {
+            response.raw_header(SESSION_HEADER, session.to_string());
+        }
         response.sized_body(body.len(), Cursor::new(body)).ok()
     }
 }
--- a/crates/cumincart-entry/src/lib.rs
+++ b/crates/cumincart-entry/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod daemon;
 pub mod engine;
 pub mod http;
+pub mod metrics;
 pub mod options;
 pub mod program;
--- a/crates/cumincart-protocol/src/refusal.rs
+++ b/crates/cumincart-protocol/src/refusal.rs
@@ -51,6 +51,33 @@
     Internal,
 }
 
+impl RefusalCode {
+    /// The code as callers see it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::BadSession => "bad_session",
+            Self::KeyRefused => "key_refused",
+            Self::RouteForbidden => "route_forbidden",
+            Self::RouteUnknown => "route_unknown",
+            Self::OverRate => "over_rate",
+            Self::NotFresh => "not_fresh",
+            Self::OutOfService => "out_of_service",
+            Self::NoEndpoint => "no_endpoint",
+            Self::DeadlineExceeded => "deadline_exceeded",
+            Self::Overloaded => "overloaded",
+            Self::AlreadyRun => "already_run",
+            Self::RequestIdMissing => "request_id_missing",
+            Self::TransactionUnknown => "transaction_unknown",
+            Self::StatementFailed => "statement_failed",
+            Self::ConnectionLost => "connection_lost",
+            Self::TermChanged => "term_changed",
+            Self::WriteLost => "write_lost",
+            Self::Internal => "internal",
+        }
+    }
+}
+
 /// The answer to a request that was refused or whose outcome is not known.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Refusal {
