--- a/crates/cumincart-cli/src/commands/demo.rs
+++ b/crates/cumincart-cli/src/commands/demo.rs
@@ -2,8 +2,12 @@
 
 use {
     super::Example,
-    crate::{demo, report::Report},
-    clap::{Arg, ArgAction, ArgMatches, Command},
+    crate::{
+        demo::{self, Breakage, DemoOptions},
+        error::CliError,
+        report::Report,
+    },
+    clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser},
 };
 
 /// The command's name.
@@ -11,6 +15,8 @@
 
 const CHECK: &str = "check";
 
+const BREAK: &str = "break";
+
 /// The demo runs until it is interrupted, so its examples are in the README, not here.
 pub const EXAMPLES: &[Example] = &[];
 
@@ -24,9 +30,18 @@
                 .action(ArgAction::SetTrue)
                 .help("Drive scripted requests through it, print each measured figure, and end"),
         )
+        .arg(
+            Arg::new(BREAK)
+                .long(BREAK)
+                .value_name("PROMISE")
+                .requires(CHECK)
+                .value_parser(PossibleValuesParser::new(Breakage::ALL.map(|(name, _)| name)))
+                .help("Break a promise on purpose, to see that its check fails"),
+        )
 }
 
 /// Runs the command.
-pub async fn run(matches: &ArgMatches) -> Report {
-    demo::run(demo::DemoOptions { check: matches.get_flag(CHECK) }).await
+pub async fn run(matches: &ArgMatches) -> Result<Report, CliError> {
+    let breakage = matches.get_one::<String>(BREAK).and_then(|name| Breakage::named(name));
+    demo::run(DemoOptions { check: matches.get_flag(CHECK), breakage }).await
 }
--- a/crates/cumincart-cli/src/demo.rs
+++ b/crates/cumincart-cli/src/demo.rs
@@ -1,15 +1,89 @@
 //! The demo: a whole small fleet in one process.
 
-use crate::{exit, report::Report};
+mod checks;
+mod scene;
+
+use {
+    crate::{error::CliError, exit, report::Report},
+    cumincart_fleet::{Deployment, Fleet, FleetOptions, fleet::OPERATOR_TOKEN},
+    cumincart_runtime::{logging, signal},
+    scene::{KEY, SERVICE, Scene},
+    std::fmt::Write,
+};
+
+pub use checks::{Breakage, CheckOutcome};
 
 /// What the demo is asked to do.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct DemoOptions {
     /// Whether to drive scripted requests through the fleet and end.
     pub check: bool,
+    /// A promise to break on purpose, so that its check must fail.
+    pub breakage: Option<Breakage>,
 }
 
 /// Runs the demo until it is interrupted, or until its checks are done.
-pub async fn run(_options: DemoOptions) -> Report {
-    Report::done("the demo is not built yet", &()).with_code(exit::FAILED)
+pub async fn run(options: DemoOptions) -> Result<Report, CliError> {
+    let fleet = Fleet::spawn(Deployment::telvara(), FleetOptions::new(logging::discard())).await?;
+    if options.check {
+        let mut scene = Scene { fleet, breakage: options.breakage };
+        return Ok(report(&checks::run_all(&mut scene).await?));
+    }
+    print!("{}", introduction(&fleet));
+    signal::stop_asked().await.map_err(CliError::Signal)?;
+    Ok(Report::done("", &()))
+}
+
+fn report(outcomes: &[CheckOutcome]) -> Report {
+    let mut text = String::new();
+    for outcome in outcomes {
+        let word = if outcome.holds { "holds" } else { "FAILS" };
+        writeln!(text, "{word}  {:<44} {}", outcome.promise, outcome.figure)
+            .expect("a string takes all text");
+    }
+    let holds = outcomes.iter().all(|outcome| outcome.holds);
+    let code = if holds { exit::DONE } else { exit::FAILED };
+    Report::done(text, &outcomes).with_code(code)
+}
+
+/// The addresses, and lines to paste into a shell.
+fn introduction(fleet: &Fleet) -> String {
+    let mut text =
+        format!("The fleet of `{}` runs in this process.\n\nEntry instances:\n", fleet.deployment.name);
+    for entry in &fleet.entries {
+        let line = format!("  {:<24} {:<12} {}\n", entry.options.instance, entry.options.domain, entry.url());
+        text.push_str(&line);
+    }
+    text.push_str("\nControl instances:\n");
+    for (control, url) in fleet.controls.iter().zip(fleet.control_urls()) {
+        let line = format!("  {:<24} {:<12} {url}\n", control.options.instance, control.options.domain);
+        text.push_str(&line);
+    }
+    text.push_str(&examples(fleet));
+    text
+}
+
+fn examples(fleet: &Fleet) -> String {
+    let first = fleet.entries[0].url();
+    let last = fleet.entries[fleet.entries.len() - 1].url();
+    let control = &fleet.control_urls()[0];
+    format!(
+        "
+Write through one entry instance, and read it back through another with the session token that came with the write:
+
+  curl -si {first}/v1/{SERVICE}/save-rule -H 'Authorization: Bearer {KEY}' \\
+      -d '{{\"arguments\": {{\"number\": \"100\", \"target\": \"desk-1\"}}}}'
+  curl -s {last}/v1/{SERVICE}/call-setup -H 'Authorization: Bearer {KEY}' \\
+      -H 'Cumincart-Session: PASTE-THE-TOKEN' -d '{{\"arguments\": {{\"number\": \"100\"}}}}'
+
+Look at an entry instance, and at the state that a quorum of control instances confirms (of the control instances,
+only the leader answers):
+
+  curl -s {first}/metrics
+  curl -s {first}/dump -H 'Authorization: Bearer {OPERATOR_TOKEN}'
+  curl -s {control}/v1/status -H 'Authorization: Bearer {OPERATOR_TOKEN}'
+
+Stop with Ctrl-C.
+"
+    )
 }
--- /dev/null
+++ b/crates/cumincart-cli/src/demo/checks.rs
@@ -0,0 +1,63 @@
+//! The scripted checks of the demo, one file for each promise.
+
+mod failover;
+mod failure_domain;
+mod keys;
+mod rate;
+mod sessions;
+
+use {super::scene::Scene, cumincart_fleet::FleetError, serde::Serialize};
+
+/// What a check found.
+#[derive(Debug, Clone, Serialize)]
+pub struct CheckOutcome {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was measured, with its unit and its limit.
+    pub figure: String,
+    /// Whether the promise held.
+    pub holds: bool,
+}
+
+/// A promise that is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breakage {
+    /// The caller's session token is dropped between a write and its read.
+    Sessions,
+    /// The key that was withdrawn stays in the list.
+    Keys,
+    /// The plan in force allows ten times the rate that was promised.
+    Rate,
+    /// Every control instance is down when the primary fails.
+    Failover,
+    /// The failure domain that should be out stays in service.
+    FailureDomain,
+}
+
+impl Breakage {
+    /// All breakages with their names on the command line.
+    pub const ALL: [(&'static str, Self); 5] = [
+        ("sessions", Self::Sessions),
+        ("keys", Self::Keys),
+        ("rate", Self::Rate),
+        ("failover", Self::Failover),
+        ("failure-domain", Self::FailureDomain),
+    ];
+
+    /// The breakage of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.iter().find(|(known, _)| *known == name).map(|(_, breakage)| *breakage)
+    }
+}
+
+/// Runs all checks, one after another, on the same fleet.
+pub(super) async fn run_all(scene: &mut Scene) -> Result<Vec<CheckOutcome>, FleetError> {
+    Ok(vec![
+        sessions::check(scene).await,
+        keys::check_wrong(scene).await,
+        keys::check_withdrawn(scene).await?,
+        rate::check(scene).await?,
+        failure_domain::check(scene).await?,
+        failover::check(scene).await?,
+    ])
+}
--- /dev/null
+++ b/crates/cumincart-cli/src/demo/scene.rs
@@ -0,0 +1,115 @@
+//! The fleet that the checks run in, and the calls that they share.
+
+use {
+    super::Breakage,
+    cumincart_fleet::{Answered, Caller, Fleet, caller::CallOptions},
+    cumincart_protocol::{refusal::RefusalCode, request::Value},
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// The service that the checks use where nothing else is said.
+pub(super) const SERVICE: &str = "pbx-organisations-1";
+
+/// A key of a large organisation; its digest is in the example list.
+pub(super) const KEY: &str = "example-only-trakia-taxi-2026";
+
+/// The longest that a call is repeated for while it is refused as not run.
+const REPEAT_FOR: Duration = Duration::from_secs(15);
+
+const REPEAT_PAUSE: Duration = Duration::from_millis(5);
+
+/// The fleet and what is broken in it on purpose.
+#[derive(Debug)]
+pub(super) struct Scene {
+    pub(super) fleet: Fleet,
+    pub(super) breakage: Option<Breakage>,
+}
+
+impl Scene {
+    /// The base URL of an entry instance; numbers beyond the last begin again.
+    pub(super) fn url(&self, number: usize) -> String {
+        self.fleet.entries[number % self.fleet.entries.len()].url()
+    }
+
+    /// Whether this promise is broken on purpose.
+    pub(super) fn breaks(&self, breakage: Breakage) -> bool {
+        self.breakage == Some(breakage)
+    }
+}
+
+/// Saves a routing rule; the route is repeatable.
+pub(super) async fn save_rule(caller: &mut Caller, url: &str, service: &str, target: &str) -> Answered {
+    let arguments = [("number", text("100")), ("target", text(target))];
+    repeat(async || {
+        let mut own = caller.clone();
+        let answered = own.call(url, service, "save-rule", &arguments).await;
+        (answered, own)
+    })
+    .await
+    .take(caller)
+}
+
+/// Reads a routing rule.
+pub(super) async fn read_rule(caller: &mut Caller, url: &str, service: &str) -> Answered {
+    let arguments = [("number", text("100"))];
+    repeat(async || {
+        let mut own = caller.clone();
+        let answered = own.call(url, service, "call-setup", &arguments).await;
+        (answered, own)
+    })
+    .await
+    .take(caller)
+}
+
+/// Writes a call record under a request id; the route is not repeatable, and a resend carries the same id.
+pub(super) async fn write_record(caller: &mut Caller, url: &str, service: &str, id: &str) -> Answered {
+    let arguments = [("call_id", text(id)), ("duration_s", Value::Int(60))];
+    let options = CallOptions { request_id: Some(id), ..CallOptions::default() };
+    caller.call_with(url, service, "call-record", &arguments, options).await
+}
+
+struct Repeated {
+    answered: Answered,
+    caller: Caller,
+}
+
+impl Repeated {
+    fn take(self, caller: &mut Caller) -> Answered {
+        *caller = self.caller;
+        self.answered
+    }
+}
+
+/// Calls again while the call is refused for want of a token or an endpoint, as a caller would.
+async fn repeat(call: impl AsyncFn() -> (Answered, Caller)) -> Repeated {
+    let begun = Instant::now();
+    loop {
+        let (answered, caller) = call().await;
+        if !is_worth_repeating(&answered) || begun.elapsed() > REPEAT_FOR {
+            return Repeated { answered, caller };
+        }
+        sleep(REPEAT_PAUSE).await;
+    }
+}
+
+/// Whether the same call may succeed a little later. Only repeatable routes and reads are repeated here, so the
+/// verdict does not matter.
+fn is_worth_repeating(answered: &Answered) -> bool {
+    let Some(refusal) = answered.refusal() else { return answered.rows().is_none() };
+    !matches!(
+        refusal.code,
+        RefusalCode::BadRequest
+            | RefusalCode::BadSession
+            | RefusalCode::KeyRefused
+            | RefusalCode::RouteForbidden
+            | RefusalCode::RouteUnknown
+            | RefusalCode::StatementFailed
+            | RefusalCode::WriteLost
+    )
+}
+
+/// A text value.
+pub(super) fn text(value: &str) -> Value {
+    Value::Text(value.into())
+}
--- a/crates/cumincart-cli/src/error.rs
+++ b/crates/cumincart-cli/src/error.rs
@@ -3,6 +3,7 @@
 use {
     crate::exit,
     cumincart_config::ConfigError,
+    cumincart_fleet::FleetError,
     miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme, JSONReportHandler},
     std::io::IsTerminal,
 };
@@ -15,6 +16,16 @@
     #[diagnostic(transparent)]
     Config(#[from] ConfigError),
 
+    /// The demo's fleet could not start or go on.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Fleet(#[from] FleetError),
+
+    /// Signals can't be received.
+    #[error("signals can't be received: {0}")]
+    #[diagnostic(code(cumincart::cli::signal), help("the operating system refused; run the command again"))]
+    Signal(#[source] std::io::Error),
+
     /// The file with the operator token can't be used.
     #[error("the operator token file {path} can't be used: {reason}")]
     #[diagnostic(code(cumincart::cli::token_file), help("name a file that holds the token on one line"))]
@@ -112,6 +123,8 @@
         match self {
             Self::Config(ConfigError::Invalid { .. }) => exit::INVALID,
             Self::Config(ConfigError::Unreadable { .. })
+            | Self::Fleet(_)
+            | Self::Signal(_)
             | Self::TokenFile { .. }
             | Self::BadAnswer { .. }
             | Self::UnknownName { .. } => exit::FAILED,
--- a/crates/cumincart-cli/src/lib.rs
+++ b/crates/cumincart-cli/src/lib.rs
@@ -72,7 +72,7 @@
         commands::apply::NAME => commands::apply::run(matches).await,
         commands::check::NAME => commands::check::run(matches),
         commands::completions::NAME => Ok(commands::completions::run(matches)),
-        commands::demo::NAME => Ok(commands::demo::run(matches).await),
+        commands::demo::NAME => commands::demo::run(matches).await,
         commands::diff::NAME => commands::diff::run(matches).await,
         commands::domain::NAME => commands::domain::run(matches).await,
         commands::dump::NAME => commands::dump::run(matches).await,
