--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -17,6 +17,10 @@
 /// Time between two requests to be taken in as a learner, in milliseconds.
 pub const JOIN_INTERVAL_MS: u64 = 1_000;
 
+/// How long an instance's old disk must be silent before another takes its place, in milliseconds; so two processes
+/// that run under one name by mistake don't put each other out.
+pub const REPLACE_AFTER_MS: u64 = 2_000;
+
 /// The most control instances in the group.
 pub const MEMBERS_MAX: usize = 8;
 
@@ -75,6 +79,10 @@
     if member(members, &asking.instance, &asking.disk).is_some() || (is_full && !is_known) {
         return;
     }
+    let silence = now.saturating_since(board.replication.heard_at(&asking.instance));
+    if is_known && silence < Duration::from_millis(REPLACE_AFTER_MS) {
+        return;
+    }
     let mut changed = members.clone();
     let note = if changed.voters.remove(&asking.instance).is_some() {
         format!("control instance {} has another disk; its old one no longer counts", asking.instance)
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -6,7 +6,9 @@
         heartbeat::CatalogueDelta,
         name::InstanceName,
         number::LogIndex,
-        replication::{Append, AppendAnswer, Command, Member, Record, ReplicationBody, ReplicationMessage},
+        replication::{
+            Append, AppendAnswer, Command, DiskId, Member, Record, ReplicationBody, ReplicationMessage,
+        },
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
@@ -32,9 +34,11 @@
     next_heartbeat_at: Instant,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Peer {
     instance: InstanceName,
+    /// The disk that all below is known of.
+    disk: DiskId,
     next: LogIndex,
     matched: LogIndex,
     /// The greatest stamp of ours that it has answered.
@@ -255,27 +259,36 @@
 }
 
 fn send_records(board: &mut Board, now: Instant, to: &Member, stamp: Instant, out: &mut Vec<Effect>) {
-    let next_index = board.log.last_index().next();
-    let elected_at = board.replication.elected_at;
-    let peer = board.replication.peers.get_or_insert_with(&to.instance, || Peer {
-        instance: to.instance.clone(),
-        next: next_index,
-        matched: LogIndex::default(),
-        confirmed: Instant::ZERO,
-        heard_at: elected_at,
-        installed_at: None,
-    });
-    let previous_index = LogIndex(peer.next.0 - 1);
+    let next = peer_of(board, to).next;
+    let previous_index = LogIndex(next.0 - 1);
     let Some(previous_term) = board.log.term_at(previous_index) else {
         install(board, now, to, out);
         return;
     };
     let records = board.log.after(previous_index, RECORDS_PER_MESSAGE).to_vec();
-    peer.next = records.last().map_or(peer.next, |record| record.index.next());
+    peer_of(board, to).next = records.last().map_or(next, |record| record.index.next());
     let append = Append { previous_index, previous_term, records, commit: board.log.commit, sent_at: stamp };
     send(board, to, ReplicationBody::Append(append), out);
 }
 
+/// What is known of a follower; nothing yet where its disk is another than before.
+fn peer_of<'a>(board: &'a mut Board, to: &Member) -> &'a mut Peer {
+    let fresh = Peer {
+        instance: to.instance.clone(),
+        disk: to.disk.clone(),
+        next: board.log.last_index().next(),
+        matched: LogIndex::default(),
+        confirmed: Instant::ZERO,
+        heard_at: board.replication.elected_at,
+        installed_at: None,
+    };
+    let peer = board.replication.peers.get_or_insert_with(&to.instance, || fresh.clone());
+    if peer.disk != to.disk {
+        *peer = fresh;
+    }
+    peer
+}
+
 fn install(board: &mut Board, now: Instant, to: &Member, out: &mut Vec<Effect>) {
     let Some(peer) = board.replication.peers.get_mut(&to.instance) else { return };
     let retry = Duration::from_millis(INSTALL_RETRY_MS);
