Measure the endpoint adapter's round trips

Cause: the adapter sends a work's statements together; what that gives over a distance was not measured.

Change: `cumincart-load experiment round-trips`, through a relay that delays each direction, beside the same statements sent one after another.

--- a/crates/cumincart-load/src/lib.rs
+++ b/crates/cumincart-load/src/lib.rs
@@ -5,6 +5,9 @@
 
 pub mod arrivals;
 pub mod caller;
+pub mod experiment;
 pub mod open_loop;
 pub mod plot;
+pub mod relay;
+pub mod report;
 pub mod summary;
