Add the experiments on the running fleet to the load tool

Change: traffic drawn from a deployment's lists and a seed, a balancer that asks for readiness, and the experiments replica-reads, failover, fairness, wrongful-refusals, domain-out, overhead and rolling-restart, each beside its baseline in the same run. The stand-in records when each statement ran.

--- a/crates/cumincart-load/src/experiment.rs
+++ b/crates/cumincart-load/src/experiment.rs
@@ -1,8 +1,16 @@
 //! The experiments by name.
 
+pub mod bench;
+pub mod domain_out;
+pub mod failover;
+pub mod fairness;
+pub mod overhead;
+pub mod replica_reads;
+pub mod rolling_restart;
 pub mod round_trips;
+pub mod wrongful_refusals;
 
-use crate::report::Report;
+use {crate::report::Report, cumincart_fleet::Deployment};
 
 /// Why an experiment gave no result.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -10,7 +18,11 @@
     /// There is no such experiment.
     #[error("there is no experiment {0}")]
     #[diagnostic(code(cumincart::load::unknown_experiment), help("the experiments are: {}", NAMES.join(", ")))]
-    Unknown(String),
+    UnknownExperiment(String),
+    /// There is no such deployment.
+    #[error("there is no deployment {0}")]
+    #[diagnostic(code(cumincart::load::unknown_deployment), help("the deployments are: {}", DEPLOYMENTS.join(", ")))]
+    UnknownDeployment(String),
     /// Something that it needs did not start or did not answer.
     #[error("the experiment could not go on: {0}")]
     #[diagnostic(
@@ -21,13 +33,37 @@
 }
 
 /// The experiments' names.
-pub const NAMES: [&str; 1] = ["round-trips"];
+pub const NAMES: [&str; 8] = [
+    "domain-out",
+    "failover",
+    "fairness",
+    "overhead",
+    "replica-reads",
+    "rolling-restart",
+    "round-trips",
+    "wrongful-refusals",
+];
+
+/// The deployments' names.
+pub const DEPLOYMENTS: [&str; 2] = ["telvara", "association"];
 
 /// Runs an experiment.
-pub async fn run(name: &str, seed: u64) -> Result<Report, ExperimentError> {
+pub async fn run(name: &str, deployment: &str, seed: u64) -> Result<Report, ExperimentError> {
+    let deployment = match deployment {
+        "telvara" => Deployment::telvara(),
+        "association" => Deployment::association(),
+        _ => return Err(ExperimentError::UnknownDeployment(deployment.to_owned())),
+    };
     match name {
+        "domain-out" => domain_out::run(deployment, seed).await,
+        "failover" => failover::run(deployment, seed).await,
+        "fairness" => fairness::run(deployment, seed).await,
+        "overhead" => overhead::run(deployment, seed).await,
+        "replica-reads" => replica_reads::run(deployment, seed).await,
+        "rolling-restart" => rolling_restart::run(deployment, seed).await,
         "round-trips" => round_trips::run(seed).await,
-        _ => Err(ExperimentError::Unknown(name.to_owned())),
+        "wrongful-refusals" => wrongful_refusals::run(deployment, seed).await,
+        _ => Err(ExperimentError::UnknownExperiment(name.to_owned())),
     }
 }
 
--- /dev/null
+++ b/crates/cumincart-load/src/experiment/bench.rs
@@ -0,0 +1,99 @@
+//! A fleet with its organisations and a balancer before it.
+
+use {
+    super::{ExperimentError, setup},
+    crate::{
+        balancer::Balancer,
+        drive::drive,
+        plot::{Curve, Point},
+        summary::{Outcome, Sample},
+        traffic::{Due, Organisation, TrafficSettings, draw, organisations},
+    },
+    cumincart_fleet::{Deployment, Fleet, FleetOptions},
+    cumincart_protocol::{lists::Route, refusal::RefusalCode},
+    cumincart_runtime::logging,
+    std::time::Duration,
+};
+
+/// Traffic before anything is counted: shares and connections settle.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// The width of a point in curves over time.
+const CURVE_STEP: Duration = Duration::from_millis(250);
+
+/// A running fleet and what sends to it.
+#[derive(Debug)]
+pub struct Bench {
+    /// The fleet.
+    pub fleet: Fleet,
+    /// Its organisations.
+    pub organisations: Vec<Organisation>,
+    /// The balancer before its entry instances.
+    pub balancer: Balancer,
+}
+
+impl Bench {
+    /// Starts a fleet of three control instances and two entry instances in each failure domain.
+    pub async fn open(deployment: Deployment, recording: bool) -> Result<Self, ExperimentError> {
+        let organisations = organisations(&deployment).map_err(setup)?;
+        let options = FleetOptions { recording, ..FleetOptions::new(logging::discard()) };
+        let fleet = Fleet::spawn(deployment, options).await.map_err(setup)?;
+        let balancer = Balancer::spawn(fleet.entries.iter().map(|entry| entry.url().into()).collect());
+        Ok(Self { fleet, organisations, balancer })
+    }
+
+    /// Draws traffic at one load for all organisations.
+    pub fn traffic(&self, seed: u64, span: Duration, load: f64, uses: fn(&str, &Route) -> bool) -> Vec<Due> {
+        let settings = TrafficSettings {
+            seed,
+            span,
+            entries: self.fleet.entries.len(),
+            skewed: false,
+            uses,
+            loads: vec![load; self.organisations.len()],
+        };
+        draw(&self.organisations, &settings)
+    }
+
+    /// Sends other traffic of the same kind that is not counted.
+    pub async fn warm_up(&self, seed: u64, settings: &TrafficSettings) {
+        let settings = TrafficSettings { seed: seed ^ (1 << 32), span: WARM_UP, ..settings.clone() };
+        self.drive(&draw(&self.organisations, &settings)).await;
+    }
+
+    /// Sends traffic.
+    pub async fn drive(&self, traffic: &[Due]) -> Vec<Sample> {
+        drive(&self.organisations, &self.balancer, traffic).await
+    }
+}
+
+/// Any route of any service.
+pub fn any_route(_service: &str, _route: &Route) -> bool {
+    true
+}
+
+/// Whether a request was refused for its organisation's rate.
+pub fn is_over_rate(sample: &Sample) -> bool {
+    matches!(&sample.outcome, Outcome::Refused(refusal) if refusal.code == RefusalCode::OverRate)
+}
+
+/// A share in per cent; 0 of nothing.
+pub fn per_cent(part: usize, whole: usize) -> f64 {
+    if whole == 0 { 0.0 } else { 100.0 * part as f64 / whole as f64 }
+}
+
+/// Requests a second that `counts`, over the time at which they were due.
+pub fn rate_curve(name: &str, samples: &[Sample], counts: impl Fn(&Sample) -> bool) -> Curve {
+    let step_s = CURVE_STEP.as_secs_f64();
+    let mut points: Vec<Point> = Vec::new();
+    for sample in samples {
+        let index = (sample.due.as_secs_f64() / step_s) as usize;
+        while points.len() <= index {
+            points.push(Point { x: (points.len() as f64 + 0.5) * step_s, y: 0.0 });
+        }
+        if counts(sample) {
+            points[index].y += 1.0 / step_s;
+        }
+    }
+    Curve { name: name.to_owned(), points }
+}
--- /dev/null
+++ b/crates/cumincart-load/src/experiment/domain_out.rs
@@ -0,0 +1,102 @@
+//! Service while a failure domain is taken out and comes back.
+
+use {
+    super::{
+        ExperimentError,
+        bench::{Bench, any_route, per_cent, rate_curve},
+        setup,
+    },
+    crate::{
+        plot::Plot,
+        report::{Baseline, NamedPlot, NamedSummary, Report},
+        summary::{Latencies, Sample, Summary},
+        traffic::TrafficSettings,
+    },
+    cumincart_fleet::Deployment,
+    cumincart_protocol::name::DomainName,
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// Before the domain is taken out.
+const OUT_AT: Duration = Duration::from_secs(5);
+
+/// When it is brought back.
+const IN_AT: Duration = Duration::from_secs(11);
+
+const SPAN: Duration = Duration::from_secs(16);
+const LOAD: f64 = 0.5;
+
+/// Runs the experiment.
+pub async fn run(deployment: Deployment, seed: u64) -> Result<Report, ExperimentError> {
+    let name = deployment.name;
+    let domain = deployment.domains[0].clone();
+    let bench = Bench::open(deployment, true).await?;
+    let settings = TrafficSettings {
+        seed,
+        span: SPAN,
+        entries: bench.fleet.entries.len(),
+        skewed: false,
+        uses: any_route,
+        loads: vec![LOAD; bench.organisations.len()],
+    };
+    bench.warm_up(seed, &settings).await;
+    let traffic = bench.traffic(seed, SPAN, LOAD, any_route);
+    let (samples, changed) = tokio::join!(bench.drive(&traffic), out_and_in(&bench, &domain));
+    let (out, back) = changed?;
+    let split = |from: Duration, to: Duration| -> Vec<Sample> {
+        samples.iter().filter(|sample| sample.due >= from && sample.due < to).cloned().collect()
+    };
+    let before = split(Duration::ZERO, OUT_AT);
+    let during = split(OUT_AT, IN_AT);
+    let after = split(IN_AT, SPAN);
+    let mut report = Report::new("domain-out", name, seed);
+    let baseline = not_answered(&before);
+    for (part, samples) in [("while the domain is out", &during), ("after its return", &after)] {
+        let baseline = Baseline { way: "the time before", value: baseline };
+        let name = format!("requests without an answer {part}");
+        report.measure(name, "%", not_answered(samples), Some(baseline), samples.len() as u64);
+        let p99 = |samples: &[Sample]| Latencies::of(samples.iter().map(|sample| sample.latency)).p99;
+        let baseline = Baseline { way: "the time before", value: p99(&before) };
+        report.measure(format!("p99 {part}"), "ms", p99(samples), Some(baseline), samples.len() as u64);
+    }
+    let last = last_work(&bench, &domain, out, back);
+    report.measure("last new work at the domain's endpoints after the order", "s", last, None, 1);
+    for (name, samples) in [("before", &before), ("out", &during), ("back", &after)] {
+        report.runs.push(NamedSummary { name: name.into(), summary: Summary::of(samples) });
+    }
+    let plot = Plot {
+        title: format!("{domain} out from {} s to {} s ({name})", OUT_AT.as_secs(), IN_AT.as_secs()),
+        x_label: "time at which the request was due, in s".into(),
+        y_label: "requests a second".into(),
+        curves: vec![
+            rate_curve("due", &samples, |_| true),
+            rate_curve("answered", &samples, Sample::is_answered),
+        ],
+    };
+    report.plots.push(NamedPlot { file: "answers", plot });
+    Ok(report)
+}
+
+fn not_answered(samples: &[Sample]) -> f64 {
+    per_cent(samples.iter().filter(|sample| !sample.is_answered()).count(), samples.len())
+}
+
+async fn out_and_in(bench: &Bench, domain: &DomainName) -> Result<(Instant, Instant), ExperimentError> {
+    sleep(OUT_AT).await;
+    let out = Instant::now();
+    bench.fleet.set_domain(domain, true).await.map_err(setup)?;
+    sleep((out + (IN_AT - OUT_AT)).saturating_duration_since(Instant::now())).await;
+    let back = Instant::now();
+    bench.fleet.set_domain(domain, false).await.map_err(setup)?;
+    Ok((out, back))
+}
+
+/// The time from the order to the last statement that ran in the domain before its return.
+fn last_work(bench: &Bench, domain: &DomainName, out: Instant, back: Instant) -> f64 {
+    let groups = bench.fleet.groups.iter().flat_map(|group| group.group.databases());
+    let databases = groups.filter(|database| database.announcement().domain == *domain);
+    let times = databases.flat_map(|database| database.ran()).map(|ran| ran.at);
+    let last = times.filter(|at| *at > out && *at < back).max();
+    last.map_or(0.0, |last| (last - out).as_secs_f64())
+}
--- /dev/null
+++ b/crates/cumincart-load/src/experiment/fairness.rs
@@ -0,0 +1,174 @@
+//! How the other organisations fare while one sends several times its rate.
+
+use {
+    super::{
+        ExperimentError,
+        bench::{Bench, per_cent},
+        setup,
+    },
+    crate::{
+        open_loop,
+        report::{Baseline, NamedSummary, Report},
+        summary::{Latencies, Outcome, Sample, Summary},
+        traffic::{Due, TrafficSettings, draw},
+    },
+    cumincart_fleet::Deployment,
+    cumincart_protocol::{
+        lists::{Access, Route},
+        name::ServiceName,
+    },
+    cumincart_standin::{group::Group, settings::GroupSettings},
+    std::{sync::Arc, time::Duration},
+    tokio::sync::{Mutex, Semaphore},
+    tokio_postgres::{Client, NoTls},
+};
+
+const SPAN: Duration = Duration::from_secs(8);
+
+/// The others' load.
+const LOAD: f64 = 0.5;
+
+/// The load of the organisation that sends too much.
+const NOISY_LOAD: f64 = 5.0;
+
+/// Makes the endpoint's slots scarce: with five slots, 1,000 statements a second.
+const STATEMENT_TIME: Duration = Duration::from_millis(5);
+
+/// Runs the experiment on the reads of one service that must see everything, so that all go to its primary.
+pub async fn run(deployment: Deployment, seed: u64) -> Result<Report, ExperimentError> {
+    let name = deployment.name;
+    let deployment = Deployment { statement_time: STATEMENT_TIME, ..deployment };
+    let bench = Bench::open(deployment.clone(), false).await?;
+    let noisy = noisiest(&bench);
+    let settings = |noisy_load: f64| TrafficSettings {
+        seed,
+        span: SPAN,
+        entries: bench.fleet.entries.len(),
+        skewed: false,
+        uses: fresh_reads_of_first_service,
+        loads: (0..bench.organisations.len())
+            .map(|index| if index == noisy { noisy_load } else { LOAD })
+            .collect(),
+    };
+    let alone_traffic = draw(&bench.organisations, &settings(0.0));
+    let noisy_traffic = draw(&bench.organisations, &settings(NOISY_LOAD));
+    bench.warm_up(seed, &settings(LOAD)).await;
+    let alone = bench.drive(&alone_traffic).await;
+    let beside = bench.drive(&noisy_traffic).await;
+    let pool = Pool::open(&deployment).await?;
+    let pool_alone = pool.drive(&alone_traffic).await;
+    let pool_beside = pool.drive(&noisy_traffic).await;
+    let mut report = Report::new("fairness", name, seed);
+    let way = "one pool for all, first come first served";
+    let others = |index: usize| index != noisy;
+    let ours = worst_ratio((&alone_traffic, &alone), (&noisy_traffic, &beside), others);
+    let theirs = worst_ratio((&alone_traffic, &pool_alone), (&noisy_traffic, &pool_beside), others);
+    let requests = noisy_traffic.iter().filter(|due| others(due.organisation)).count();
+    let baseline = Baseline { way, value: theirs };
+    report.measure(
+        "worst other organisation's p99 against alone",
+        "times",
+        ours,
+        Some(baseline),
+        requests as u64,
+    );
+    let unanswered = |samples: &[Sample]| {
+        let of_others = noisy_traffic.iter().zip(samples).filter(|(due, _)| others(due.organisation));
+        per_cent(of_others.filter(|(_, sample)| !sample.is_answered()).count(), requests)
+    };
+    let baseline = Baseline { way, value: unanswered(&pool_beside) };
+    report.measure(
+        "other organisations' requests without an answer",
+        "%",
+        unanswered(&beside),
+        Some(baseline),
+        requests as u64,
+    );
+    for (name, traffic, samples) in [
+        ("others alone", &alone_traffic, &alone),
+        ("others beside the noisy one", &noisy_traffic, &beside),
+        ("pool, others alone", &alone_traffic, &pool_alone),
+        ("pool, others beside the noisy one", &noisy_traffic, &pool_beside),
+    ] {
+        let own = traffic.iter().zip(samples).filter(|(due, _)| others(due.organisation));
+        let own: Vec<Sample> = own.map(|(_, sample)| sample.clone()).collect();
+        report.runs.push(NamedSummary { name: name.into(), summary: Summary::of(&own) });
+    }
+    Ok(report)
+}
+
+fn fresh_reads_of_first_service(service: &str, route: &Route) -> bool {
+    service.ends_with("-1") && route.access == Access::Read && route.max_staleness_ms == 0
+}
+
+/// The organisation with the greatest rate.
+fn noisiest(bench: &Bench) -> usize {
+    let rates = bench.organisations.iter().enumerate();
+    rates.max_by(|a, b| a.1.rate_per_s.total_cmp(&b.1.rate_per_s)).map_or(0, |(index, _)| index)
+}
+
+/// The greatest growth of p99 among the counted organisations.
+fn worst_ratio(
+    (alone_traffic, alone): (&[Due], &[Sample]),
+    (beside_traffic, beside): (&[Due], &[Sample]),
+    counts: impl Fn(usize) -> bool,
+) -> f64 {
+    let organisations = alone_traffic.iter().map(|due| due.organisation).max().map_or(0, |last| last + 1);
+    let ratio = |index: usize| {
+        let before = p99(alone_traffic, alone, index);
+        if before > 0.0 { p99(beside_traffic, beside, index) / before } else { 0.0 }
+    };
+    (0..organisations).filter(|index| counts(*index)).map(ratio).fold(0.0, f64::max)
+}
+
+fn p99(traffic: &[Due], samples: &[Sample], organisation: usize) -> f64 {
+    let own = traffic.iter().zip(samples).filter(|(due, _)| due.organisation == organisation);
+    Latencies::of(own.map(|(_, sample)| sample.latency)).p99
+}
+
+/// The baseline: as many connections as the endpoint accepts, shared by all, straight to a primary of the same kind.
+struct Pool {
+    clients: Arc<Mutex<Vec<Client>>>,
+    free: Arc<Semaphore>,
+    _group: Group,
+}
+
+impl Pool {
+    async fn open(deployment: &Deployment) -> Result<Self, ExperimentError> {
+        let settings = GroupSettings {
+            slots: deployment.slots,
+            connection_limit: deployment.connection_limit,
+            statement_time: STATEMENT_TIME,
+            recording: false,
+            ..GroupSettings::new(ServiceName::from("baseline"), &deployment.domains[..1])
+        };
+        let group = Group::spawn(settings).await.map_err(setup)?;
+        let primary = group.primary().ok_or_else(|| setup("the group has no primary"))?;
+        let address = primary.address();
+        let (host, port) = address.split_once(':').ok_or_else(|| setup("an address has a port"))?;
+        let mut clients = Vec::new();
+        for _ in 0..deployment.connection_limit {
+            let url = format!("host={host} port={port} user=load dbname=load");
+            let (client, connection) = tokio_postgres::connect(&url, NoTls).await.map_err(setup)?;
+            tokio::spawn(connection);
+            clients.push(client);
+        }
+        let free = Arc::new(Semaphore::new(clients.len()));
+        Ok(Self { clients: Arc::new(Mutex::new(clients)), free, _group: group })
+    }
+
+    async fn drive(&self, traffic: &[Due]) -> Vec<Sample> {
+        let due: Vec<Duration> = traffic.iter().map(|due| due.at).collect();
+        open_loop::run(&due, |_| {
+            let (clients, free) = (Arc::clone(&self.clients), Arc::clone(&self.free));
+            async move {
+                let _permit = free.acquire().await.expect("the semaphore is never closed");
+                let client = clients.lock().await.pop().expect("a permit stands for a client");
+                let result = client.query_typed("SELECT 1", &[]).await;
+                clients.lock().await.push(client);
+                if result.is_ok() { Outcome::Answered { from_replica: false } } else { Outcome::Failed }
+            }
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/cumincart-load/src/experiment/replica_reads.rs
@@ -0,0 +1,79 @@
+//! The share of reads that replicas serve.
+
+use {
+    super::{
+        ExperimentError,
+        bench::{Bench, any_route, per_cent},
+    },
+    crate::{
+        report::{Baseline, NamedSummary, Report},
+        summary::{Outcome, Summary},
+        traffic::{Due, TrafficSettings},
+    },
+    cumincart_fleet::Deployment,
+    std::time::Duration,
+};
+
+const SPAN: Duration = Duration::from_secs(10);
+const LOAD: f64 = 0.5;
+
+/// The baseline's rule: a session reads from the primary for this long after each of its writes.
+const STICKY: Duration = Duration::from_secs(1);
+
+/// Runs the experiment.
+pub async fn run(deployment: Deployment, seed: u64) -> Result<Report, ExperimentError> {
+    let name = deployment.name;
+    let bench = Bench::open(deployment, false).await?;
+    let settings = TrafficSettings {
+        seed,
+        span: SPAN,
+        entries: bench.fleet.entries.len(),
+        skewed: false,
+        uses: any_route,
+        loads: vec![LOAD; bench.organisations.len()],
+    };
+    bench.warm_up(seed, &settings).await;
+    let traffic = bench.traffic(seed, SPAN, LOAD, any_route);
+    let samples = bench.drive(&traffic).await;
+    let is_replica = |index: &usize| samples[*index].outcome == Outcome::Answered { from_replica: true };
+    let answered_reads: Vec<usize> = (0..traffic.len())
+        .filter(|index| !traffic[*index].is_write && samples[*index].is_answered())
+        .collect();
+    let tolerant: Vec<usize> =
+        answered_reads.iter().copied().filter(|index| traffic[*index].max_staleness_ms > 0).collect();
+    let sticky = sticky_reads(&traffic, &tolerant);
+    let mut report = Report::new("replica-reads", name, seed);
+    report.measure(
+        "reads that accept an age, served by replicas",
+        "%",
+        per_cent(tolerant.iter().filter(|index| is_replica(index)).count(), tolerant.len()),
+        Some(Baseline {
+            way: "primary for 1 s after each write of the session",
+            value: per_cent(sticky, tolerant.len()),
+        }),
+        tolerant.len() as u64,
+    );
+    report.measure(
+        "all reads, served by replicas",
+        "%",
+        per_cent(answered_reads.iter().filter(|index| is_replica(index)).count(), answered_reads.len()),
+        Some(Baseline { way: "all from the primary", value: 0.0 }),
+        answered_reads.len() as u64,
+    );
+    report.runs.push(NamedSummary { name: "all requests".into(), summary: Summary::of(&samples) });
+    Ok(report)
+}
+
+/// How many of the reads the baseline's rule would let a replica serve.
+fn sticky_reads(traffic: &[Due], reads: &[usize]) -> usize {
+    let wrote_shortly_before = |index: usize| {
+        let read = &traffic[index];
+        let before = traffic[..index].iter().rev().take_while(|due| read.at - due.at <= STICKY);
+        before.into_iter().any(|due| {
+            due.is_write
+                && (due.organisation, due.session) == (read.organisation, read.session)
+                && due.call.service == read.call.service
+        })
+    };
+    reads.iter().filter(|index| !wrote_shortly_before(**index)).count()
+}
--- /dev/null
+++ b/crates/cumincart-load/src/experiment/rolling_restart.rs
@@ -0,0 +1,88 @@
+//! Requests lost while every entry instance is restarted in turn.
+
+use {
+    super::{
+        ExperimentError,
+        bench::{Bench, any_route, per_cent},
+        setup,
+    },
+    crate::{
+        drive::drive,
+        report::{Baseline, NamedSummary, Report},
+        summary::{Sample, Summary},
+        traffic::TrafficSettings,
+    },
+    cumincart_fleet::{Deployment, Fleet},
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+const SPAN: Duration = Duration::from_secs(20);
+const LOAD: f64 = 0.5;
+
+/// From one instance's return to the next one's stop.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// What is counted of a run.
+type Count = fn(&Summary) -> u64;
+
+/// Runs the experiment.
+pub async fn run(deployment: Deployment, seed: u64) -> Result<Report, ExperimentError> {
+    let name = deployment.name;
+    let planned = restart_all(deployment.clone(), seed, true).await?;
+    let killed = restart_all(deployment, seed, false).await?;
+    let mut report = Report::new("rolling-restart", name, seed);
+    let way = "killed instead of stopped";
+    let share =
+        |samples: &[Sample], counts: Count| per_cent(counts(&Summary::of(samples)) as usize, samples.len());
+    let measures: [(&str, Count); 3] = [
+        ("requests cut: no answer or an unknown outcome", |summary| summary.failed + summary.unknown),
+        ("requests refused as not run", |summary| summary.not_run),
+        ("requests answered", |summary| summary.answered),
+    ];
+    for (measure, counts) in measures {
+        let baseline = Baseline { way, value: share(&killed, counts) };
+        report.measure(measure, "%", share(&planned, counts), Some(baseline), planned.len() as u64);
+    }
+    for (name, samples) in [("stopped as planned", &planned), (way, &killed)] {
+        report.runs.push(NamedSummary { name: name.into(), summary: Summary::of(samples) });
+    }
+    Ok(report)
+}
+
+async fn restart_all(
+    deployment: Deployment,
+    seed: u64,
+    planned: bool,
+) -> Result<Vec<Sample>, ExperimentError> {
+    let mut bench = Bench::open(deployment, false).await?;
+    let settings = TrafficSettings {
+        seed,
+        span: SPAN,
+        entries: bench.fleet.entries.len(),
+        skewed: false,
+        uses: any_route,
+        loads: vec![LOAD; bench.organisations.len()],
+    };
+    bench.warm_up(seed, &settings).await;
+    let traffic = bench.traffic(seed, SPAN, LOAD, any_route);
+    let Bench { fleet, organisations, balancer } = &mut bench;
+    let (samples, restarted) =
+        tokio::join!(drive(organisations, balancer, &traffic), restart_in_turn(fleet, planned));
+    restarted?;
+    Ok(samples)
+}
+
+async fn restart_in_turn(fleet: &mut Fleet, planned: bool) -> Result<(), ExperimentError> {
+    for index in 0..fleet.entries.len() {
+        sleep(PAUSE).await;
+        if planned {
+            fleet.stop_entry(index).await;
+        } else {
+            fleet.kill_entry(index);
+        }
+        fleet.start_entry(index).await.map_err(setup)?;
+        fleet.wait_until_serving().await.map_err(setup)?;
+    }
+    Ok(())
+}
--- a/crates/cumincart-load/src/lib.rs
+++ b/crates/cumincart-load/src/lib.rs
@@ -4,10 +4,14 @@
 //! on, so that a slow answer can't hide the requests that wait behind it.
 
 pub mod arrivals;
-pub mod caller;
+pub mod balancer;
+pub mod bucket;
+pub mod drive;
 pub mod experiment;
 pub mod open_loop;
 pub mod plot;
 pub mod relay;
 pub mod report;
+pub mod session;
 pub mod summary;
+pub mod traffic;
--- a/crates/cumincart-load/src/main.rs
+++ b/crates/cumincart-load/src/main.rs
@@ -14,6 +14,13 @@
             Command::new("experiment")
                 .about("Runs an experiment beside its baseline and prints its measures")
                 .arg(Arg::new("name").required(true).help("The experiment").value_parser(experiment::NAMES))
+                .arg(
+                    Arg::new("deployment")
+                        .long("deployment")
+                        .default_value("telvara")
+                        .value_parser(experiment::DEPLOYMENTS)
+                        .help("Whose sizes and lists to use"),
+                )
                 .arg(
                     Arg::new("seed")
                         .long("seed")
@@ -36,7 +43,8 @@
     let Some(("experiment", arguments)) = arguments.subcommand() else { return Ok(()) };
     let name = arguments.get_one::<String>("name").map_or("", String::as_str);
     let seed = arguments.get_one("seed").copied().unwrap_or(1);
-    let report = experiment::run(name, seed).await?;
+    let deployment = arguments.get_one::<String>("deployment").map_or("", String::as_str);
+    let report = experiment::run(name, deployment, seed).await?;
     print!("{report}");
     if let Some(folder) = arguments.get_one::<PathBuf>("out") {
         report.write(folder)?;
--- /dev/null
+++ b/crates/cumincart-load/src/session.rs
@@ -0,0 +1,64 @@
+//! Sessions that several requests use at once.
+
+use {
+    crate::summary::Outcome,
+    cumincart_fleet::{Answered, Caller, Reply, caller::CallOptions},
+    cumincart_protocol::request::Value,
+    std::{
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+};
+
+/// How long a caller waits at most; longer than any route's deadline.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// A call of one route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// The service.
+    pub service: Arc<str>,
+    /// The route.
+    pub route: Arc<str>,
+    /// The named arguments.
+    pub arguments: Vec<(&'static str, Value)>,
+    /// The id of a request that may not be repeated.
+    pub request_id: Option<String>,
+}
+
+/// One session; clones share it. A request takes the newest token that is known when it is sent.
+#[derive(Debug, Clone)]
+pub struct Session {
+    caller: Arc<Mutex<Caller>>,
+}
+
+impl Session {
+    /// A session that has seen nothing yet.
+    pub fn new(key: Option<&str>) -> Self {
+        Self { caller: Arc::new(Mutex::new(Caller::new(key))) }
+    }
+
+    /// Calls a route through the entry instance at this base URL.
+    pub async fn call(&self, entry: &str, call: &Call) -> Outcome {
+        let mut caller = self.lock().clone();
+        let options = CallOptions { request_id: call.request_id.as_deref(), ..CallOptions::default() };
+        let asked = caller.call_with(entry, &call.service, &call.route, &call.arguments, options);
+        let Ok(answered) = tokio::time::timeout(ANSWER_TIMEOUT, asked).await else { return Outcome::Failed };
+        if answered.rows().is_some() {
+            *self.lock() = caller;
+        }
+        outcome(answered)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Caller> {
+        self.caller.lock().expect("nothing panics under this lock")
+    }
+}
+
+fn outcome(answered: Answered) -> Outcome {
+    match answered.reply {
+        Reply::Rows(_) => Outcome::Answered { from_replica: answered.from_replica },
+        Reply::Refused(refusal) => Outcome::Refused(refusal),
+        Reply::Broken(_) => Outcome::Failed,
+    }
+}
--- a/crates/cumincart-standin/src/engine.rs
+++ b/crates/cumincart-standin/src/engine.rs
@@ -196,7 +196,8 @@
         }
         let rows = if output.columns.is_empty() { output.affected } else { output.rows.len() as u64 };
         let timeline = self.timeline;
-        self.ran.push(RanStatement { transaction, statement: statement.clone(), timeline, rows, end });
+        let at = Instant::now();
+        self.ran.push(RanStatement { transaction, statement: statement.clone(), timeline, rows, at, end });
     }
 
     /// Records how a transaction ended.
--- a/crates/cumincart-standin/src/record.rs
+++ b/crates/cumincart-standin/src/record.rs
@@ -5,7 +5,7 @@
         number::{LogPosition, Timeline},
         request::Statement,
     },
-    std::sync::Mutex,
+    std::{sync::Mutex, time::Instant},
 };
 
 /// The most bytes that one database keeps; later ones are dropped and the recording is marked as incomplete.
@@ -33,6 +33,8 @@
     pub timeline: Timeline,
     /// How many rows it changed or gave.
     pub rows: u64,
+    /// When it ran.
+    pub at: Instant,
     /// How its transaction ended.
     pub end: End,
 }
