Wait for the leases of an earlier leader too

A leader that was just elected lists none of the instances that hold leases of its predecessor, and those may still act on an older revision.

Change: the status body carries `earlier_leases_left_ms`, which the control core knows already; the wait ends only at 0. Shared type: `protocol::operator_api::StatusBody` has the field; the control daemon fills it in.

Before: two new tests failed: the wait ended at the first look (1 instead of 2), and a wait that was cut short ended with exit code 0 instead of 7. After: `cargo test -p cumincart-cli` passes 60 tests.

--- a/crates/cumincart-cli/src/wait.rs
+++ b/crates/cumincart-cli/src/wait.rs
@@ -25,6 +25,8 @@
     pub lease_ran_out: Vec<InstanceName>,
     /// Instances that did not confirm it and still hold a lease.
     pub waiting: Vec<WaitingInstance>,
+    /// How long leases that an earlier leader gave to instances not listed here may still run.
+    pub earlier_leases_left_ms: u64,
 }
 
 /// An instance that may still act on an earlier revision.
@@ -41,7 +43,8 @@
 impl InForce {
     /// Sorts the instances of a status by whether `revision` is in force there.
     pub fn of(status: &StatusBody, revision: Revision) -> Self {
-        let mut in_force = Self::default();
+        let earlier_leases_left_ms = status.earlier_leases_left_ms;
+        let mut in_force = Self { earlier_leases_left_ms, ..Self::default() };
         for instance in &status.instances {
             in_force.add(instance, revision);
         }
@@ -65,7 +68,7 @@
 
     /// Whether no instance can act on an earlier revision.
     pub fn is_everywhere(&self) -> bool {
-        self.waiting.is_empty()
+        self.waiting.is_empty() && self.earlier_leases_left_ms == 0
     }
 
     /// The state in lines for people.
@@ -83,6 +86,12 @@
                 waiting.instance, waiting.revision, waiting.lease_left_ms
             ));
         }
+        if self.earlier_leases_left_ms > 0 {
+            lines.push(format!(
+                "instances that are not listed may hold leases of an earlier leader for {} ms more",
+                self.earlier_leases_left_ms
+            ));
+        }
         lines.join("\n")
     }
 }
--- a/crates/cumincart-cli/tests/commands/apply.rs
+++ b/crates/cumincart-cli/tests/commands/apply.rs
@@ -162,6 +162,47 @@
     assert_eq!(control.requests("GET /v1/status").len(), 2);
 }
 
+#[tokio::test]
+async fn wait_does_not_end_while_leases_of_an_earlier_leader_may_run() {
+    let looks = AtomicU64::new(0);
+    let control = FakeControl::bind(move |request| {
+        // The first look reaches a leader that was just elected and knows no instance yet.
+        let look = || {
+            let is_first = looks.fetch_add(1, Ordering::SeqCst) == 0;
+            let mut body = status(41);
+            body["earlier_leases_left_ms"] = json!(if is_first { 900 } else { 0 });
+            if is_first {
+                body["instances"] = json!([]);
+            }
+            body
+        };
+        (request.line == "GET /v1/status").then(|| Answer::Json(200, look()))
+    })
+    .await;
+    let finished = Files::write().run(&apply(&[&control], "--change-id edit-23 --wait")).await;
+    assert_eq!(finished.code, exit::DONE, "{}", finished.stderr);
+    assert_eq!(control.requests("GET /v1/status").len(), 2);
+    assert!(finished.stdout.contains("in force everywhere; instances that confirmed it: 1"));
+}
+
+#[tokio::test]
+async fn a_wait_that_ends_before_earlier_leases_tells_so() {
+    let control = FakeControl::bind(|request| {
+        let mut body = status(41);
+        body["earlier_leases_left_ms"] = json!(900);
+        (request.line == "GET /v1/status").then_some(Answer::Json(200, body))
+    })
+    .await;
+    let finished =
+        Files::write().run(&apply(&[&control], "--change-id e --wait --wait-timeout-ms 150")).await;
+    assert_eq!(finished.code, exit::NOT_IN_FORCE, "{}", finished.stderr);
+    let expected = "accepted: change e, revision 41, lists revision 7\n\
+        not in force everywhere; instances that confirmed it: 1\n\
+        varna-a-entry-1 has not confirmed it; its lease has run out, so it refuses keyed requests\n\
+        instances that are not listed may hold leases of an earlier leader for 900 ms more\n";
+    assert_eq!(finished.stdout, expected);
+}
+
 #[tokio::test]
 async fn wait_names_who_may_still_act_on_the_earlier_revision() {
     let control = FakeControl::bind(|request| {
--- a/crates/cumincart-cli/tests/commands/fake_control.rs
+++ b/crates/cumincart-cli/tests/commands/fake_control.rs
@@ -147,6 +147,7 @@
             {"instance": "sofia-a-entry-1", "incarnation": 5, "revision": confirmed, "lease_left_ms": 3200},
             {"instance": "varna-a-entry-1", "incarnation": 6, "revision": 40, "lease_left_ms": 0},
         ],
+        "earlier_leases_left_ms": 0,
         "groups": [{"service": "pbx", "term": 2, "primary": "pbx-1", "writable": true, "endpoints": [
             {"endpoint": "pbx-1", "address": "10.10.1.30:5432", "domain": "sofia-a", "leaving": false,
              "announced": {"role": "primary", "timeline": 2, "position": 900, "lag_ms": 0, "age_ms": 120}},
--- a/crates/cumincart-control/src/http/status.rs
+++ b/crates/cumincart-control/src/http/status.rs
@@ -47,6 +47,7 @@
         instances_out: catalogue.instances_out.iter().cloned().collect(),
         members: member_bodies(&status.members),
         instances: status.instances.iter().map(instance_body).collect(),
+        earlier_leases_left_ms: status.earlier_leases_left_ms,
         groups: catalogue.groups.iter().map(|group| group_body(group, &status.endpoints)).collect(),
     }
 }
--- a/crates/cumincart-protocol/src/operator_api.rs
+++ b/crates/cumincart-protocol/src/operator_api.rs
@@ -41,6 +41,8 @@
     pub members: Vec<MemberBody>,
     /// The entry instances that hold a lease or held one lately.
     pub instances: Vec<InstanceBody>,
+    /// How long leases that an earlier leader gave to instances not listed here may still run.
+    pub earlier_leases_left_ms: u64,
     /// The database groups.
     pub groups: Vec<GroupBody>,
 }
