Test the operators' command against a running fleet, and mend what that found

Cause: the command was tested against a fake alone. Against a fleet of three control and three entry instances, two of five new tests failed. An entry instance in a failure domain that was out stayed ready for the 30 s that the test waits: `/health/ready` looked only at the freshness lease. `dump` of an entry instance was not JSON but a `Debug` text, and `dump` took no comma between addresses, as `--control` elsewhere does.

Ruled out: the change not reaching the instance; it had confirmed the revision before the wait began.

Change: `dump` splits addresses at commas.

Before: 3 of 5 tests passed.

--- a/crates/cumincart-cli/src/commands/dump.rs
+++ b/crates/cumincart-cli/src/commands/dump.rs
@@ -43,6 +43,7 @@
     Arg::new(name)
         .long(name)
         .value_name("URL")
+        .value_delimiter(',')
         .action(ArgAction::Append)
         .value_parser(ControlUrl::parse)
         .help(help)
--- /dev/null
+++ b/crates/cumincart-cli/tests/fleet.rs
@@ -0,0 +1,156 @@
+//! The commands against a running fleet, over real sockets.
+
+use {
+    cumincart_cli::{execute, exit, report::Finished},
+    cumincart_fleet::{
+        Answered, Caller, Deployment, Fleet, FleetOptions,
+        fleet::{OPERATOR_TOKEN, wait_for},
+    },
+    cumincart_protocol::{refusal::RefusalCode, request::Value, verdict::Verdict},
+    cumincart_runtime::logging,
+    serde_json::Value as Json,
+    std::{ffi::OsString, fs},
+    tempfile::TempDir,
+};
+
+const SERVICE: &str = "pbx-organisations-1";
+const WITHDRAWN: &str = "trakia-taxi-2026";
+
+/// A fleet, and an operator's folder with the token and the deployment's lists.
+struct Operator {
+    fleet: Fleet,
+    folder: TempDir,
+}
+
+impl Operator {
+    async fn open() -> Self {
+        let options = FleetOptions { entries_per_domain: 1, ..FleetOptions::new(logging::discard()) };
+        let fleet = Fleet::spawn(Deployment::telvara(), options).await.expect("the fleet starts");
+        let folder = TempDir::new().expect("a temporary folder can be made");
+        let operator = Self { fleet, folder };
+        operator.put("token", OPERATOR_TOKEN);
+        operator.put("organisations.jsonc", &operator.fleet.deployment.organisations);
+        operator.put("plans.jsonc", &operator.fleet.deployment.plans);
+        operator
+    }
+
+    fn put(&self, name: &str, text: &str) {
+        fs::write(self.folder.path().join(name), text).expect("the temporary folder takes files");
+    }
+
+    /// Runs a command with the addresses of all control instances and the token.
+    async fn run(&self, arguments: &str) -> Finished {
+        let folder = self.folder.path().display().to_string();
+        let controls = self.fleet.control_urls().join(",");
+        let line = format!("cumincart {arguments} --control {controls} --token-file FILES/token");
+        let line = line
+            .replace("LISTS", "--organisations FILES/organisations.jsonc --plans FILES/plans.jsonc")
+            .replace("FILES", &folder);
+        execute(line.split(' ').map(OsString::from)).await
+    }
+
+    /// Takes a key out of the operator's list of organisations.
+    fn withdraw_key(&self, id: &str) {
+        let lines = self.fleet.deployment.organisations.lines();
+        let kept: Vec<&str> = lines.filter(|line| !line.contains(&format!("\"{id}\""))).collect();
+        self.put("organisations.jsonc", &kept.join("\n"));
+    }
+
+    async fn call(&self, entry: usize, key: &str) -> Answered {
+        let mut caller = Caller::new(Some(key));
+        let number = [("number", Value::Text("+359-1".into()))];
+        caller.call(&self.fleet.entries[entry].url(), SERVICE, "call-setup", &number).await
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn after_apply_waited_a_withdrawn_key_is_refused_at_every_entry_instance() {
+    let operator = Operator::open().await;
+    let key = format!("example-only-{WITHDRAWN}");
+    for entry in 0..operator.fleet.entries.len() {
+        let before = operator.call(entry, &key).await;
+        let refused = before.refusal().is_some_and(|refusal| refusal.code == RefusalCode::KeyRefused);
+        assert!(!refused, "{before:?}");
+    }
+
+    operator.withdraw_key(WITHDRAWN);
+    let diff = operator.run("diff LISTS").await;
+    assert_eq!(diff.stdout, "differences to lists revision 1:\n- key trakia-taxi/trakia-taxi-2026\n");
+    let applied = operator.run("apply LISTS --wait").await;
+    assert_eq!(applied.code, exit::DONE, "{applied:?}");
+
+    // No wait: the command has ended, so the key must have stopped working everywhere.
+    for entry in 0..operator.fleet.entries.len() {
+        let after = operator.call(entry, &key).await;
+        let refusal = after.refusal().expect("the key is withdrawn");
+        assert_eq!((refusal.code, refusal.verdict), (RefusalCode::KeyRefused, Verdict::NotRun));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn of_two_operators_with_one_base_one_wins_and_the_other_is_told() {
+    let operator = Operator::open().await;
+    operator.withdraw_key(WITHDRAWN);
+    let apply = "apply LISTS --base 1 --json";
+    let (left, right) = tokio::join!(operator.run(apply), operator.run(apply));
+    let mut codes = [left.code, right.code];
+    codes.sort_unstable();
+    assert_eq!(codes, [exit::DONE, exit::CONFLICT], "{left:?} {right:?}");
+    let loser = if left.code == exit::CONFLICT { left } else { right };
+    let report: Json = serde_json::from_str(&loser.stdout).expect("the report is JSON");
+    assert_eq!((&report["base"], &report["current"]), (&Json::from(1), &Json::from(2)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_change_sent_again_gets_its_first_outcome_from_the_next_leader() {
+    let mut operator = Operator::open().await;
+    operator.withdraw_key(WITHDRAWN);
+    let apply = "apply LISTS --change-id edit-1";
+    let first = operator.run(apply).await;
+    assert_eq!(first.code, exit::DONE, "{first:?}");
+
+    let status = operator.run("status --json").await;
+    let status: Json = serde_json::from_str(&status.stdout).expect("the status is JSON");
+    let leader = status["leader"].as_str().expect("the leader has a name");
+    let is_leader = |slot: &cumincart_fleet::fleet::ControlSlot| slot.options.instance.as_str() == leader;
+    let index = operator.fleet.controls.iter().position(is_leader).expect("the leader is of this fleet");
+    operator.fleet.kill_control(index).await;
+
+    let again = operator.run(apply).await;
+    assert_eq!((again.stdout, again.code), (first.stdout, exit::DONE), "{}", again.stderr);
+    assert_eq!(operator.fleet.status().await.expect("two of three answer").catalogue.lists_revision.0, 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_failure_domain_is_taken_out_and_brought_back() {
+    let operator = Operator::open().await;
+    let out = operator.run("domain out varna-a --wait").await;
+    assert_eq!(out.code, exit::DONE, "{out:?}");
+    let status = operator.run("status").await;
+    assert!(status.stdout.contains("failure domains: varna-a;"), "{}", status.stdout);
+    let ready = format!("{}/health/ready", operator.fleet.entries[2].url());
+    let is_ready = async || reqwest::get(&ready).await.is_ok_and(|response| response.status().is_success());
+    wait_for("the instance there is not ready".to_owned(), async || !is_ready().await)
+        .await
+        .expect("a failure domain that is out gets no new work");
+
+    let back = operator.run("domain in varna-a --wait").await;
+    assert_eq!(back.code, exit::DONE, "{back:?}");
+    wait_for("the instance there is ready".to_owned(), is_ready).await.expect("it is back in service");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_dump_shows_a_keys_digest_or_the_token() {
+    let operator = Operator::open().await;
+    let entries: Vec<String> =
+        operator.fleet.entries.iter().map(|entry| format!("--entry {}", entry.url())).collect();
+    let dump = operator.run(&format!("dump {}", entries.join(" "))).await;
+    assert_eq!(dump.code, exit::DONE, "{}", dump.stdout);
+    let lists = operator.fleet.deployment.lists().expect("the example is good");
+    for organisation in &lists.organisations.organisations {
+        for key in &organisation.keys {
+            assert!(!dump.stdout.contains(&*key.sha256), "the digest of {} is shown", key.id);
+        }
+    }
+    assert!(!dump.stdout.contains(OPERATOR_TOKEN));
+}
