Add the callers' and operators' pages and the API document

Cause: callers and operators need pages, and pages that nothing checks go out of date.

Change: docs/callers.md, docs/openapi.json, docs/operators/ (command line, settings, lists). Tests compare them with the types, the command line, the checks' codes and the schemas, and send every request of the API document to running daemons. Found by the latter and mended in the entry daemon's `http/catchers.rs`: `/dump` without the operator token answered 400 with `bad_request` instead of 401, so the command could not tell a wrong token.

--- /dev/null
+++ b/crates/cumincart-cli/tests/api_document.rs
@@ -0,0 +1,114 @@
+//! The API document agrees with the daemons, with the types and with the callers' page.
+
+use {
+    cumincart_fleet::{Deployment, Fleet, FleetOptions},
+    cumincart_protocol::refusal::{Refusal, RefusalCode},
+    cumincart_runtime::logging,
+    reqwest::Method,
+    schemars::schema_for,
+    serde_json::Value,
+    std::{fs, path::PathBuf},
+};
+
+fn read(name: &str) -> String {
+    let path: PathBuf = [env!("CARGO_MANIFEST_DIR"), "..", "..", "docs", name].iter().collect();
+    fs::read_to_string(path).expect("the page is there")
+}
+
+fn document() -> Value {
+    serde_json::from_str(&read("openapi.json")).expect("the document is JSON")
+}
+
+/// A request of the document.
+struct Operation {
+    method: String,
+    path: String,
+    tag: String,
+    statuses: Vec<u16>,
+}
+
+fn operations() -> Vec<Operation> {
+    let document = document();
+    let paths = document["paths"].as_object().expect("the paths are an object");
+    let mut operations = Vec::new();
+    for (path, methods) in paths {
+        for (method, operation) in methods.as_object().expect("a path is an object") {
+            let Some(responses) = operation["responses"].as_object() else { continue };
+            operations.push(Operation {
+                method: method.to_uppercase(),
+                path: path.clone(),
+                tag: operation["tags"][0].as_str().expect("each operation has a tag").to_owned(),
+                statuses: responses.keys().map(|status| status.parse().expect("a status")).collect(),
+            });
+        }
+    }
+    operations
+}
+
+#[test]
+fn every_request_of_the_callers_page_is_in_the_document_and_the_other_way_round() {
+    let page = read("callers.md");
+    let row = |line: &str| Some(line.strip_prefix("| `")?.split_once('`')?.0.to_owned());
+    let mut told: Vec<String> =
+        page.lines().filter_map(row).filter(|cell| cell.starts_with("POST ")).collect();
+    let mut described: Vec<String> = operations()
+        .iter()
+        .filter(|operation| operation.tag == "callers")
+        .map(|operation| format!("{} {}", operation.method, operation.path))
+        .collect();
+    told.sort();
+    described.sort();
+    assert_eq!(told, described);
+}
+
+#[test]
+fn every_refusal_code_is_in_the_document_and_on_the_callers_page() {
+    let schema = serde_json::to_value(schema_for!(RefusalCode)).expect("a schema is JSON");
+    let variants = schema["oneOf"].as_array().expect("the codes are alternatives");
+    let codes: Vec<&str> = variants.iter().filter_map(|variant| variant["const"].as_str()).collect();
+    assert_eq!(document()["components"]["schemas"]["RefusalCode"]["enum"], serde_json::json!(codes));
+    let page = read("callers.md");
+    for code in codes {
+        assert!(page.contains(&format!("\n| `{code}` | ")), "{code} is missing from the callers' page");
+    }
+}
+
+#[test]
+fn a_refusals_fields_are_those_of_the_type() {
+    let schema = serde_json::to_value(schema_for!(Refusal)).expect("a schema is JSON");
+    let fields = |schema: &Value| {
+        let properties = schema["properties"].as_object().expect("a refusal has fields");
+        let mut names: Vec<String> = properties.keys().cloned().collect();
+        names.sort();
+        names
+    };
+    assert_eq!(fields(&document()["components"]["schemas"]["Refusal"]), fields(&schema));
+}
+
+/// Sends each request of the document, without key, token and body, to a running daemon. The daemon must serve the
+/// path and answer with a status that the document names.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemons_serve_every_path_with_the_statuses_of_the_document() {
+    let options =
+        FleetOptions { controls: 1, entries_per_domain: 1, ..FleetOptions::new(logging::discard()) };
+    let fleet = Fleet::spawn(Deployment::telvara(), options).await.expect("the fleet starts");
+    let (entry, control) = (fleet.entries[0].url(), fleet.control_urls()[0].to_string());
+    for operation in operations() {
+        let bases = match operation.tag.as_str() {
+            "callers" | "entry operators" => vec![&entry],
+            "platform" => vec![&entry, &control],
+            _ => vec![&control],
+        };
+        let path =
+            operation.path.replace("{service}", "pbx-organisations-1").replace("{route}", "call-setup");
+        for base in bases {
+            let method: Method = operation.method.parse().expect("a method");
+            let request = reqwest::Client::new().request(method, format!("{base}{path}"));
+            let response = request.send().await.expect("the daemon answers");
+            let (status, name) = (response.status().as_u16(), format!("{} {path}", operation.method));
+            let body = response.text().await.expect("the answer is text");
+            assert!(operation.statuses.contains(&status), "{name} answered {status}: {body}");
+            assert!(!body.contains("there is nothing at this path"), "{name} is not served: {body}");
+        }
+    }
+}
--- a/crates/cumincart-entry/src/http/catchers.rs
+++ b/crates/cumincart-entry/src/http/catchers.rs
@@ -14,6 +14,7 @@
 #[catch(default)]
 fn not_served(status: Status, _: &Request<'_>) -> RefusalResponse {
     let refusal = match status.code {
+        401 => Refusal::not_run(RefusalCode::KeyRefused, "the operator token is missing or wrong"),
         404 => Refusal::not_run(RefusalCode::RouteUnknown, "there is nothing at this path"),
         413 => Refusal::not_run(RefusalCode::BadRequest, "the body is too large"),
         400..=499 => Refusal::not_run(RefusalCode::BadRequest, status.reason_lossy()),
