Check long lists in less time

Cause: for each route that a plan names, the check went through all services, all routes of the service and all routes that the plan had named before.

Change: services and routes are kept in order and searched by bisection.

--- a/crates/cumincart-config/src/lists/plans.rs
+++ b/crates/cumincart-config/src/lists/plans.rs
@@ -5,15 +5,15 @@
     crate::{
         problem::ProblemKind,
         read::{
-            Declared, Fields, Notes, SCHEMA_FIELD, check_name, near_name, read_array, read_number, read_text,
-            read_unsigned,
+            Declared, Fields, Notes, SCHEMA_FIELD, Spanned, check_name, near_name, read_array, read_number,
+            read_text, read_unsigned,
         },
     },
     cumincart_protocol::{
         lists::{Plan, PlanList, RouteReference},
         name::{PlanName, RouteName, ServiceName},
     },
-    jsonc_parser::ast::Value,
+    jsonc_parser::{ast::Value, common::Ranged},
     std::sync::Arc,
 };
 
@@ -108,15 +108,17 @@
     notes: &mut Notes<'_>,
 ) -> Vec<RouteReference> {
     let mut references = Vec::new();
+    let mut named = Declared::default();
     for element in read_array(value, "routes", notes).unwrap_or_default() {
         let Some(reference) = read_reference(element, plan, services, notes) else { continue };
-        if references.contains(&reference) {
+        let name = format!("{}/{}", reference.service, reference.route).into();
+        if named.add(&Spanned { value: name, range: element.range() }).is_some() {
             let kind = ProblemKind::RepeatedRoute {
                 plan: plan.to_owned(),
                 service: reference.service.to_string(),
                 route: reference.route.to_string(),
             };
-            notes.add(jsonc_parser::common::Ranged::range(element), kind);
+            notes.add(element.range(), kind);
         } else {
             references.push(reference);
         }
@@ -136,14 +138,15 @@
     let (service, route) = (service?, route?);
     let reference =
         RouteReference { service: ServiceName::from(&*service.value), route: RouteName::from(&*route.value) };
-    let Some(known) = services.iter().find(|known| known.name == service.value) else {
+    let Ok(index) = services.binary_search_by(|known| known.name.cmp(&service.value)) else {
         let names = services.iter().map(|known| &*known.name);
         let help = near_name(&service.value, names, "the services are");
         let (plan, service_name) = (plan.to_owned(), service.value.to_string());
         notes.add(service.range, ProblemKind::UnknownService { plan, service: service_name, help });
         return Some(reference);
     };
-    if !known.routes.contains(&route.value) {
+    let known = &services[index];
+    if known.routes.binary_search(&route.value).is_err() {
         let names = known.routes.iter().map(|name| &**name);
         let kind = ProblemKind::UnknownRoute {
             plan: plan.to_owned(),
--- a/crates/cumincart-config/src/lists/services.rs
+++ b/crates/cumincart-config/src/lists/services.rs
@@ -44,7 +44,7 @@
     "statement",
 ];
 
-/// A service's name and its routes' names, also of those with problems.
+/// A service's name and its routes' names in order, also of those with problems.
 #[derive(Debug)]
 pub struct KnownService {
     /// The service.
@@ -58,7 +58,7 @@
 pub struct ReadServices {
     /// The services.
     pub list: Vec<Service>,
-    /// All names.
+    /// All names, in order of the services' names.
     pub known: Vec<KnownService>,
 }
 
@@ -71,6 +71,7 @@
         let service = read_service(element, &mut read.known, &mut declared, notes);
         read.list.extend(service);
     }
+    read.known.sort_by(|left, right| left.name.cmp(&right.name));
     Some(read)
 }
 
@@ -104,6 +105,7 @@
     for element in elements {
         routes.extend(read_route(element, &mut route_names, &mut declared_routes, notes));
     }
+    route_names.sort();
     let name = name?.value;
     known.push(KnownService { name: Arc::clone(&name), routes: route_names });
     Some(Service { name: ServiceName::from(&*name), routes })
