Count no parameters in escape strings

Cause: PostgreSQL's escape strings (`E'it\'s $2'`) can hold a quote behind a backslash. The check of a fixed statement's parameters took the quote as the string's end and refused a good statement as using an undeclared parameter.

Change: the scanner skips escape strings whole.

Before: of nine new cases one failed, with `undeclared_parameter`. After: `cargo test -p cumincart-config` passes.

--- a/crates/cumincart-config/src/lists/sql.rs
+++ b/crates/cumincart-config/src/lists/sql.rs
@@ -11,9 +11,7 @@
             '-' if rest.starts_with("--") => rest.find('\n').unwrap_or(rest.len()),
             '/' if rest.starts_with("/*") => comment_length(rest),
             '$' => parameter_length(rest, &mut used),
-            letter if is_word(letter) => {
-                rest.find(|other| !is_word(other) && other != '$').unwrap_or(rest.len())
-            }
+            letter if is_word(letter) => word_length(rest),
             other => other.len_utf8(),
         };
         rest = &rest[length..];
@@ -27,6 +25,29 @@
     letter == '_' || letter.is_alphanumeric()
 }
 
+/// A word, with the string behind it where the word is the `E` of an escape string.
+fn word_length(text: &str) -> usize {
+    let length = text.find(|letter| !is_word(letter) && letter != '$').unwrap_or(text.len());
+    if text[..length].eq_ignore_ascii_case("e") && text[length..].starts_with('\'') {
+        return length + escape_string_length(&text[length..]);
+    }
+    length
+}
+
+/// In an escape string a backslash takes the meaning from the character behind it.
+fn escape_string_length(text: &str) -> usize {
+    let mut is_escaped = false;
+    for (index, letter) in text.char_indices().skip(1) {
+        match letter {
+            _ if is_escaped => is_escaped = false,
+            '\\' => is_escaped = true,
+            '\'' => return index + 1,
+            _ => {}
+        }
+    }
+    text.len()
+}
+
 /// A doubled quote inside is read as two neighbouring strings, which has the same length.
 fn quoted_length(text: &str, quote: char) -> usize {
     text[1..].find(quote).map_or(text.len(), |end| end + 2)
--- a/crates/cumincart-config/tests/lists.rs
+++ b/crates/cumincart-config/tests/lists.rs
@@ -78,6 +78,23 @@
     assert_eq!(statement.parameters, expected);
 }
 
+#[test_case(r"select E'it\\'s $2', $1"; "escape string")]
+#[test_case(r"select e'\\\\', $1, '$2'"; "escaped backslash")]
+#[test_case(r"select 'it''s $2', $1"; "doubled quote")]
+#[test_case(r"select name'$2', $1"; "string after a word")]
+#[test_case(r"select a$2, $1"; "dollar in a name")]
+#[test_case(r"select $a$ $2 $$ $3 $a$, $1"; "dollar quotes with a tag")]
+#[test_case(r"select $1 /* $2 /* $3 */ $4 */"; "nested comment")]
+#[test_case(r"select $1 -- $2"; "comment to the end of the line")]
+#[test_case(r"select 'é', $1::text"; "cast and letters beyond ASCII")]
+fn only_parameters_outside_of_strings_names_and_comments_count(sql: &str) {
+    let plans = plans_with_route(&format!(
+        r#"{{"name": "r", "access": "read", "statement": {{"sql": "{sql}", "parameters": ["organisation"]}}}}"#
+    ));
+    let found = parse(r#"{"organisations": []}"#, &plans).map_err(|error| format!("{:?}", error.problems()));
+    assert!(found.is_ok(), "{found:?}");
+}
+
 #[test]
 fn the_schema_field_is_allowed_in_the_outermost_object() {
     let organisations = r#"{"$schema": "../schemas/organisations.schema.json", "organisations": []}"#;
