Check sessions on a route that replicas serve, and end a failed failover early

The demo's check of read-your-writes used a route that accepts no staleness, so the primary served every read and the check held even with the session token dropped. It now uses the extension directory, whose reads go to replicas.

The data path's measures take the grant's new field.

--- a/crates/cumincart-cli/src/demo/checks/failover.rs
+++ b/crates/cumincart-cli/src/demo/checks/failover.rs
@@ -39,9 +39,14 @@
         primary.crash();
     }
     let failed_at = Instant::now();
-    acknowledged.extend(write_until_told(scene, &mut caller, RECORDS).await);
+    let first = write_until_told(scene, &mut caller, RECORDS).await;
     let gap = failed_at.elapsed();
+    let is_replaced = first.is_some();
+    acknowledged.extend(first);
     for number in RECORDS + 1..2 * RECORDS {
+        if !is_replaced {
+            break;
+        }
         acknowledged.extend(write_until_told(scene, &mut caller, number).await);
     }
     let stored = stored_records(scene)?;
--- a/crates/cumincart-cli/src/demo/checks/sessions.rs
+++ b/crates/cumincart-cli/src/demo/checks/sessions.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Breakage, CheckOutcome, Scene},
-    crate::demo::scene::{KEY, SERVICE, read_rule, save_rule, text},
+    crate::demo::scene::{KEY, read_extension, save_extension, text},
     cumincart_fleet::Caller,
 };
 
@@ -16,14 +16,14 @@
     let mut from_replica = 0;
     for round in 0..ROUNDS {
         let target = format!("desk-{round}");
-        if save_rule(&mut caller, &scene.url(round), SERVICE, &target).await.rows().is_none() {
+        if save_extension(&mut caller, &scene.url(round), &target).await.rows().is_none() {
             unanswered += 1;
             continue;
         }
         if scene.breaks(Breakage::Sessions) {
             caller.forget_session();
         }
-        let answered = read_rule(&mut caller, &scene.url(round + 1), SERVICE).await;
+        let answered = read_extension(&mut caller, &scene.url(round + 1)).await;
         from_replica += usize::from(answered.from_replica);
         match answered.rows() {
             Some(rows) if rows.rows == [[text(&target)]] => {}
--- a/crates/cumincart-cli/src/demo/scene.rs
+++ b/crates/cumincart-cli/src/demo/scene.rs
@@ -38,28 +38,26 @@
     }
 }
 
+/// Saves where an extension rings; the route is repeatable.
+pub(super) async fn save_extension(caller: &mut Caller, url: &str, desk_phone: &str) -> Answered {
+    let arguments = [("extension", text("12")), ("desk_phone", text(desk_phone))];
+    call_until_told(caller, url, SERVICE, "save-extension", &arguments).await
+}
+
+/// Reads where an extension rings; the route accepts data of a few seconds ago, so replicas serve it.
+pub(super) async fn read_extension(caller: &mut Caller, url: &str) -> Answered {
+    call_until_told(caller, url, SERVICE, "extension", &[("extension", text("12"))]).await
+}
+
 /// Saves a routing rule; the route is repeatable.
 pub(super) async fn save_rule(caller: &mut Caller, url: &str, service: &str, target: &str) -> Answered {
     let arguments = [("number", text("100")), ("target", text(target))];
-    repeat(async || {
-        let mut own = caller.clone();
-        let answered = own.call(url, service, "save-rule", &arguments).await;
-        (answered, own)
-    })
-    .await
-    .take(caller)
+    call_until_told(caller, url, service, "save-rule", &arguments).await
 }
 
 /// Reads a routing rule.
 pub(super) async fn read_rule(caller: &mut Caller, url: &str, service: &str) -> Answered {
-    let arguments = [("number", text("100"))];
-    repeat(async || {
-        let mut own = caller.clone();
-        let answered = own.call(url, service, "call-setup", &arguments).await;
-        (answered, own)
-    })
-    .await
-    .take(caller)
+    call_until_told(caller, url, service, "call-setup", &[("number", text("100"))]).await
 }
 
 /// Writes a call record under a request id; the route is not repeatable, and a resend carries the same id.
@@ -69,25 +67,19 @@
     caller.call_with(url, service, "call-record", &arguments, options).await
 }
 
-struct Repeated {
-    answered: Answered,
-    caller: Caller,
-}
-
-impl Repeated {
-    fn take(self, caller: &mut Caller) -> Answered {
-        *caller = self.caller;
-        self.answered
-    }
-}
-
 /// Calls again while the call is refused for want of a token or an endpoint, as a caller would.
-async fn repeat(call: impl AsyncFn() -> (Answered, Caller)) -> Repeated {
+async fn call_until_told(
+    caller: &mut Caller,
+    url: &str,
+    service: &str,
+    route: &str,
+    arguments: &[(&str, Value)],
+) -> Answered {
     let begun = Instant::now();
     loop {
-        let (answered, caller) = call().await;
+        let answered = caller.call(url, service, route, arguments).await;
         if !is_worth_repeating(&answered) || begun.elapsed() > REPEAT_FOR {
-            return Repeated { answered, caller };
+            return answered;
         }
         sleep(REPEAT_PAUSE).await;
     }
--- a/crates/cumincart-core/examples/data_measures/deployment.rs
+++ b/crates/cumincart-core/examples/data_measures/deployment.rs
@@ -155,6 +155,7 @@
                 grant_number: first_grant_number(ControlTerm(1)) + 1,
                 replaces: 0,
                 share,
+                basis: share,
                 tokens_milli: 10_000_000,
                 next_token_ms: 0,
             })
