Carry a control leader's second answer to a heartbeat

The leader answers an instance's last heartbeat again when something was committed, so that a change does not wait for the next heartbeat. The daemons dropped it: the control engine forgot the way back after the first answer, and a link dropped every message that no request waited for. The engine now keeps the last heartbeat's way back, and a link hands such messages on. A test sends two answers to one request.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -14,6 +14,7 @@
         peer::PeerBody,
         refusal::{Refusal, RefusalCode},
         replication::{Member, ReplicationMessage},
+        sorted::{Keyed, SortedVec},
         time::Instant,
     },
     cumincart_runtime::{
@@ -175,12 +176,27 @@
     link: PeerLink,
 }
 
-/// Heartbeats that wait for the core's answer.
-struct WaitingHeartbeat {
+/// The last heartbeat of an entry instance, which the core may answer more than once.
+struct LastHeartbeat {
+    instance: InstanceName,
     ticket: u64,
     reply: Reply,
 }
 
+impl Keyed for LastHeartbeat {
+    type Key = InstanceName;
+
+    fn key(&self) -> &InstanceName {
+        &self.instance
+    }
+}
+
+/// Whose heartbeat a ticket is.
+struct HeartbeatTicket {
+    ticket: u64,
+    instance: InstanceName,
+}
+
 struct EngineState {
     board: Board,
     folder: DataFolder,
@@ -189,7 +205,8 @@
     messages: mpsc::WeakUnboundedSender<Message>,
     changes: Pending<ChangeResult>,
     statuses: Pending<StatusResult>,
-    heartbeats: Vec<WaitingHeartbeat>,
+    heartbeats: SortedVec<LastHeartbeat>,
+    heartbeat_tickets: Vec<HeartbeatTicket>,
     next_heartbeat: u64,
     links: Vec<MemberLink>,
     me: InstanceName,
@@ -214,7 +231,8 @@
             messages,
             changes: Pending::default(),
             statuses: Pending::default(),
-            heartbeats: Vec::new(),
+            heartbeats: SortedVec::new(),
+            heartbeat_tickets: Vec::new(),
             next_heartbeat: 1,
             links: Vec::new(),
             me,
@@ -254,10 +272,8 @@
         match received.body {
             PeerBody::Replication(message) => self.step(Input::Replication(received.from, message)),
             PeerBody::Heartbeat(heartbeat) if heartbeat.instance == received.from => {
-                let ticket = self.next_heartbeat;
-                self.next_heartbeat += 1;
-                self.heartbeats.push(WaitingHeartbeat { ticket, reply: received.reply });
-                self.step(Input::Heartbeat(Ticket(ticket), heartbeat))
+                let ticket = self.remember_heartbeat(received.from, received.reply);
+                self.step(Input::Heartbeat(ticket, heartbeat))
             }
             _ => {
                 let refusal =
@@ -308,9 +324,30 @@
         self.links[index].link.send(PeerBody::Replication(message));
     }
 
-    fn answer_heartbeat(&mut self, ticket: Ticket, body: PeerBody) {
-        if let Ok(index) = self.heartbeats.binary_search_by_key(&ticket.0, |waiting| waiting.ticket) {
-            self.heartbeats.remove(index).reply.send(body);
+    /// Keeps the way back to an entry instance until its next heartbeat.
+    fn remember_heartbeat(&mut self, instance: InstanceName, reply: Reply) -> Ticket {
+        let ticket = self.next_heartbeat;
+        self.next_heartbeat += 1;
+        // Tickets only grow, so that pushing keeps them sorted.
+        self.heartbeat_tickets.push(HeartbeatTicket { ticket, instance: instance.clone() });
+        if let Some(last) = self.heartbeats.insert(LastHeartbeat { instance, ticket, reply }) {
+            self.forget_ticket(last.ticket);
+        }
+        Ticket(ticket)
+    }
+
+    fn forget_ticket(&mut self, ticket: u64) {
+        if let Ok(index) = self.heartbeat_tickets.binary_search_by_key(&ticket, |known| known.ticket) {
+            self.heartbeat_tickets.remove(index);
+        }
+    }
+
+    fn answer_heartbeat(&self, ticket: Ticket, body: PeerBody) {
+        let Ok(index) = self.heartbeat_tickets.binary_search_by_key(&ticket.0, |known| known.ticket) else {
+            return;
+        };
+        if let Some(last) = self.heartbeats.get(&self.heartbeat_tickets[index].instance) {
+            last.reply.send(body);
         }
     }
 
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -40,13 +40,15 @@
         inputs: mpsc::UnboundedSender<Input>,
         logger: Logger,
     ) -> Self {
+        let (unasked, pushed) = mpsc::unbounded_channel();
         let links = addresses
             .iter()
             .map(|address| ControlLink {
                 address: address.clone(),
-                link: PeerLink::spawn(address.clone(), me.clone(), secret.clone()),
+                link: PeerLink::spawn_with(address.clone(), me.clone(), secret.clone(), unasked.clone()),
             })
             .collect();
+        tokio::spawn(take_pushed(pushed, inputs.clone()));
         let (heartbeats, queue) = mpsc::unbounded_channel();
         tokio::spawn(carry_heartbeats(links, queue, inputs, logger));
         Self { heartbeats }
@@ -58,6 +60,16 @@
     }
 }
 
+/// Takes second answers to a heartbeat: the leader sends one at once when something was committed.
+async fn take_pushed(mut pushed: mpsc::UnboundedReceiver<PeerBody>, inputs: mpsc::UnboundedSender<Input>) {
+    while let Some(body) = pushed.recv().await {
+        let PeerBody::HeartbeatAnswer(answer) = body else { continue };
+        if inputs.send(Input::HeartbeatAnswer(answer)).is_err() {
+            return;
+        }
+    }
+}
+
 async fn carry_heartbeats(
     links: Vec<ControlLink>,
     mut queue: mpsc::UnboundedReceiver<Box<Heartbeat>>,
--- a/crates/cumincart-runtime/src/link/client.rs
+++ b/crates/cumincart-runtime/src/link/client.rs
@@ -46,10 +46,22 @@
 type Answers = Pending<Result<PeerBody, LinkError>>;
 
 impl PeerLink {
-    /// Starts a link to the peer at this address.
+    /// Starts a link to the peer at this address. Messages that answer no waiting request are dropped.
     pub fn spawn(address: Arc<str>, me: InstanceName, secret: FleetSecret) -> Self {
+        let (unasked, _) = mpsc::unbounded_channel();
+        Self::spawn_with(address, me, secret, unasked)
+    }
+
+    /// Starts a link to the peer at this address. Messages that answer no waiting request go to `unasked`: a second
+    /// answer, or one that came too late.
+    pub fn spawn_with(
+        address: Arc<str>,
+        me: InstanceName,
+        secret: FleetSecret,
+        unasked: mpsc::UnboundedSender<PeerBody>,
+    ) -> Self {
         let (orders, queue) = mpsc::channel(SEND_QUEUE);
-        tokio::spawn(run_link(address, me, secret, queue));
+        tokio::spawn(run_link(Peer { address, me, secret }, queue, unasked));
         Self { orders }
     }
 
@@ -69,15 +81,17 @@
     }
 }
 
-async fn run_link(
+/// Who is at the other end, and as whom to greet it.
+struct Peer {
     address: Arc<str>,
     me: InstanceName,
     secret: FleetSecret,
-    mut queue: mpsc::Receiver<Order>,
-) {
+}
+
+async fn run_link(peer: Peer, mut queue: mpsc::Receiver<Order>, unasked: mpsc::UnboundedSender<PeerBody>) {
     loop {
-        if let Ok(Ok(socket)) = timeout(CONNECT_TIMEOUT, connect(&address, &me, &secret)).await
-            && carry(socket, &me, &mut queue).await.is_none()
+        if let Ok(Ok(socket)) = timeout(CONNECT_TIMEOUT, connect(&peer)).await
+            && carry(socket, &peer.me, &mut queue, &unasked).await.is_none()
         {
             return;
         }
@@ -87,21 +101,18 @@
     }
 }
 
-async fn connect(
-    address: &str,
-    me: &InstanceName,
-    secret: &FleetSecret,
-) -> Result<WebSocketStream<TcpStream>, LinkError> {
-    let stream = TcpStream::connect(address).await.map_err(|_| LinkError::Down)?;
+async fn connect(peer: &Peer) -> Result<WebSocketStream<TcpStream>, LinkError> {
+    let stream = TcpStream::connect(&*peer.address).await.map_err(|_| LinkError::Down)?;
+    // Without it a small message can wait for the acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
-    let url = format!("ws://{address}/");
+    let url = format!("ws://{}/", peer.address);
     let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
         .await
         .map_err(|_| LinkError::Handshake { reason: "the peer does not speak WebSocket" })?;
-    let hello = handshake::hello(me);
+    let hello = handshake::hello(&peer.me);
     send(&mut socket, &hello).await?;
     let challenge: Challenge = receive(&mut socket).await?;
-    let proof = handshake::prove(secret, &hello, &challenge)?;
+    let proof = handshake::prove(&peer.secret, &hello, &challenge)?;
     send(&mut socket, &proof).await?;
     Ok(socket)
 }
@@ -111,6 +122,7 @@
     socket: WebSocketStream<TcpStream>,
     me: &InstanceName,
     queue: &mut mpsc::Receiver<Order>,
+    unasked: &mpsc::UnboundedSender<PeerBody>,
 ) -> Option<()> {
     let mut answers = Answers::default();
     let (mut sink, mut incoming) = socket.split();
@@ -127,12 +139,25 @@
                 let Some(Ok(message)) = message else { return Some(()) };
                 let Message::Binary(bytes) = message else { continue };
                 let Ok(envelope) = codec::decode(&bytes) else { return Some(()) };
-                answers.answer(envelope.request, Ok(envelope.body));
+                take_answer(&mut answers, envelope, unasked);
             }
         }
     }
 }
 
+fn take_answer(answers: &mut Answers, envelope: Envelope, unasked: &mpsc::UnboundedSender<PeerBody>) {
+    match answers.take(envelope.request) {
+        Some(waiting) => {
+            // An error says that the asker has given up.
+            let _ = waiting.send(Ok(envelope.body));
+        }
+        None => {
+            // An error says that nobody listens to such messages.
+            let _ = unasked.send(envelope.body);
+        }
+    }
+}
+
 fn envelope(me: &InstanceName, answers: &mut Answers, order: Order) -> Envelope {
     let request = match order.answer {
         Some(answer) => {
--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -43,7 +43,7 @@
     pub reply: Reply,
 }
 
-/// Answers one message over the link that it came by.
+/// Answers one message over the link that it came by, once or again.
 #[derive(Debug)]
 pub struct Reply {
     me: InstanceName,
@@ -53,8 +53,9 @@
 
 impl Reply {
     /// Sends the answer; it is lost where the link is lost or its peer does not read.
-    pub fn send(self, body: PeerBody) {
-        let envelope = Envelope { version: PEER_VERSION, from: self.me, request: self.request, body };
+    pub fn send(&self, body: PeerBody) {
+        let from = self.me.clone();
+        let envelope = Envelope { version: PEER_VERSION, from, request: self.request, body };
         // A full queue means that the peer has stopped reading; it will ask again on a new link.
         let _ = self.answers.try_send(envelope);
     }
--- a/crates/cumincart-runtime/tests/link.rs
+++ b/crates/cumincart-runtime/tests/link.rs
@@ -76,6 +76,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_second_answer_goes_to_whoever_listens_for_such() {
+    let mut bound = bind("a fleet secret of the test").await;
+    let (unasked, mut pushed) = mpsc::unbounded_channel();
+    let secret = secret("a fleet secret of the test");
+    let link = PeerLink::spawn_with(bound.address.clone(), "client".into(), secret, unasked);
+    let asked = tokio::spawn(async move { (ask(&link, marked(1)).await, link) });
+    let request = bound.received.recv().await.expect("the server is open");
+    request.reply.send(marked(2));
+    let (answer, _link) = asked.await.expect("the task ends");
+    assert_eq!(answer.expect("an answer comes"), marked(2));
+    request.reply.send(marked(3));
+    assert_eq!(pushed.recv().await, Some(marked(3)));
+}
+
 #[tokio::test]
 async fn a_lost_link_tells_the_request_that_waited_and_opens_again() {
     let mut bound = bind("a fleet secret of the test").await;
