Check histories of concurrent runs with faults on a virtual clock

A new crate runs the real control and entry cores among models of endpoints, callers, operators and the network, brings faults about from a seed, records what callers, endpoints and operators saw, and holds it against twelve promises.

Ruled out: a linearizability checker for the whole: the promises are about sessions, terms, rates and verdicts, for which direct checks of the record say what was broken and where.

--- a/crates/cumincart-control/src/daemon.rs
+++ b/crates/cumincart-control/src/daemon.rs
@@ -123,7 +123,7 @@
         peer_address: peer_server.address.to_string().into(),
     };
     let core = Settings {
-        first_members: first_members(&options.members, &member),
+        first_members: first_members(&options.members),
         member,
         incarnation: clock::incarnation(),
     };
@@ -149,20 +149,12 @@
     })
 }
 
-/// The members of a new group; the disks of the others are learned from their first messages.
-fn first_members(addresses: &[MemberAddress], me: &Member) -> Members {
-    let voters = addresses
-        .iter()
-        .map(|address| {
-            if address.instance == me.instance {
-                return me.clone();
-            }
-            Member {
-                instance: address.instance.clone(),
-                disk: DiskId("".into()),
-                peer_address: address.peer_address.clone(),
-            }
-        })
-        .collect();
-    Members { voters, ..Members::default() }
+/// The members of a new group; their disks are learned when all of them have voted for the first leader.
+fn first_members(addresses: &[MemberAddress]) -> Members {
+    let unbound = |address: &MemberAddress| Member {
+        instance: address.instance.clone(),
+        disk: DiskId::unbound(),
+        peer_address: address.peer_address.clone(),
+    };
+    Members { voters: addresses.iter().map(unbound).collect(), ..Members::default() }
 }
--- /dev/null
+++ b/crates/cumincart-history/src/checkers/at_most_once.rs
@@ -0,0 +1,29 @@
+//! A request that may not be repeated runs at most once, also when it is sent again.
+
+use {
+    super::{Promise, Violation},
+    crate::history::{Asked, FinalEndpoint, History},
+};
+
+/// In the final history of each group, no record stands twice.
+pub(super) fn check(history: &History) -> Vec<Violation> {
+    let primaries = history.endpoints.iter().filter(|endpoint| endpoint.is_primary);
+    primaries.flat_map(|endpoint| check_log(history, endpoint)).collect()
+}
+
+fn check_log(history: &History, endpoint: &FinalEndpoint) -> Vec<Violation> {
+    let mut seen: Vec<&str> = Vec::new();
+    let mut violations = Vec::new();
+    for write in endpoint.log.iter().flat_map(|commit| &commit.writes) {
+        let asked = history.request(write.request).map(|request| &request.asked);
+        let Some(Asked::Record { id }) = asked else { continue };
+        match seen.binary_search(&id.as_str()) {
+            Ok(_) => {
+                let seen = format!("record {id} of service {} was committed twice", endpoint.service);
+                violations.push(Violation::new(Promise::AtMostOnce, seen));
+            }
+            Err(index) => seen.insert(index, id),
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/crates/cumincart-history/src/checkers/old_primary.rs
@@ -0,0 +1,41 @@
+//! No write acknowledged by an old primary.
+
+use {
+    super::{Promise, Violation},
+    crate::history::{Asked, CommitRecord, Ended, History, Request},
+    cumincart_protocol::time::Instant,
+};
+
+/// Each acknowledged write must stand in a commit that was still part of its group's history when it was
+/// acknowledged: no later timeline may have begun before the commit's position by then.
+pub(super) fn check(history: &History) -> Vec<Violation> {
+    let acknowledged = history.requests.iter().filter(|request| is_acknowledged_write(request));
+    acknowledged.filter_map(|request| check_write(history, request)).collect()
+}
+
+fn is_acknowledged_write(request: &Request) -> bool {
+    let is_write = matches!(request.asked, Asked::Put { .. } | Asked::Record { .. });
+    is_write && matches!(request.ended, Some(Ended::Answered { .. }))
+}
+
+fn check_write(history: &History, request: &Request) -> Option<Violation> {
+    let answered_at = request.answered_at?;
+    let mut commits = history
+        .commits
+        .iter()
+        .filter(|record| record.commit.writes.iter().any(|write| write.request == request.number));
+    if commits.any(|record| is_in_history_at(history, record, answered_at)) {
+        return None;
+    }
+    let seen = format!("{request:?} was acknowledged, but no primary of that time had it");
+    Some(Violation::new(Promise::NoOldPrimary, seen))
+}
+
+fn is_in_history_at(history: &History, record: &CommitRecord, at: Instant) -> bool {
+    let later = history.promotions.iter().filter(|promotion| {
+        promotion.service == record.service
+            && promotion.timeline > record.commit.timeline
+            && promotion.at <= at
+    });
+    later.into_iter().all(|promotion| record.commit.position <= promotion.start)
+}
--- /dev/null
+++ b/crates/cumincart-history/src/checkers/rates.rs
@@ -0,0 +1,59 @@
+//! No organisation gets more than its rate and burst over any interval.
+
+use {
+    super::{Promise, Violation},
+    crate::history::{Asked, History},
+    cumincart_protocol::time::Instant,
+};
+
+/// A request that ran: it was admitted between these instants.
+struct Admitted {
+    from: Instant,
+    until: Instant,
+}
+
+/// For every interval, the requests that must have been admitted within it are at most burst + rate × length.
+pub(super) fn check(history: &History) -> Vec<Violation> {
+    (0..crate::world::ORGANISATIONS).filter_map(|organisation| check_one(history, organisation)).collect()
+}
+
+fn check_one(history: &History, organisation: usize) -> Option<Violation> {
+    let admitted = admitted(history, organisation);
+    for first in &admitted {
+        // Only the ends of executions can be ends of the tightest intervals.
+        let mut inside: Vec<_> =
+            admitted.iter().filter(|other| other.from >= first.from).map(|other| other.until).collect();
+        inside.sort_unstable();
+        for (index, until) in inside.iter().enumerate() {
+            let length_s = until.saturating_since(first.from).as_secs_f64();
+            let bound = f64::from(history.burst) + history.rate_per_s * length_s;
+            let count = index + 1;
+            if count as f64 > bound {
+                let seen = format!(
+                    "organisation {organisation}: {count} requests from {} to {} ms, at most {bound:.1} allowed",
+                    first.from.as_millis(),
+                    until.as_millis()
+                );
+                return Some(Violation::new(Promise::Rates, seen));
+            }
+        }
+    }
+    None
+}
+
+fn admitted(history: &History, organisation: usize) -> Vec<Admitted> {
+    let mut seen = Vec::new();
+    let mut admitted = Vec::new();
+    for execution in &history.executions {
+        let Some(request) = history.request(execution.request) else { continue };
+        let is_counted = request.organisation == Some(organisation)
+            && matches!(request.asked, Asked::Put { .. } | Asked::Record { .. } | Asked::Get { .. });
+        // A repeat of a request within the system takes no second token.
+        let Err(index) = seen.binary_search(&execution.request) else { continue };
+        if is_counted {
+            seen.insert(index, execution.request);
+            admitted.push(Admitted { from: request.sent_at, until: execution.at });
+        }
+    }
+    admitted
+}
--- /dev/null
+++ b/crates/cumincart-history/src/checkers/transactions.rs
@@ -0,0 +1,53 @@
+//! Transactions never mix, and none is committed in part.
+
+use {
+    super::{Promise, Violation},
+    crate::history::{Asked, CommitRecord, Ended, History, TransactionNumber},
+};
+
+/// Every commit holds either one write that came alone, or writes of one transaction; a transaction whose commit was
+/// acknowledged stands whole in one commit.
+pub(super) fn check(history: &History) -> Vec<Violation> {
+    let mixed = history.commits.iter().filter(|record| is_mixed(history, record)).map(|record| {
+        Violation::new(Promise::TransactionsApart, format!("one commit of several requests: {record:?}"))
+    });
+    let partial = history.requests.iter().filter_map(|request| match (&request.asked, &request.ended) {
+        (Asked::Commit(transaction), Some(Ended::Answered { .. })) => check_whole(history, *transaction),
+        _ => None,
+    });
+    mixed.chain(partial).collect()
+}
+
+fn transaction_of(history: &History, record: &CommitRecord) -> Vec<Option<TransactionNumber>> {
+    let writes = record.commit.writes.iter();
+    writes
+        .map(|write| match history.request(write.request).map(|request| &request.asked) {
+            Some(Asked::Within { transaction, .. }) => Some(*transaction),
+            _ => None,
+        })
+        .collect()
+}
+
+fn is_mixed(history: &History, record: &CommitRecord) -> bool {
+    let transactions = transaction_of(history, record);
+    match transactions.first() {
+        Some(None) => transactions.len() > 1,
+        first => transactions.iter().any(|other| Some(other) != first),
+    }
+}
+
+fn check_whole(history: &History, transaction: TransactionNumber) -> Option<Violation> {
+    let answered = history.requests.iter().filter(|request| {
+        let is_own = matches!(&request.asked, Asked::Within { transaction: own, .. } if *own == transaction);
+        is_own && matches!(request.ended, Some(Ended::Answered { .. }))
+    });
+    let numbers: Vec<_> = answered.map(|request| request.number).collect();
+    let whole = history.commits.iter().any(|record| {
+        let writes: Vec<_> = record.commit.writes.iter().map(|write| write.request).collect();
+        writes == numbers
+    });
+    (!whole && !numbers.is_empty()).then(|| {
+        let seen = format!("{transaction:?} was committed, but no commit holds just {numbers:?}");
+        Violation::new(Promise::TransactionsApart, seen)
+    })
+}
--- /dev/null
+++ b/crates/cumincart-history/src/world.rs
@@ -0,0 +1,243 @@
+//! The real cores among models of endpoints, callers, operators and the network, on a virtual clock.
+//!
+//! Everything random comes from the seed, and events at one instant run in the order in which they were made, so the
+//! same seed gives the same run.
+
+mod callers;
+mod control;
+mod endpoint;
+mod entry;
+mod event;
+mod faults;
+mod lists;
+mod network;
+
+use {
+    crate::{
+        history::{FinalEndpoint, History, RequestNumber, Sample},
+        mutation::Mutation,
+    },
+    callers::{Balancer, Session},
+    control::{ControlNode, Operators},
+    cumincart_core::timing::TICK_INTERVAL_MS,
+    cumincart_protocol::time::Instant,
+    endpoint::Endpoint,
+    entry::EntryNode,
+    event::{Event, Queue},
+    faults::Faults,
+    network::Network,
+    rand::RngExt,
+    rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
+    std::time::Duration,
+};
+
+/// How many failure domains there are.
+pub const DOMAINS: usize = 3;
+
+/// How many entry instances each failure domain has.
+const ENTRIES_PER_DOMAIN: usize = 2;
+
+/// How many services there are, each with one endpoint in each failure domain.
+const SERVICES: usize = 2;
+
+/// How many organisations there are.
+pub const ORGANISATIONS: usize = 3;
+
+/// How many sessions call.
+const SESSIONS: usize = 9;
+
+/// When the first fault may come, in milliseconds.
+const FAULTS_FROM_MS: u64 = 3_000;
+
+/// When the last fault is mended, in milliseconds.
+const CALM_FROM_MS: u64 = 24_000;
+
+/// The end of a run, in milliseconds.
+const END_MS: u64 = 36_000;
+
+/// A caller whose entry instance has gone sees it within this time.
+pub const BROKEN_WITHIN: Duration = Duration::from_millis(10);
+
+/// The greatest distance of a process's clock from true speed, in millionths: two of them differ by twice that.
+const DRIFT_PER_MILLION: u64 = 5_000;
+
+const MILLION: u64 = 1_000_000;
+
+/// A process's clock, which runs a little too fast or too slow.
+#[derive(Debug, Clone, Copy)]
+pub struct DriftingClock {
+    per_million: u64,
+}
+
+impl DriftingClock {
+    fn random(random: &mut ChaCha20Rng) -> Self {
+        let span = MILLION - DRIFT_PER_MILLION..=MILLION + DRIFT_PER_MILLION;
+        Self { per_million: random.random_range(span) }
+    }
+
+    /// The process's time at a true instant.
+    fn read(self, now: Instant) -> Instant {
+        Instant::from_micros(now.as_micros() * self.per_million / MILLION)
+    }
+}
+
+/// The world of one run.
+#[derive(Debug)]
+pub struct World {
+    now: Instant,
+    queue: Queue,
+    random: ChaCha20Rng,
+    mutation: Option<Mutation>,
+    network: Network,
+    controls: Vec<ControlNode>,
+    entries: Vec<EntryNode>,
+    endpoints: Vec<Endpoint>,
+    sessions: Vec<Session>,
+    balancer: Balancer,
+    operators: Operators,
+    faults: Faults,
+    history: History,
+}
+
+impl World {
+    /// A world whose processes start now.
+    pub fn open(seed: u64, mutation: Option<Mutation>) -> Self {
+        let mut random = ChaCha20Rng::seed_from_u64(seed);
+        let controls = control::nodes(&mut random);
+        let entries = entry::nodes(&mut random);
+        let endpoints = endpoint::groups();
+        let mut world = Self {
+            now: Instant::from_millis(1),
+            queue: Queue::default(),
+            mutation,
+            network: Network::default(),
+            controls,
+            entries,
+            sessions: callers::sessions(),
+            balancer: Balancer::default(),
+            operators: Operators::default(),
+            faults: Faults::default(),
+            history: History {
+                seed,
+                rate_per_s: lists::RATE_PER_S,
+                burst: lists::BURST,
+                calm_from: Instant::from_millis(CALM_FROM_MS),
+                end: Instant::from_millis(END_MS),
+                endpoint_domains: endpoints.iter().map(|endpoint| endpoint.domain).collect(),
+                ..History::default()
+            },
+            endpoints,
+            random,
+        };
+        world.start();
+        world
+    }
+
+    fn start(&mut self) {
+        for index in 0..self.controls.len() {
+            self.start_control(index);
+        }
+        for index in 0..self.entries.len() {
+            self.start_entry(index);
+        }
+        for index in 0..self.endpoints.len() {
+            self.queue.push(self.now, Event::Endpoint(index));
+        }
+        for index in 0..self.sessions.len() {
+            let wake = Duration::from_millis(1_500 + 37 * index as u64);
+            self.queue.push(self.now + wake, Event::Wake(index));
+        }
+        self.queue.push(self.now, Event::Operator);
+        self.queue.push(Instant::from_millis(FAULTS_FROM_MS), Event::Fault);
+    }
+
+    /// Runs to the end.
+    pub fn run(&mut self) {
+        let end = Instant::from_millis(END_MS);
+        while let Some((at, event)) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// Ends the run and gives its history.
+    pub fn into_history(mut self) -> History {
+        let newest = |service: usize| {
+            let group = self.endpoints.iter().filter(|endpoint| endpoint.service == service);
+            group.filter(|endpoint| endpoint.is_primary()).map(|endpoint| endpoint.timeline).max()
+        };
+        let finals = self
+            .endpoints
+            .iter()
+            .map(|endpoint| FinalEndpoint {
+                service: endpoint.service,
+                is_primary: endpoint.is_primary() && Some(endpoint.timeline) == newest(endpoint.service),
+                log: endpoint.log.clone(),
+            })
+            .collect();
+        self.history.endpoints = finals;
+        self.history
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::TickControl(index, run) => self.tick_control(index, run),
+            Event::TickEntry(index, run) => self.tick_entry(index, run),
+            Event::ToControl(index, run, input) => self.control_input(index, run, *input),
+            Event::Beat(index, asked) => self.beat_arrives(index, *asked),
+            Event::ToEntry(index, run, input) => self.entry_input(index, run, *input),
+            Event::NotLeader(index, run, leader) => self.retarget(index, run, leader),
+            Event::OpenArrives(link) => self.open_arrives(link),
+            Event::WorkArrives(arrival) => self.work_arrives(&arrival),
+            Event::Endpoint(index) => self.run_endpoint(index),
+            Event::PromoteArrives(order) => self.promote_arrives(*order),
+            Event::Call(call) => self.call_arrives(*call),
+            Event::Answered(number, result) => self.answer_arrives(number, &result),
+            Event::GiveUp(number) => self.give_up(number),
+            Event::Wake(index) => self.wake(index),
+            Event::Operator => self.run_operators(),
+            Event::OperatorAnswer(answer) => self.operator_told(*answer),
+            Event::Fault => self.next_fault(),
+            Event::Mend(mend) => self.mend(mend),
+        }
+    }
+
+    fn after(&mut self, span: Duration, event: Event) {
+        self.queue.push(self.now + span, event);
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.random.random_range(0..100) < percent
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        self.random.random_range(0..bound)
+    }
+
+    fn is_mutated(&self, mutation: Mutation) -> bool {
+        self.mutation == Some(mutation)
+    }
+
+    fn sample_entry(&mut self, index: usize) {
+        let entry = &self.entries[index];
+        let Some(process) = &entry.process else { return };
+        let now = entry.clock.read(self.now);
+        if !process.board.freshness.is_fresh(now) {
+            return;
+        }
+        let revision = process.board.freshness.revision();
+        let incarnation = process.board.settings.incarnation;
+        self.history.samples.push(Sample { entry: index, incarnation, revision, at: self.now });
+    }
+
+    fn next_request_number(&self) -> RequestNumber {
+        RequestNumber(self.history.requests.len() as u64 + 1)
+    }
+}
+
+/// The time between two ticks of a process.
+const TICK: Duration = Duration::from_millis(TICK_INTERVAL_MS);
--- /dev/null
+++ b/crates/cumincart-history/src/world/endpoint.rs
@@ -0,0 +1,472 @@
+//! A model of database groups: timelines, logs, replication that lags, transactions, claims, promotion.
+
+use {
+    super::{
+        DOMAINS, SERVICES, World,
+        control::PromoteOrder,
+        entry::{Arrival, ConnectionKey},
+        event::Event,
+        lists,
+    },
+    crate::{
+        history::{Commit, CommitRecord, Execution, Promotion, RequestNumber, Write},
+        mutation::Mutation,
+    },
+    cumincart_core::{
+        control,
+        work::{Claim, EndpointState, Work, WorkDone, WorkError},
+    },
+    cumincart_protocol::{
+        announcement::{Announcement, Role},
+        name::EndpointName,
+        number::{LogPosition, Timeline},
+        request::{Rows, Statement, Value},
+        time::Instant,
+    },
+    rand::RngExt,
+    std::time::Duration,
+};
+
+const REPLICATION_INTERVAL: Duration = Duration::from_millis(10);
+const ANNOUNCEMENT_EVERY: u64 = 20;
+const SLOTS: u32 = 5;
+const CONNECTION_LIMIT: u32 = 30;
+const STATEMENT_US: std::ops::Range<u64> = 200..1_500;
+
+/// A transaction that a connection holds open.
+#[derive(Debug, Clone)]
+struct OpenTransaction {
+    connection: ConnectionKey,
+    writes: Vec<Write>,
+}
+
+/// One database.
+#[derive(Debug)]
+pub struct Endpoint {
+    pub name: EndpointName,
+    pub service: usize,
+    pub domain: usize,
+    pub is_up: bool,
+    pub is_frozen: bool,
+    pub role: Role,
+    pub timeline: u64,
+    pub log: Vec<Commit>,
+    pub lag: Duration,
+    upstream: Option<usize>,
+    caught_up_at: Instant,
+    open: Vec<OpenTransaction>,
+    rounds: u64,
+}
+
+/// The groups' databases; the first of each group is its primary.
+pub fn groups() -> Vec<Endpoint> {
+    let mut endpoints = Vec::new();
+    for service in 0..SERVICES {
+        let first = endpoints.len();
+        for number in 0..DOMAINS {
+            endpoints.push(Endpoint {
+                name: format!("service-{service}-{number}").into(),
+                service,
+                domain: (service + number) % DOMAINS,
+                is_up: true,
+                is_frozen: false,
+                role: if number == 0 { Role::Primary } else { Role::Replica },
+                timeline: 1,
+                log: Vec::new(),
+                lag: Duration::from_millis(15 + 40 * number as u64),
+                upstream: (number > 0).then_some(first),
+                caught_up_at: Instant::ZERO,
+                open: Vec::new(),
+                rounds: 0,
+            });
+        }
+    }
+    endpoints
+}
+
+impl Endpoint {
+    /// Whether it takes writes.
+    pub fn is_primary(&self) -> bool {
+        self.role == Role::Primary
+    }
+
+    /// Whether it answers.
+    pub fn runs(&self) -> bool {
+        self.is_up && !self.is_frozen
+    }
+
+    /// Ends it: open transactions are gone, the log stays.
+    pub fn crash(&mut self) {
+        self.is_up = false;
+        self.open.clear();
+    }
+
+    /// Follows another endpoint, without whatever its own log has beyond that one's.
+    pub fn rejoin(&mut self, upstream: usize, of: &[Commit], timeline: u64) {
+        let common = self.log.iter().zip(of).take_while(|(own, other)| own == other).count();
+        self.log.truncate(common);
+        self.role = Role::Replica;
+        self.timeline = timeline;
+        self.upstream = Some(upstream);
+        self.open.clear();
+    }
+
+    fn position(&self) -> u64 {
+        self.log.last().map_or(0, |commit| commit.position)
+    }
+
+    fn state(&self, now: Instant) -> EndpointState {
+        let lag = match self.role {
+            Role::Primary => Duration::ZERO,
+            Role::Replica => now.saturating_since(self.caught_up_at),
+        };
+        EndpointState {
+            role: self.role,
+            timeline: Timeline(self.timeline),
+            position: LogPosition(self.position()),
+            lag_ms: u64::try_from(lag.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn value(&self, key: &str) -> i64 {
+        let writes = self.log.iter().rev().flat_map(|commit| commit.writes.iter().rev());
+        writes.into_iter().find(|write| write.key == key).map_or(0, |write| write.value)
+    }
+
+    fn has_claim(&self, claim: &str) -> bool {
+        self.log.iter().any(|commit| commit.claim.as_deref() == Some(claim))
+    }
+
+    fn commit(&mut self, now: Instant, writes: Vec<Write>, claim: Option<String>) -> Commit {
+        let commit =
+            Commit { position: self.position() + 1, timeline: self.timeline, at: now, writes, claim };
+        self.log.push(commit.clone());
+        commit
+    }
+
+    /// Whether a transaction of another connection has written this key and is still open.
+    fn is_locked(&self, connection: ConnectionKey, key: &str) -> bool {
+        let others = self.open.iter().filter(|open| open.connection != connection);
+        others.into_iter().any(|open| open.writes.iter().any(|write| write.key == key))
+    }
+
+    /// Ends what a connection held open.
+    pub fn drop_connection(&mut self, connection: ConnectionKey) {
+        self.open.retain(|open| open.connection != connection);
+    }
+
+    fn announcement(&self, now: Instant) -> Announcement {
+        let state = self.state(now);
+        Announcement {
+            endpoint: self.name.clone(),
+            service: lists::service_name(self.service),
+            address: self.name.as_str().into(),
+            domain: super::entry::domain_name(self.domain),
+            role: state.role,
+            timeline: state.timeline,
+            position: state.position,
+            lag_ms: state.lag_ms,
+            slots: SLOTS,
+            connection_limit: CONNECTION_LIMIT,
+            leaving: false,
+        }
+    }
+}
+
+/// What a statement says.
+struct Parsed {
+    request: RequestNumber,
+    organisation: Option<usize>,
+    key: String,
+    value: Option<i64>,
+}
+
+fn parse(statement: &Statement) -> Option<Parsed> {
+    let mut parameters = statement.parameters.iter();
+    let organisation = match &*statement.sql {
+        "open-get" => None,
+        _ => match parameters.next()? {
+            Value::Text(name) => Some(lists::organisation_of(name)?),
+            _ => return None,
+        },
+    };
+    let Value::Int(request) = parameters.next()? else { return None };
+    let Value::Text(key) = parameters.next()? else { return None };
+    let value = match parameters.next() {
+        Some(Value::Int(value)) => Some(*value),
+        _ => None,
+    };
+    Some(Parsed {
+        request: RequestNumber(u64::try_from(*request).ok()?),
+        organisation,
+        key: key.to_string(),
+        value,
+    })
+}
+
+fn statement_error(code: &str) -> WorkError {
+    WorkError::Statement { code: code.into(), message: "refused by the model".into() }
+}
+
+fn claim_text(claim: &Claim) -> String {
+    let organisation = claim.organisation.as_ref().map_or("", |name| name.as_str());
+    format!("{organisation}/{}", claim.request_id.0)
+}
+
+impl World {
+    /// Replicates and announces.
+    pub(super) fn run_endpoint(&mut self, index: usize) {
+        self.after(REPLICATION_INTERVAL, Event::Endpoint(index));
+        self.endpoints[index].rounds += 1;
+        if !self.endpoints[index].runs() {
+            return;
+        }
+        self.replicate(index);
+        if self.endpoints[index].rounds.is_multiple_of(ANNOUNCEMENT_EVERY) {
+            self.announce(index);
+        }
+    }
+
+    fn replicate(&mut self, index: usize) {
+        let Some(upstream) = self.endpoints[index].upstream else { return };
+        if self.endpoints[index].is_primary() || !self.endpoints[upstream].runs() {
+            return;
+        }
+        let (from, to) = (self.endpoints[upstream].domain, self.endpoints[index].domain);
+        if self.network.deliver_reliably(&mut self.random, from, to).is_none() {
+            return;
+        }
+        let seen_until = self.now - self.endpoints[index].lag;
+        let source = &self.endpoints[upstream];
+        let own = self.endpoints[index].log.len();
+        // A log that is not a beginning of its source's belongs to a replica whose source was replaced.
+        if own > source.log.len() || self.endpoints[index].log.last() != source.log[..own].last() {
+            return;
+        }
+        let news: Vec<_> =
+            source.log[own..].iter().take_while(|commit| commit.at <= seen_until).cloned().collect();
+        let timeline = source.timeline;
+        let replica = &mut self.endpoints[index];
+        replica.timeline = news.last().map_or(replica.timeline, |last| last.timeline).max(replica.timeline);
+        replica.timeline = replica.timeline.max(timeline);
+        replica.log.extend(news);
+        replica.caught_up_at = seen_until;
+    }
+
+    fn announce(&mut self, index: usize) {
+        let announcement = self.endpoints[index].announcement(self.now);
+        let from = self.endpoints[index].domain;
+        for control in 0..self.controls.len() {
+            let to = self.controls[control].domain;
+            let Some(latency) = self.network.deliver(&mut self.random, from, to) else { continue };
+            let Some(run) = self.controls[control].run() else { continue };
+            let input = control::Input::Announced(announcement.clone());
+            self.after(latency, Event::ToControl(control, run, Box::new(input)));
+        }
+    }
+
+    /// Carries out a promotion, and sends the state after it back.
+    pub(super) fn promote_arrives(&mut self, order: PromoteOrder) {
+        let Some(index) = self.endpoint_named(&order.promotion.endpoint) else { return };
+        if !self.endpoints[index].runs() {
+            return;
+        }
+        let now = self.now;
+        let endpoint = &mut self.endpoints[index];
+        if !endpoint.is_primary() {
+            endpoint.role = Role::Primary;
+            endpoint.timeline += 1;
+            endpoint.upstream = None;
+            let promotion = Promotion {
+                service: endpoint.service,
+                endpoint: index,
+                timeline: endpoint.timeline,
+                start: endpoint.position(),
+                at: now,
+            };
+            self.history.promotions.push(promotion);
+        }
+        let promoted = self.history.promotions.iter().rev().find(|known| known.endpoint == index);
+        let state = control::PromotedState {
+            timeline: Timeline(self.endpoints[index].timeline),
+            start: LogPosition(promoted.map_or(0, |known| known.start)),
+        };
+        self.promotion_done(order, Ok(state));
+    }
+
+    /// Makes the group's other endpoints follow its newest primary, as the platform does.
+    pub(super) fn follow_newest_primary(&mut self, service: usize) {
+        let group = || self.endpoints.iter().enumerate().filter(move |(_, one)| one.service == service);
+        let newest =
+            group().filter(|(_, one)| one.is_primary() && one.is_up).max_by_key(|(_, one)| one.timeline);
+        let Some((primary, source)) = newest else { return };
+        let (log, timeline) = (source.log.clone(), source.timeline);
+        for index in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[index];
+            let is_older = endpoint.timeline < timeline || !endpoint.is_primary();
+            if index != primary && endpoint.service == service && endpoint.is_up && is_older {
+                endpoint.rejoin(primary, &log, timeline);
+            }
+        }
+    }
+
+    /// Does a work that reached its endpoint, and sends the outcome back.
+    pub(super) fn work_arrives(&mut self, arrival: &Arrival) {
+        let index = arrival.link.endpoint;
+        if !self.endpoints[index].runs() {
+            let is_down = !self.endpoints[index].is_up;
+            self.lose_work(arrival, is_down);
+            return;
+        }
+        let result = self.execute(index, arrival.link.connection, arrival.work.clone());
+        let took = Duration::from_micros(self.random.random_range(STATEMENT_US));
+        self.return_work(arrival, result, took);
+    }
+
+    fn execute(
+        &mut self,
+        index: usize,
+        connection: ConnectionKey,
+        work: Work,
+    ) -> Result<WorkDone, WorkError> {
+        match work {
+            Work::Read(statement) => self.read(index, &statement, false),
+            Work::Write(statement, claim) => self.write(index, connection, &statement, claim.as_ref()),
+            Work::Begin { .. } => {
+                self.endpoints[index].open.push(OpenTransaction { connection, writes: Vec::new() });
+                Ok(self.done(index, Rows::default(), false))
+            }
+            Work::Within(statement) => self.within(index, connection, &statement),
+            Work::Commit(claim) => self.commit(index, connection, claim.as_ref()),
+            Work::Rollback => {
+                self.endpoints[index].drop_connection(connection);
+                Ok(self.done(index, Rows::default(), false))
+            }
+            Work::Probe => Ok(self.done(index, Rows::default(), true)),
+        }
+    }
+
+    fn done(&self, index: usize, rows: Rows, with_state: bool) -> WorkDone {
+        WorkDone { rows, state: with_state.then(|| self.endpoints[index].state(self.now)) }
+    }
+
+    fn note_execution(&mut self, index: usize, parsed: &Parsed, is_within: bool) {
+        self.history.executions.push(Execution {
+            request: parsed.request,
+            organisation: parsed.organisation,
+            endpoint: index,
+            at: self.now,
+            is_within,
+        });
+    }
+
+    fn read(&mut self, index: usize, statement: &Statement, is_within: bool) -> Result<WorkDone, WorkError> {
+        let Some(parsed) = parse(statement) else { return Err(statement_error("42601")) };
+        self.note_execution(index, &parsed, is_within);
+        let value = self.endpoints[index].value(&parsed.key);
+        let rows = answer_rows(parsed.request, Some(value));
+        Ok(self.done(index, rows, true))
+    }
+
+    fn write(
+        &mut self,
+        index: usize,
+        connection: ConnectionKey,
+        statement: &Statement,
+        claim: Option<&Claim>,
+    ) -> Result<WorkDone, WorkError> {
+        let write = self.prepare_write(index, connection, statement, false)?;
+        let claim = self.take_claim(index, claim)?;
+        let request = write.request;
+        self.commit_writes(index, vec![write], claim);
+        Ok(self.done(index, answer_rows(request, None), true))
+    }
+
+    fn prepare_write(
+        &mut self,
+        index: usize,
+        connection: ConnectionKey,
+        statement: &Statement,
+        is_within: bool,
+    ) -> Result<Write, WorkError> {
+        let Some(parsed) = parse(statement) else { return Err(statement_error("42601")) };
+        if !self.endpoints[index].is_primary() {
+            return Err(statement_error("25006"));
+        }
+        if self.endpoints[index].is_locked(connection, &parsed.key) {
+            return Err(statement_error("40001"));
+        }
+        self.note_execution(index, &parsed, is_within);
+        Ok(Write {
+            request: parsed.request,
+            organisation: parsed.organisation.unwrap_or(usize::MAX),
+            key: parsed.key,
+            value: parsed.value.unwrap_or_default(),
+        })
+    }
+
+    fn take_claim(&self, index: usize, claim: Option<&Claim>) -> Result<Option<String>, WorkError> {
+        let claim = claim.map(claim_text).filter(|_| !self.is_mutated(Mutation::DropClaims));
+        match &claim {
+            Some(text) if self.endpoints[index].has_claim(text) => Err(WorkError::AlreadyClaimed),
+            _ => Ok(claim),
+        }
+    }
+
+    fn within(
+        &mut self,
+        index: usize,
+        connection: ConnectionKey,
+        statement: &Statement,
+    ) -> Result<WorkDone, WorkError> {
+        let write = match self.prepare_write(index, connection, statement, true) {
+            Ok(write) => write,
+            Err(error) => {
+                self.endpoints[index].drop_connection(connection);
+                return Err(error);
+            }
+        };
+        let request = write.request;
+        let mixes = self.is_mutated(Mutation::MixTransactions);
+        let open = &mut self.endpoints[index].open;
+        let other = open.iter().position(|open| open.connection != connection).filter(|_| mixes);
+        let own = open.iter().position(|open| open.connection == connection);
+        let Some(target) = other.or(own) else { return Err(statement_error("25P01")) };
+        open[target].writes.push(write);
+        Ok(self.done(index, answer_rows(request, None), false))
+    }
+
+    fn commit(
+        &mut self,
+        index: usize,
+        connection: ConnectionKey,
+        claim: Option<&Claim>,
+    ) -> Result<WorkDone, WorkError> {
+        let claim = self.take_claim(index, claim)?;
+        let open = &mut self.endpoints[index].open;
+        let Some(own) = open.iter().position(|open| open.connection == connection) else {
+            return Err(statement_error("25P01"));
+        };
+        let transaction = open.remove(own);
+        if !transaction.writes.is_empty() {
+            self.commit_writes(index, transaction.writes, claim);
+        }
+        Ok(self.done(index, Rows::default(), true))
+    }
+
+    fn commit_writes(&mut self, index: usize, writes: Vec<Write>, claim: Option<String>) {
+        let commit = self.endpoints[index].commit(self.now, writes, claim);
+        let service = self.endpoints[index].service;
+        self.history.commits.push(CommitRecord { service, endpoint: index, commit });
+    }
+
+    fn endpoint_named(&self, name: &EndpointName) -> Option<usize> {
+        self.endpoints.iter().position(|endpoint| endpoint.name == *name)
+    }
+}
+
+fn answer_rows(request: RequestNumber, value: Option<i64>) -> Rows {
+    let echo = Value::Int(i64::try_from(request.0).unwrap_or(i64::MAX));
+    let row = std::iter::once(echo).chain(value.map(Value::Int)).collect();
+    Rows { columns: Vec::new(), rows: vec![row], affected: 1 }
+}
--- /dev/null
+++ b/crates/cumincart-history/src/world/event.rs
@@ -0,0 +1,88 @@
+//! Events and the queue that orders them.
+
+use {
+    super::{
+        callers::Call,
+        control::{Asked, OperatorTold, PromoteOrder},
+        entry::{Arrival, Link},
+        faults::Mend,
+    },
+    crate::history::RequestNumber,
+    cumincart_core::{control, entry},
+    cumincart_protocol::{request::CallerResult, time::Instant},
+    std::{cmp::Reverse, collections::BinaryHeap},
+};
+
+/// Which run of a process an event is for; a later run does not see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessRun(pub u64);
+
+/// Something that happens at an instant.
+#[derive(Debug)]
+pub enum Event {
+    TickControl(usize, ProcessRun),
+    TickEntry(usize, ProcessRun),
+    ToControl(usize, ProcessRun, Box<control::Input>),
+    Beat(usize, Box<Asked>),
+    ToEntry(usize, ProcessRun, Box<entry::Input>),
+    NotLeader(usize, ProcessRun, Option<usize>),
+    OpenArrives(Link),
+    WorkArrives(Box<Arrival>),
+    Endpoint(usize),
+    PromoteArrives(Box<PromoteOrder>),
+    Call(Box<Call>),
+    Answered(RequestNumber, Box<CallerResult>),
+    GiveUp(RequestNumber),
+    Wake(usize),
+    Operator,
+    OperatorAnswer(Box<OperatorTold>),
+    Fault,
+    Mend(Mend),
+}
+
+#[derive(Debug)]
+struct Scheduled {
+    at: Instant,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Events by time; those of one instant in the order in which they came.
+#[derive(Debug, Default)]
+pub struct Queue {
+    heap: BinaryHeap<Reverse<Scheduled>>,
+    number: u64,
+}
+
+impl Queue {
+    /// Adds an event.
+    pub fn push(&mut self, at: Instant, event: Event) {
+        self.number += 1;
+        self.heap.push(Reverse(Scheduled { at, number: self.number, event }));
+    }
+
+    /// Takes the next event.
+    pub fn pop(&mut self) -> Option<(Instant, Event)> {
+        self.heap.pop().map(|Reverse(next)| (next.at, next.event))
+    }
+}
--- /dev/null
+++ b/crates/cumincart-history/src/world/lists.rs
@@ -0,0 +1,122 @@
+//! The two lists of the world.
+
+use {
+    super::{ORGANISATIONS, SERVICES},
+    cumincart_protocol::{
+        lists::{
+            Access, FixedStatement, KeyDigest, Lists, Organisation, OrganisationList, ParameterSource, Plan,
+            PlanList, Route, RouteReference, Service,
+        },
+        name::{OrganisationName, ServiceName},
+    },
+};
+
+/// Requests a second of each organisation.
+pub const RATE_PER_S: f64 = 60.0;
+
+/// Requests at once of each organisation.
+pub const BURST: u32 = 30;
+
+/// How many keys each organisation has.
+pub const KEYS: usize = 2;
+
+const DEADLINE_MS: u64 = 1_500;
+const STALENESS_MS: u64 = 5_000;
+
+/// The name of a service.
+pub fn service_name(service: usize) -> ServiceName {
+    format!("service-{service}").into()
+}
+
+/// The name of an organisation.
+pub fn organisation_name(organisation: usize) -> OrganisationName {
+    format!("organisation-{organisation}").into()
+}
+
+/// The organisation of this name.
+pub fn organisation_of(name: &str) -> Option<usize> {
+    name.strip_prefix("organisation-")?.parse().ok()
+}
+
+/// The digest of an organisation's key.
+pub fn key_digest(organisation: usize, key: usize) -> [u8; 32] {
+    let number = u8::try_from(organisation * KEYS + key + 1).unwrap_or(u8::MAX);
+    [number; 32]
+}
+
+/// Both lists, without the keys that are withdrawn.
+pub fn lists(withdrawn: &[usize]) -> Lists {
+    Lists { organisations: organisations(withdrawn), plans: plans() }
+}
+
+fn organisations(withdrawn: &[usize]) -> OrganisationList {
+    let organisations = (0..ORGANISATIONS).map(|organisation| {
+        let keys = (0..KEYS).filter(|key| !withdrawn.contains(&(organisation * KEYS + key)));
+        Organisation {
+            name: organisation_name(organisation),
+            plan: "plan".into(),
+            keys: keys
+                .map(|key| KeyDigest {
+                    id: format!("key-{organisation}-{key}").into(),
+                    sha256: hex::encode(key_digest(organisation, key)).into(),
+                })
+                .collect(),
+        }
+    });
+    OrganisationList { organisations: organisations.collect() }
+}
+
+fn plans() -> PlanList {
+    let services: Vec<_> =
+        (0..SERVICES).map(|service| Service { name: service_name(service), routes: routes() }).collect();
+    let references = services.iter().flat_map(|service| {
+        let keyed = service.routes.iter().filter(|route| !route.open);
+        keyed.map(|route| RouteReference { service: service.name.clone(), route: route.name.clone() })
+    });
+    let plan = Plan {
+        name: "plan".into(),
+        routes: references.collect(),
+        rate_per_s: RATE_PER_S,
+        burst: BURST,
+        weight: 1,
+    };
+    PlanList { services, plans: vec![plan] }
+}
+
+fn routes() -> Vec<Route> {
+    vec![
+        Route { repeatable: true, transaction: true, ..route("put", Access::Write, &["key", "value"]) },
+        Route { replicated: true, ..route("record", Access::Write, &["key", "value"]) },
+        Route { max_staleness_ms: STALENESS_MS, repeatable: true, ..route("get", Access::Read, &["key"]) },
+        Route { repeatable: true, ..route("get-fresh", Access::Read, &["key"]) },
+        Route {
+            open: true,
+            max_staleness_ms: STALENESS_MS,
+            repeatable: true,
+            statement: Some(FixedStatement {
+                sql: "open-get".into(),
+                parameters: ["request", "key"].map(|name| ParameterSource::Caller(name.into())).to_vec(),
+            }),
+            ..route("open-get", Access::Read, &[])
+        },
+    ]
+}
+
+fn route(name: &str, access: Access, arguments: &[&str]) -> Route {
+    let own = [ParameterSource::Organisation, ParameterSource::Caller("request".into())];
+    let callers = arguments.iter().map(|name| ParameterSource::Caller((*name).into()));
+    Route {
+        name: name.into(),
+        access,
+        open: false,
+        max_staleness_ms: 0,
+        repeatable: false,
+        deadline_ms: DEADLINE_MS,
+        replicated: false,
+        transaction: false,
+        statement: Some(FixedStatement {
+            sql: name.into(),
+            parameters: own.into_iter().chain(callers).collect(),
+        }),
+    }
+}
