--- a/crates/cumincart-history/src/checkers/old_primary.rs
+++ b/crates/cumincart-history/src/checkers/old_primary.rs
@@ -7,7 +7,7 @@
 };
 
 /// Each acknowledged write must stand in a commit that was still part of its group's history when it was
-/// acknowledged: no later timeline may have begun before the commit's position by then.
+/// acknowledged: no term may have been opened since the commit, by then, that began before the commit's position.
 pub(super) fn check(history: &History) -> Vec<Violation> {
     let acknowledged = history.requests.iter().filter(|request| is_acknowledged_write(request));
     acknowledged.filter_map(|request| check_write(history, request)).collect()
@@ -32,10 +32,11 @@
 }
 
 fn is_in_history_at(history: &History, record: &CommitRecord, at: Instant) -> bool {
-    let later = history.promotions.iter().filter(|promotion| {
-        promotion.service == record.service
-            && promotion.timeline > record.commit.timeline
-            && promotion.at <= at
-    });
-    later.into_iter().all(|promotion| record.commit.position <= promotion.start)
+    let terms = history.terms.iter().filter(|term| term.service == record.service && term.at <= at);
+    let committed_at = record.commit.at;
+    let own = terms.clone().rfind(|term| term.at <= committed_at);
+    let is_from_primary = own.is_some_and(|term| term.endpoint == record.endpoint);
+    let mut later = terms.filter(|term| term.at > committed_at);
+    // A commit of a primary that was fenced at that time may still have reached the next one.
+    is_from_primary && later.all(|term| record.commit.position <= term.start)
 }
--- a/crates/cumincart-history/src/history.rs
+++ b/crates/cumincart-history/src/history.rs
@@ -151,18 +151,18 @@
     pub value: i64,
 }
 
-/// A change of primary that an endpoint carried out.
+/// A term that the control instances opened for writes.
 #[derive(Debug, Clone, Copy)]
-pub struct Promotion {
+pub struct OpenedTerm {
     /// The service.
     pub service: usize,
-    /// The endpoint.
+    /// The term.
+    pub term: u64,
+    /// Its primary.
     pub endpoint: usize,
-    /// The timeline that it opened.
-    pub timeline: u64,
-    /// The position where that timeline began.
+    /// The position where it began.
     pub start: u64,
-    /// When.
+    /// When the first control instance applied it.
     pub at: Instant,
 }
 
@@ -215,7 +215,7 @@
 pub struct FinalEndpoint {
     /// The service.
     pub service: usize,
-    /// Whether it is the primary of the greatest timeline.
+    /// Whether it is the primary of its group's last opened term.
     pub is_primary: bool,
     /// Its log.
     pub log: Vec<Commit>,
@@ -232,8 +232,8 @@
     pub executions: Vec<Execution>,
     /// Commits in the order of time.
     pub commits: Vec<CommitRecord>,
-    /// Promotions in the order of time.
-    pub promotions: Vec<Promotion>,
+    /// Opened terms in the order of time.
+    pub terms: Vec<OpenedTerm>,
     /// When failure domains were out.
     pub domains_out: Vec<Span>,
     /// When keys were withdrawn; the subject is twice the organisation plus the key.
@@ -258,6 +258,8 @@
     pub burst: u32,
     /// The faults that were brought about, for a person.
     pub faults: Vec<String>,
+    /// Changes of state that the processes told of, for a person.
+    pub notes: Vec<String>,
 }
 
 impl History {
--- a/crates/cumincart-history/src/main.rs
+++ b/crates/cumincart-history/src/main.rs
@@ -15,6 +15,7 @@
         .arg(seed("from").help("The first seed"))
         .arg(seed("to").help("The seed after the last"))
         .arg(Arg::new("faults").long("faults").num_args(0).help("Print each run's faults"))
+        .arg(Arg::new("notes").long("notes").num_args(0).help("Print what the processes told of"))
 }
 
 fn seed(name: &'static str) -> Arg {
@@ -33,6 +34,9 @@
         if matches.get_flag("faults") {
             println!("seed {seed}:\n  {}", run.history.faults.join("\n  "));
         }
+        if matches.get_flag("notes") {
+            println!("  {}", run.history.notes.join("\n  "));
+        }
         if run.violations.is_empty() {
             continue;
         }
--- a/crates/cumincart-history/src/world/control.rs
+++ b/crates/cumincart-history/src/world/control.rs
@@ -123,6 +123,17 @@
         self.wanted.push(Wanted { id, purpose, change: None });
     }
 
+    /// Whether a change must wait for an earlier one: an operator edits the lists as they are, and does not know them
+    /// while a key's change has no outcome. Two edits that change nothing may race.
+    fn must_wait(&self, index: usize) -> bool {
+        let touches_key =
+            |wanted: &Wanted| matches!(wanted.purpose, Purpose::WithdrawKey(_) | Purpose::GrantKey(_));
+        let edits = |wanted: &Wanted| touches_key(wanted) || wanted.purpose == Purpose::Other;
+        let this = &self.wanted[index];
+        let mut earlier = self.wanted[..index].iter();
+        edits(this) && earlier.any(|other| touches_key(other) || (touches_key(this) && edits(other)))
+    }
+
     fn change(&mut self, index: usize) -> Change {
         let wanted = &self.wanted[index];
         let action = match wanted.purpose {
@@ -242,7 +253,12 @@
         let now = node.clock.read(self.now);
         let Some(process) = node.process.as_mut().filter(|process| process.run == run) else { return };
         let mut effects = Vec::new();
+        let before = Arc::clone(&process.board.catalogue);
         step(&mut process.board, now, input, &mut effects);
+        let after = Arc::clone(&process.board.catalogue);
+        if !Arc::ptr_eq(&before, &after) {
+            self.note_terms(&after);
+        }
         for effect in effects {
             self.control_effect(index, run, effect);
         }
@@ -254,7 +270,8 @@
             Effect::Send(member, message) => self.send_replication(index, &member.instance, message),
             Effect::AnswerHeartbeat(ticket, body) => self.answer_beat(index, ticket, body),
             Effect::AnswerOperator(ticket, result) => self.answer_operator(index, ticket, result),
-            Effect::AnswerStatus(..) | Effect::Note(_) => {}
+            Effect::AnswerStatus(..) => {}
+            Effect::Note(note) => self.note(self.controls[index].name.clone(), &note),
             Effect::Promote(promotion) => self.send_promotion(index, run, promotion),
         }
     }
@@ -358,6 +375,9 @@
         }
         self.operators.target = (self.operators.target + 1) % CONTROLS;
         for index in 0..self.operators.wanted.len() {
+            if self.operators.must_wait(index) {
+                continue;
+            }
             let change = match self.operators.wanted[index].change.clone() {
                 Some(change) => change,
                 None => self.operators.change(index),
--- a/crates/cumincart-history/src/world/faults.rs
+++ b/crates/cumincart-history/src/world/faults.rs
@@ -17,7 +17,7 @@
     ThawControl(usize),
     StartEndpoint(usize),
     ThawEndpoint(usize),
-    Follow(usize),
+    Follow { service: usize, with_old_primary: bool },
     DomainIn(usize),
     GrantKey(usize),
     Lag(usize),
@@ -206,14 +206,22 @@
             Mend::StartEndpoint(index) => {
                 self.endpoints[index].is_up = true;
                 let service = self.endpoints[index].service;
-                self.after(Duration::from_millis(2_500), Event::Mend(Mend::Follow(service)));
+                self.after(
+                    Duration::from_millis(2_500),
+                    Event::Mend(Mend::Follow { service, with_old_primary: true }),
+                );
             }
             Mend::ThawEndpoint(index) => {
                 self.endpoints[index].is_frozen = false;
                 let service = self.endpoints[index].service;
-                self.after(Duration::from_millis(2_500), Event::Mend(Mend::Follow(service)));
+                self.after(
+                    Duration::from_millis(2_500),
+                    Event::Mend(Mend::Follow { service, with_old_primary: true }),
+                );
+            }
+            Mend::Follow { service, with_old_primary } => {
+                self.follow_primary(service, with_old_primary);
             }
-            Mend::Follow(service) => self.follow_newest_primary(service),
             Mend::DomainIn(domain) => {
                 self.faults.domain_out = false;
                 self.want_end(Purpose::DomainIn(domain));
