Lease connections by demand, and keep a few for a failure domain that is cut off

Cause: permits were an equal split that took no account of who needs connections, they ended with the lease, so that open routes stopped in a failure domain that is cut off, and they came back to others the moment that the lease had run out, although a busy connection may stay open for `STUCK_WORK_MS`.

Change: a fifth of each endpoint's limit is kept by instances of its own failure domain for ten minutes without a lease; a new leader hands out none of it for that long, since it can't know who keeps some. The rest is leased: one for each instance, beyond it what each wants, in proportion where that is too much. Leased permits come back to others a grace of `STUCK_WORK_MS` and a second after the lease, kept ones after their own time; those of an instance that stops on a plan come back at once (`on_left`, called from `control/leases.rs`). Open connections that a holder reports beyond its permits count. `PermitGrant` and `PermitReport` gain `kept`.

--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -195,6 +195,7 @@
 fn release(board: &mut Board, now: Instant, ticket: Ticket, heartbeat: &Heartbeat, out: &mut Vec<Effect>) {
     let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
     end(board, now, &key);
+    permits::on_left(&mut board.permits, &key.instance, key.incarnation);
     board.leases.holders.remove(&key);
     out.push(Effect::Note(format!("{} gave its leases back", key.instance).into()));
     let mut answer = answer_base(board, heartbeat.incarnation, heartbeat.asked_at);
--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -1,21 +1,36 @@
 //! The leader's ledger of endpoints' connections.
 //!
+//! Permits are held in escrow like shares of rates: what all instances hold or may still hold stays within each
+//! endpoint's limit. A fifth of each limit is set aside for instances of the endpoint's own failure domain, which keep
+//! it for [`KEPT_PERMIT_LEASE_MS`] without a lease; the rest is leased and follows what instances want.
+//!
 //! The ledger is the leader's own, not replicated: a new leader grants nothing before every lease that an earlier
 //! leader gave has run out or its holder has reported what it holds.
 
+mod holder;
+mod target;
+
 use {
-    crate::timing::{FRESHNESS_LEASE_MS, grantor_lease_ms},
+    crate::{
+        entry::{maintenance::STUCK_WORK_MS, permits::KEPT_PERMIT_LEASE_MS},
+        timing::{FRESHNESS_LEASE_MS, grantor_lease_ms},
+    },
     cumincart_protocol::{
         catalogue::{Catalogue, EndpointEntry},
-        heartbeat::{Heartbeat, PermitGrant, PermitReport, first_grant_number, grant_term},
+        heartbeat::{Heartbeat, PermitGrant, first_grant_number},
         name::{EndpointName, InstanceName},
         number::{ControlTerm, Incarnation},
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
+    holder::{Granted, Holder, HolderKey, Holding},
     std::time::Duration,
+    target::Demand,
 };
 
+/// How long an instance may take to close connections after its lease has run out, in milliseconds.
+const CLOSE_GRACE_MS: u64 = STUCK_WORK_MS + 1_000;
+
 /// What each entry instance holds or may still hold.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -24,49 +39,23 @@
     last_grant_number: u64,
     /// Until then, leases of an earlier leader may be live that this one does not know of.
     unknown_until: Instant,
+    /// Until then, permits may be kept that this leader does not know of.
+    unknown_kept_until: Instant,
     holders: SortedVec<Holder>,
+    accounts: SortedVec<Account>,
 }
 
-/// One run of an entry instance.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct HolderKey {
-    instance: InstanceName,
-    incarnation: Incarnation,
-}
-
-#[derive(Debug)]
-struct Holder {
-    key: HolderKey,
-    active: bool,
-    last_asked_at: Option<Instant>,
-    heard_at: Instant,
-    holdings: SortedVec<Holding>,
-}
-
-impl Keyed for Holder {
-    type Key = HolderKey;
-
-    fn key(&self) -> &HolderKey {
-        &self.key
-    }
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Granted {
-    grant_number: u64,
-    permits: u32,
-}
-
+/// What all holders together hold or may hold of one endpoint's connections, and want.
 #[derive(Debug)]
-struct Holding {
+struct Account {
     endpoint: EndpointName,
-    confirmed: Granted,
-    outstanding: Option<Granted>,
-    /// What the holder reported to hold, with connections that it has yet to close.
-    reported: u32,
+    leased: u32,
+    kept: u32,
+    /// What holders want beyond one connection each.
+    wanted: u32,
 }
 
-impl Keyed for Holding {
+impl Keyed for Account {
     type Key = EndpointName;
 
     fn key(&self) -> &EndpointName {
@@ -74,23 +63,29 @@
     }
 }
 
-impl Holding {
-    fn new(endpoint: EndpointName) -> Self {
-        Self { endpoint, confirmed: Granted::default(), outstanding: None, reported: 0 }
+impl Account {
+    fn forget(&mut self, holding: &Holding) {
+        self.leased -= holding.leased();
+        self.kept -= holding.kept();
+        self.wanted -= holding.wanted;
     }
 
-    /// The most connections that the holder may have open.
-    fn counted(&self) -> u32 {
-        self.confirmed.permits.max(self.outstanding.unwrap_or_default().permits).max(self.reported)
+    fn count(&mut self, holding: &Holding) {
+        self.leased += holding.leased();
+        self.kept += holding.kept();
+        self.wanted += holding.wanted;
     }
 }
 
 /// Begins a leadership: what earlier leaders granted is unknown until their leases have run out.
 pub fn on_elected(ledger: &mut Ledger, now: Instant, control_term: ControlTerm) {
+    let lease_ms = grantor_lease_ms(FRESHNESS_LEASE_MS) + CLOSE_GRACE_MS;
     *ledger = Ledger {
         control_term,
         last_grant_number: first_grant_number(control_term),
-        unknown_until: now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS)),
+        unknown_until: now + Duration::from_millis(lease_ms),
+        unknown_kept_until: now
+            + Duration::from_millis(grantor_lease_ms(KEPT_PERMIT_LEASE_MS) + CLOSE_GRACE_MS),
         ..Ledger::default()
     };
 }
@@ -111,13 +106,8 @@
 ) -> Vec<PermitGrant> {
     drop_expired(ledger, now);
     let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
-    let mut holder = ledger.holders.remove(&key).unwrap_or_else(|| Holder {
-        key,
-        active: false,
-        last_asked_at: None,
-        heard_at: now,
-        holdings: SortedVec::new(),
-    });
+    let mut holder =
+        ledger.holders.remove(&key).unwrap_or_else(|| Holder::new(key, heartbeat.domain.clone(), now));
     if holder.last_asked_at.is_some_and(|last| heartbeat.asked_at <= last) {
         ledger.holders.insert(holder);
         return Vec::new();
@@ -127,92 +117,134 @@
     holder.active = !heartbeat.leaving;
     let recovering = now < ledger.unknown_until;
     for report in &heartbeat.permits {
-        let trusted = recovering && grant_term(report.grant_number) < ledger.control_term;
-        take_report(&mut holder, report, trusted);
+        let holding =
+            holder.holdings.get_or_insert_with(&report.endpoint, || Holding::new(report.endpoint.clone()));
+        let account = account_of(&mut ledger.accounts, &report.endpoint);
+        account.forget(holding);
+        holding.take_report(report, recovering, ledger.control_term);
+        account.count(holding);
     }
-    let grants = grants_for(ledger, recovering, catalogue, &mut holder);
+    let grants = grants_for(ledger, now, catalogue, &mut holder);
     ledger.holders.insert(holder);
     grants
 }
 
-/// Takes back all that an instance held, after its freshness lease has run out or it has left.
-pub fn on_lease_end(ledger: &mut Ledger, _now: Instant, instance: &InstanceName, incarnation: Incarnation) {
-    ledger.holders.remove(&HolderKey { instance: instance.clone(), incarnation });
+/// Notes that an instance's freshness lease has run out or that it has left. Its connections may be closing still, so
+/// its permits come back later: the leased ones after a grace, the kept ones after their own time.
+pub fn on_lease_end(ledger: &mut Ledger, now: Instant, instance: &InstanceName, incarnation: Incarnation) {
+    let key = HolderKey { instance: instance.clone(), incarnation };
+    if let Some(holder) = ledger.holders.get_mut(&key) {
+        holder.active = false;
+    }
+    drop_expired(ledger, now);
+}
+
+/// Takes back all that an instance held that has closed its connections and stops.
+pub fn on_left(ledger: &mut Ledger, instance: &InstanceName, incarnation: Incarnation) {
+    let key = HolderKey { instance: instance.clone(), incarnation };
+    let Some(holder) = ledger.holders.remove(&key) else {
+        return;
+    };
+    for holding in &holder.holdings {
+        account_of(&mut ledger.accounts, &holding.endpoint).forget(holding);
+    }
 }
 
 /// The connections to an endpoint that all instances together hold or may hold.
 pub fn allocated(ledger: &Ledger, endpoint: &EndpointName) -> u32 {
-    let counted =
-        ledger.holders.iter().filter_map(|holder| holder.holdings.get(endpoint)).map(Holding::counted);
-    counted.sum()
+    ledger.accounts.get(endpoint).map_or(0, |account| account.leased + account.kept)
 }
 
-fn drop_expired(ledger: &mut Ledger, now: Instant) {
-    let lease = Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
-    ledger.holders.retain(|holder| now < holder.heard_at + lease);
+fn account_of<'a>(accounts: &'a mut SortedVec<Account>, endpoint: &EndpointName) -> &'a mut Account {
+    let none = || Account { endpoint: endpoint.clone(), leased: 0, kept: 0, wanted: 0 };
+    accounts.get_or_insert_with(endpoint, none)
 }
 
-fn take_report(holder: &mut Holder, report: &PermitReport, trusted: bool) {
-    let holding =
-        holder.holdings.get_or_insert_with(&report.endpoint, || Holding::new(report.endpoint.clone()));
-    holding.reported = report.held;
-    if let Some(sent) = holding.outstanding.filter(|sent| sent.grant_number == report.grant_number) {
-        holding.confirmed = sent;
-        holding.outstanding = None;
-        return;
-    }
-    if report.grant_number == holding.confirmed.grant_number {
-        return;
+/// Takes back what holders had that have not been heard of for long enough.
+fn drop_expired(ledger: &mut Ledger, now: Instant) {
+    let leased = Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS) + CLOSE_GRACE_MS);
+    let kept = Duration::from_millis(grantor_lease_ms(KEPT_PERMIT_LEASE_MS) + CLOSE_GRACE_MS);
+    let accounts = &mut ledger.accounts;
+    for holder in ledger.holders.iter_mut().filter(|holder| now >= holder.heard_at + leased) {
+        holder.active = false;
+        let keeps = now < holder.heard_at + kept;
+        for holding in holder.holdings.iter_mut() {
+            let account = account_of(accounts, &holding.endpoint);
+            account.forget(holding);
+            holding.expire(keeps);
+            account.count(holding);
+        }
     }
-    holding.outstanding = None;
-    let permits = if trusted { report.held } else { 0 };
-    holding.confirmed = Granted { grant_number: report.grant_number, permits };
+    ledger.holders.retain(|holder| now < holder.heard_at + kept);
 }
 
 fn grants_for(
     ledger: &mut Ledger,
-    recovering: bool,
+    now: Instant,
     catalogue: &Catalogue,
     holder: &mut Holder,
 ) -> Vec<PermitGrant> {
-    let active = ledger.holders.iter().filter(|other| other.active).count() + usize::from(holder.active);
-    let parts = u32::try_from(active.max(1)).unwrap_or(u32::MAX);
+    let demand = demand_around(ledger, holder);
+    let recovering = now < ledger.unknown_until;
+    let kept_unknown = now < ledger.unknown_kept_until;
     let mut grants = Vec::new();
     for endpoint in catalogue.groups.iter().flat_map(|group| group.endpoints.iter()) {
-        let elsewhere = allocated(ledger, &endpoint.name);
         let holding =
             holder.holdings.get_or_insert_with(&endpoint.name, || Holding::new(endpoint.name.clone()));
+        let account = account_of(&mut ledger.accounts, &endpoint.name);
         if holding.outstanding.is_none() {
-            let target = if holder.active { endpoint.connection_limit / parts } else { 0 };
-            let permits = if recovering {
-                holding.confirmed.permits
+            let next = if recovering {
+                holding.confirmation(ledger.control_term)
             } else {
-                capped(endpoint, target, elsewhere, holding)
+                propose(
+                    endpoint,
+                    account,
+                    holding,
+                    &demand,
+                    holder.domain == endpoint.domain && !kept_unknown,
+                )
             };
-            let number = holding.confirmed.grant_number;
-            let confirms = recovering && number != 0 && grant_term(number) < ledger.control_term;
-            if confirms || permits != holding.confirmed.permits {
+            if let Some(next) = next {
                 ledger.last_grant_number += 1;
-                holding.outstanding = Some(Granted { grant_number: ledger.last_grant_number, permits });
+                account.forget(holding);
+                holding.outstanding = Some(Granted { grant_number: ledger.last_grant_number, ..next });
+                account.count(holding);
             }
         }
-        grants.extend(grant_to_send(holding));
+        grants.extend(holding.grant_to_send());
     }
     grants
 }
 
-/// A holder's target, as far as the endpoint's limit allows beside what others hold.
-fn capped(endpoint: &EndpointEntry, target: u32, elsewhere: u32, holding: &Holding) -> u32 {
-    let room = endpoint.connection_limit.saturating_sub(elsewhere);
-    target.min(room.max(holding.confirmed.permits.min(target)))
+fn demand_around(ledger: &Ledger, holder: &Holder) -> Demand {
+    let active = ledger.holders.iter().filter(|other| other.active);
+    let here = active.clone().filter(|other| other.domain == holder.domain).count();
+    let this = usize::from(holder.active);
+    Demand {
+        instances: u32::try_from(active.count() + this).unwrap_or(u32::MAX),
+        instances_here: u32::try_from(here + this).unwrap_or(u32::MAX),
+        active: holder.active,
+    }
 }
 
-fn grant_to_send(holding: &Holding) -> Option<PermitGrant> {
-    let sent = holding.outstanding?;
-    Some(PermitGrant {
-        endpoint: holding.endpoint.clone(),
-        grant_number: sent.grant_number,
-        replaces: holding.confirmed.grant_number,
-        permits: sent.permits,
-    })
+/// The grant that a holder should get now, without its number; none where its permits are right.
+fn propose(
+    endpoint: &EndpointEntry,
+    account: &Account,
+    holding: &Holding,
+    demand: &Demand,
+    may_gain_kept: bool,
+) -> Option<Granted> {
+    let budget = target::budget(endpoint.connection_limit);
+    let held = holding.confirmed;
+    let kept_target = target::kept(&budget, demand, holding.kept(), may_gain_kept);
+    let kept_room = budget.kept.saturating_sub(account.kept - holding.kept());
+    let leased_target = target::leased(&budget, demand, holding.wanted, account.wanted);
+    let leased_room = budget.leased.saturating_sub(account.leased - holding.leased());
+    let kept = kept_target.min(kept_room);
+    let leased = leased_target.min(leased_room);
+    let next = Granted { permits: kept + leased, kept, ..Granted::default() };
+    let unchanged = next.permits == held.permits && next.kept == held.kept;
+    let fluctuation = held.kept == kept && held.permits == next.permits + 1 && leased > 0;
+    if unchanged || fluctuation { None } else { Some(next) }
 }
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -60,6 +60,10 @@
     uses: &SortedVec<ConnectionUse>,
 ) -> Heartbeat {
     board.membership.last_asked_at = Some(now);
+    if board.membership.leaving {
+        quota::drop_all(&mut board.quota, now);
+        permits::drop_all(&mut board.permits);
+    }
     Heartbeat {
         instance: board.settings.instance.clone(),
         incarnation: board.settings.incarnation,
@@ -96,7 +100,10 @@
 }
 
 fn take_grants(board: &mut Board, now: Instant, answer: &HeartbeatAnswer) {
+    if board.membership.leaving {
+        return;
+    }
     let lease_until = board.freshness.fresh_until;
     quota::on_grants(&mut board.quota, now, lease_until, &answer.shares);
-    permits::on_grants(&mut board.permits, lease_until, &answer.permits);
+    permits::on_grants(&mut board.permits, answer.asked_at, lease_until, &answer.permits);
 }
--- a/crates/cumincart-core/src/entry/permits.rs
+++ b/crates/cumincart-core/src/entry/permits.rs
@@ -1,18 +1,29 @@
 //! How many connections this instance may hold to each endpoint.
+//!
+//! Most permits end with the freshness lease. A few, to endpoints of this instance's own failure domain, are kept for
+//! longer, so that open routes go on in a failure domain that is cut off.
 
-use cumincart_protocol::{
-    heartbeat::{PermitGrant, PermitReport, grant_term},
-    name::EndpointName,
-    number::ControlTerm,
-    sorted::{Keyed, SortedVec},
-    time::Instant,
+use {
+    cumincart_protocol::{
+        heartbeat::{PermitGrant, PermitReport, grant_term},
+        name::EndpointName,
+        number::ControlTerm,
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::time::Duration,
 };
 
+/// How long permits are kept after the leader's last answer was asked for, in milliseconds.
+pub const KEPT_PERMIT_LEASE_MS: u64 = 600_000;
+
 /// The permits that the control leader granted.
 #[derive(Debug, Default)]
 pub struct Permits {
     /// The end of the lease on all permits.
     lease_until: Instant,
+    /// The end of the time for which some are kept.
+    kept_until: Instant,
     /// One element for each endpoint that a grant named.
     held: SortedVec<Held>,
 }
@@ -22,6 +33,18 @@
     endpoint: EndpointName,
     grant_number: u64,
     permits: u32,
+    kept: u32,
+}
+
+impl Held {
+    fn new(endpoint: EndpointName) -> Self {
+        Self { endpoint, grant_number: 0, permits: 0, kept: 0 }
+    }
+
+    fn keep_only_kept(&mut self) {
+        self.grant_number = 0;
+        self.permits = self.kept;
+    }
 }
 
 impl Keyed for Held {
@@ -53,42 +76,53 @@
 
 /// The number of connections that may be open to an endpoint now; connections beyond it must be closed.
 pub fn allowed(permits: &Permits, now: Instant, endpoint: &EndpointName) -> u32 {
-    if now >= permits.lease_until {
+    let Some(held) = permits.held.get(endpoint) else {
         return 0;
+    };
+    if now < permits.lease_until {
+        return held.permits;
     }
-    permits.held.get(endpoint).map_or(0, |held| held.permits)
+    if now < permits.kept_until { held.kept } else { 0 }
 }
 
-/// Gives up every permit whose lease has run out.
+/// Gives up the permits whose lease has run out.
 pub fn drop_expired(permits: &mut Permits, now: Instant) {
     if now < permits.lease_until {
         return;
     }
+    let keeps = now < permits.kept_until;
     for held in permits.held.iter_mut() {
-        held.grant_number = 0;
-        held.permits = 0;
+        if !keeps {
+            held.kept = 0;
+        }
+        held.keep_only_kept();
     }
 }
 
-/// Gives up every permit that a leader of another term than `control_term` granted.
+/// Gives up every permit, before a planned stop is reported.
+pub fn drop_all(permits: &mut Permits) {
+    *permits = Permits::default();
+}
+
+/// Gives up the leased permits that a leader of another term than `control_term` granted.
 pub fn drop_other_terms(permits: &mut Permits, control_term: ControlTerm) {
     for held in permits.held.iter_mut() {
         if grant_term(held.grant_number) != control_term {
-            held.grant_number = 0;
-            held.permits = 0;
+            held.keep_only_kept();
         }
     }
 }
 
-/// Takes grants and the lease on all permits.
-pub fn on_grants(permits: &mut Permits, lease_until: Instant, grants: &[PermitGrant]) {
+/// Takes grants, the lease on all permits and the time for which some are kept, which counts from `asked_at`.
+pub fn on_grants(permits: &mut Permits, asked_at: Instant, lease_until: Instant, grants: &[PermitGrant]) {
     permits.lease_until = lease_until;
+    permits.kept_until = permits.kept_until.max(asked_at + Duration::from_millis(KEPT_PERMIT_LEASE_MS));
     for grant in grants {
-        let none = || Held { endpoint: grant.endpoint.clone(), grant_number: 0, permits: 0 };
-        let held = permits.held.get_or_insert_with(&grant.endpoint, none);
+        let held = permits.held.get_or_insert_with(&grant.endpoint, || Held::new(grant.endpoint.clone()));
         if held.grant_number == grant.replaces {
             held.grant_number = grant.grant_number;
             held.permits = grant.permits;
+            held.kept = grant.kept;
         }
     }
 }
@@ -97,8 +131,7 @@
 pub fn report(permits: &mut Permits, now: Instant, uses: &SortedVec<ConnectionUse>) -> Vec<PermitReport> {
     drop_expired(permits, now);
     for used in uses {
-        let none = || Held { endpoint: used.endpoint.clone(), grant_number: 0, permits: 0 };
-        permits.held.get_or_insert_with(&used.endpoint, none);
+        permits.held.get_or_insert_with(&used.endpoint, || Held::new(used.endpoint.clone()));
     }
     permits.held.iter().map(|held| report_of(held, uses.get(&held.endpoint))).collect()
 }
@@ -108,6 +141,7 @@
         endpoint: held.endpoint.clone(),
         grant_number: held.grant_number,
         held: held.permits.max(used.map_or(0, |used| used.open)),
+        kept: held.kept,
         wanted: used.map_or(0, |used| used.wanted),
     }
 }
--- a/crates/cumincart-core/src/entry/quota.rs
+++ b/crates/cumincart-core/src/entry/quota.rs
@@ -132,6 +132,12 @@
     }
 }
 
+/// Gives up every share, before a planned stop is reported.
+pub fn drop_all(quota: &mut Quota, now: Instant) {
+    quota.lease_until = Instant::ZERO;
+    drop_expired(quota, now);
+}
+
 /// Puts new limits of the lists in force: a share shrinks with its plan at once, before the leader's next grant.
 pub fn on_lists(quota: &mut Quota, now: Instant, index: &Arc<Index>) {
     if Arc::ptr_eq(&quota.index, index) {
--- a/crates/cumincart-core/tests/entry_data_path/fixture.rs
+++ b/crates/cumincart-core/tests/entry_data_path/fixture.rs
@@ -408,6 +408,7 @@
         grant_number: first_grant_number(ControlTerm(1)) + 1,
         replaces: 0,
         permits: 4,
+        kept: 0,
     };
     group.endpoints.iter().map(grant).collect()
 }
--- a/crates/cumincart-core/tests/limits_shares.rs
+++ b/crates/cumincart-core/tests/limits_shares.rs
@@ -1,8 +1,10 @@
 //! Rates and bursts over the whole fleet.
 
 #[path = "limits_support/fleet.rs"]
+#[allow(dead_code)]
 mod fleet;
 #[path = "limits_support/recorder.rs"]
+#[allow(dead_code)]
 mod recorder;
 
 use fleet::{Clock, Fleet, Network};
--- a/crates/cumincart-core/tests/limits_support/fleet.rs
+++ b/crates/cumincart-core/tests/limits_support/fleet.rs
@@ -79,6 +79,8 @@
     /// The end of the longest lease that an answer gave, arrived or not.
     leased_until: Instant,
     waiting: Vec<WaitingRequest>,
+    /// Connections to each endpoint: open and wanted.
+    pub connections: SortedVec<ConnectionUse>,
     pub counts: Counts,
 }
 
@@ -215,6 +217,7 @@
             cut: false,
             leased_until: Instant::ZERO,
             waiting: Vec::new(),
+            connections: SortedVec::new(),
             counts: Counts::default(),
         });
         self.nodes.len() - 1
@@ -244,6 +247,14 @@
         self.leader = Some(leader);
     }
 
+    /// Puts a leader in place that knows of no earlier one, as the first of a new control group does.
+    pub fn elect_first(&mut self, clock: Clock) {
+        self.elect(clock);
+        let leader = self.leader.as_mut().expect("one was elected");
+        share_ledger::on_first_elected(&mut leader.shares, leader.control_term);
+        permit_ledger::on_first_elected(&mut leader.permits, leader.control_term);
+    }
+
     /// Commits new lists. Until they are in force everywhere, the greatest of the limits since the last time holds.
     pub fn apply(&mut self, limits: &[(f64, u32)]) {
         for (recorder, (rate, burst)) in self.recorders.iter_mut().zip(limits) {
@@ -260,6 +271,7 @@
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].alive = false;
         self.nodes[node].waiting.clear();
+        self.nodes[node].connections = SortedVec::new();
     }
 
     /// Sends one request of an organisation to an instance.
@@ -355,9 +367,8 @@
         if !node.alive || !membership::due(&node.board, now) {
             return;
         }
-        let uses: SortedVec<ConnectionUse> = SortedVec::new();
         let started = std::time::Instant::now();
-        let heartbeat = membership::heartbeat(&mut node.board, now, Vec::new(), &uses);
+        let heartbeat = membership::heartbeat(&mut node.board, now, Vec::new(), &node.connections);
         self.entry_time += started.elapsed();
         self.heartbeats += 1;
         self.post(&Message::Heartbeat(index, heartbeat));
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -131,6 +131,8 @@
     pub grant_number: u64,
     /// Connections that the sender may still have open: the greater of its permits and its connections.
     pub held: u32,
+    /// Those of its permits that it keeps for a while without a lease.
+    pub kept: u32,
     /// Connections that it could use.
     pub wanted: u32,
 }
@@ -146,6 +148,8 @@
     pub replaces: u64,
     /// The number of connections.
     pub permits: u32,
+    /// Those of them that the holder keeps when its lease has run out, for requests on open routes.
+    pub kept: u32,
 }
 
 /// The leader's answer to a heartbeat: a lease and what has changed.
