--- a/crates/cumincart-core/examples/data_measures/deployment.rs
+++ b/crates/cumincart-core/examples/data_measures/deployment.rs
@@ -171,6 +171,7 @@
                 grant_number: first_grant_number(ControlTerm(1)) + 1,
                 replaces: 0,
                 permits,
+                kept: 0,
             })
             .collect()
     }
