--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -31,6 +31,9 @@
 /// How long an instance may take to close connections after its lease has run out, in milliseconds.
 const CLOSE_GRACE_MS: u64 = STUCK_WORK_MS + 1_000;
 
+/// Time between two searches for holders whose lease has run out, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 100;
+
 /// What each entry instance holds or may still hold.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -39,6 +42,7 @@
     last_grant_number: u64,
     /// Until then, leases of an earlier leader may be live that this one does not know of.
     unknown_until: Instant,
+    next_sweep_at: Instant,
     /// Until then, permits may be kept that this leader does not know of.
     unknown_kept_until: Instant,
     holders: SortedVec<Holder>,
@@ -106,8 +110,8 @@
 ) -> Vec<PermitGrant> {
     drop_expired(ledger, now);
     let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
-    let mut holder =
-        ledger.holders.remove(&key).unwrap_or_else(|| Holder::new(key, heartbeat.domain.clone(), now));
+    let none = || Holder::new(key.clone(), heartbeat.domain.clone(), now);
+    let mut holder = std::mem::replace(ledger.holders.get_or_insert_with(&key, none), none());
     if holder.last_asked_at.is_some_and(|last| heartbeat.asked_at <= last) {
         ledger.holders.insert(holder);
         return Vec::new();
@@ -162,6 +166,10 @@
 
 /// Takes back what holders had that have not been heard of for long enough.
 fn drop_expired(ledger: &mut Ledger, now: Instant) {
+    if now < ledger.next_sweep_at {
+        return;
+    }
+    ledger.next_sweep_at = now + Duration::from_millis(SWEEP_INTERVAL_MS);
     let leased = Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS) + CLOSE_GRACE_MS);
     let kept = Duration::from_millis(grantor_lease_ms(KEPT_PERMIT_LEASE_MS) + CLOSE_GRACE_MS);
     let accounts = &mut ledger.accounts;
@@ -192,6 +200,9 @@
         let holding =
             holder.holdings.get_or_insert_with(&endpoint.name, || Holding::new(endpoint.name.clone()));
         let account = account_of(&mut ledger.accounts, &endpoint.name);
+        account.forget(holding);
+        holding.settle_wanted();
+        account.count(holding);
         if holding.outstanding.is_none() {
             let next = if recovering {
                 holding.confirmation(ledger.control_term)
--- a/crates/cumincart-core/src/control/permits/holder.rs
+++ b/crates/cumincart-core/src/control/permits/holder.rs
@@ -75,8 +75,10 @@
     pub confirmed: Granted,
     /// A grant that was sent and may be in force.
     pub outstanding: Option<Granted>,
-    /// Connections that the holder wants, less one.
+    /// Connections that the holder wanted lately, less one; falls slowly behind what it wants now.
     pub wanted: u32,
+    /// Connections that the holder wants now, less one.
+    wanted_now: u32,
     /// Connections that the holder reported, with those that it has yet to close.
     reported: u32,
     /// Permits that the holder reported to keep.
@@ -99,6 +101,7 @@
             confirmed: Granted::default(),
             outstanding: None,
             wanted: 0,
+            wanted_now: 0,
             reported: 0,
             reported_kept: 0,
         }
@@ -121,7 +124,7 @@
     pub fn take_report(&mut self, report: &PermitReport, recovering: bool, control_term: ControlTerm) {
         self.reported = report.held;
         self.reported_kept = report.kept;
-        self.wanted = report.wanted.saturating_sub(1).max(self.wanted * 7 / 8);
+        self.wanted_now = report.wanted.saturating_sub(1);
         if let Some(sent) = self.outstanding.filter(|sent| sent.grant_number == report.grant_number) {
             self.confirmed = sent;
             self.outstanding = None;
@@ -136,12 +139,18 @@
         self.confirmed = Granted { grant_number: report.grant_number, permits, kept: report.kept };
     }
 
+    /// Lets what was wanted lately fall by an eighth, down to what is wanted now.
+    pub fn settle_wanted(&mut self) {
+        self.wanted = self.wanted_now.max(self.wanted * 7 / 8);
+    }
+
     /// Drops what was leased, and what was kept unless the holder `keeps` it still.
     pub fn expire(&mut self, keeps: bool) {
         let kept = if keeps { self.kept() } else { 0 };
         self.confirmed = Granted { grant_number: self.confirmed.grant_number, permits: kept, kept };
         self.outstanding = None;
         self.wanted = 0;
+        self.wanted_now = 0;
         self.reported = kept;
         self.reported_kept = kept;
     }
--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -18,7 +18,7 @@
         catalogue::Catalogue,
         heartbeat::{Heartbeat, Share, ShareGrant, ShareReport, first_grant_number, grant_term},
         lists::Lists,
-        name::{InstanceName, OrganisationName},
+        name::{DomainName, InstanceName, OrganisationName},
         number::{ControlTerm, Incarnation, Revision},
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -28,6 +28,9 @@
     target::Fleet,
 };
 
+/// Time between two searches for holders whose lease has run out, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 100;
+
 /// What each entry instance holds or may still hold.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -36,6 +39,7 @@
     last_grant_number: u64,
     /// Until then, leases of an earlier leader may be live that this one does not know of.
     unknown_until: Instant,
+    next_sweep_at: Instant,
     lists: Arc<Lists>,
     /// The revision from which on the lists are known to hold.
     lists_since: Revision,
@@ -94,8 +98,7 @@
     drop_expired(ledger, now);
     adopt_lists(ledger, now, catalogue);
     let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
-    let mut holder =
-        ledger.holders.remove(&key).unwrap_or_else(|| Holder::new(key, heartbeat.domain.clone()));
+    let mut holder = take_holder(ledger, &key, &heartbeat.domain);
     if holder.last_asked_at.is_some_and(|last| heartbeat.asked_at <= last) {
         ledger.holders.insert(holder);
         return Vec::new();
@@ -142,6 +145,13 @@
     violations
 }
 
+/// Takes a holder out to be changed beside the ledger. An empty one keeps its place, so that no other one is moved.
+fn take_holder(ledger: &mut Ledger, key: &HolderKey, domain: &DomainName) -> Holder {
+    let none = || Holder::new(key.clone(), domain.clone());
+    let place = ledger.holders.get_or_insert_with(key, none);
+    std::mem::replace(place, none())
+}
+
 fn held_of(ledger: &Ledger, organisation: &OrganisationName) -> Share {
     let mut sum = Share::default();
     for holding in ledger.holders.iter().filter_map(|holder| holder.holdings.get(organisation)) {
@@ -177,6 +187,10 @@
 
 /// Takes back what holders had whose lease has run out by this clock, in case nobody said so.
 fn drop_expired(ledger: &mut Ledger, now: Instant) {
+    if now < ledger.next_sweep_at {
+        return;
+    }
+    ledger.next_sweep_at = now + Duration::from_millis(SWEEP_INTERVAL_MS);
     let lease = Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
     let expired: Vec<HolderKey> = ledger
         .holders
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -10,6 +10,7 @@
     crate::timing::HEARTBEAT_INTERVAL_MS,
     cumincart_protocol::{
         heartbeat::{EndpointReport, Heartbeat, HeartbeatAnswer},
+        number::ControlTerm,
         sorted::SortedVec,
         time::Instant,
     },
@@ -31,6 +32,14 @@
     pub last_asked_at: Option<Instant>,
     /// Whether this instance is stopping and gives back all that it holds.
     pub leaving: bool,
+    /// The election term of the leader whose grants are in force.
+    granted_in: ControlTerm,
+    /// When the latest question was asked that a leader of that term answered.
+    acknowledged_at: Option<Instant>,
+    /// Since when every heartbeat has told all; none while they tell only what has changed.
+    full_since: Option<Instant>,
+    /// Whether the next heartbeats must tell all, since a new leader answers.
+    must_tell_all: bool,
 }
 
 /// Whether a heartbeat should go out now.
@@ -42,7 +51,11 @@
     if since >= Duration::from_millis(HEARTBEAT_INTERVAL_MS) {
         return true;
     }
-    if since < Duration::from_millis(HEARTBEAT_MIN_INTERVAL_MS) {
+    let short = since < Duration::from_millis(HEARTBEAT_MIN_INTERVAL_MS);
+    if board.membership.must_tell_all && !short {
+        return true;
+    }
+    if short {
         return since >= Duration::from_millis(CONFIRM_INTERVAL_MS)
             && quota::has_unreported_grant(&board.quota);
     }
@@ -64,6 +77,7 @@
         quota::drop_all(&mut board.quota, now);
         permits::drop_all(&mut board.permits);
     }
+    let told = told_until(&mut board.membership, now);
     Heartbeat {
         instance: board.settings.instance.clone(),
         incarnation: board.settings.incarnation,
@@ -73,8 +87,8 @@
         revision: board.freshness.revision(),
         leaving: board.membership.leaving,
         endpoints,
-        shares: quota::report(&mut board.quota, now),
-        permits: permits::report(&mut board.permits, now, uses),
+        shares: quota::report(&mut board.quota, now, told),
+        permits: permits::report(&mut board.permits, now, told, uses),
     }
 }
 
@@ -83,22 +97,48 @@
 pub fn on_answer(board: &mut Board, now: Instant, answer: &HeartbeatAnswer) -> AnswerOutcome {
     quota::drop_expired(&mut board.quota, now);
     permits::drop_expired(&mut board.permits, now);
-    let known_term = board.freshness.control_term;
     let outcome = freshness::apply_answer(&mut board.freshness, now, board.settings.incarnation, answer);
     if let AnswerOutcome::Dropped(_) = outcome {
         return outcome;
     }
     quota::on_lists(&mut board.quota, now, &board.freshness.index);
+    if !is_told_all(&mut board.membership, answer) {
+        return outcome;
+    }
     if outcome == AnswerOutcome::Leased {
         take_grants(board, now, answer);
     }
-    if answer.control_term > known_term {
+    if answer.control_term > board.membership.granted_in {
+        board.membership.granted_in = answer.control_term;
         quota::drop_other_terms(&mut board.quota, now, answer.control_term);
         permits::drop_other_terms(&mut board.permits, answer.control_term);
     }
+    board.membership.acknowledged_at = board.membership.acknowledged_at.max(Some(answer.asked_at));
     outcome
 }
 
+/// Until when the leader knows what was told; none where the next heartbeat must tell all, because no answer has come
+/// for a while and another leader may hear it.
+fn told_until(membership: &mut Membership, now: Instant) -> Option<Instant> {
+    let recent = Duration::from_millis(HEARTBEAT_INTERVAL_MS + HEARTBEAT_MIN_INTERVAL_MS);
+    let told = membership.acknowledged_at.filter(|at| now.saturating_since(*at) <= recent);
+    if told.is_none() || membership.must_tell_all {
+        membership.full_since.get_or_insert(now);
+        return None;
+    }
+    membership.full_since = None;
+    told
+}
+
+/// Whether the leader that answers was told all: it knows what this instance holds, and its grants replace an earlier
+/// leader's. Until then the leases on shares and permits of the earlier one run on.
+fn is_told_all(membership: &mut Membership, answer: &HeartbeatAnswer) -> bool {
+    let known = answer.control_term == membership.granted_in;
+    let told = known || membership.full_since.is_some_and(|since| answer.asked_at >= since);
+    membership.must_tell_all = !told;
+    told
+}
+
 fn take_grants(board: &mut Board, now: Instant, answer: &HeartbeatAnswer) {
     if board.membership.leaving {
         return;
--- a/crates/cumincart-core/src/entry/permits.rs
+++ b/crates/cumincart-core/src/entry/permits.rs
@@ -34,11 +34,13 @@
     grant_number: u64,
     permits: u32,
     kept: u32,
+    last_report: Option<PermitReport>,
+    reported_at: Option<Instant>,
 }
 
 impl Held {
     fn new(endpoint: EndpointName) -> Self {
-        Self { endpoint, grant_number: 0, permits: 0, kept: 0 }
+        Self { endpoint, grant_number: 0, permits: 0, kept: 0, last_report: None, reported_at: None }
     }
 
     fn keep_only_kept(&mut self) {
@@ -127,13 +129,30 @@
     }
 }
 
-/// What the next heartbeat tells of each endpoint with permits, connections or a wish for some.
-pub fn report(permits: &mut Permits, now: Instant, uses: &SortedVec<ConnectionUse>) -> Vec<PermitReport> {
+/// What the next heartbeat tells: of every endpoint with permits, connections or a wish for some, or only of those with
+/// news where the leader knows what was told until `told`.
+pub fn report(
+    permits: &mut Permits,
+    now: Instant,
+    told: Option<Instant>,
+    uses: &SortedVec<ConnectionUse>,
+) -> Vec<PermitReport> {
     drop_expired(permits, now);
     for used in uses {
         permits.held.get_or_insert_with(&used.endpoint, || Held::new(used.endpoint.clone()));
     }
-    permits.held.iter().map(|held| report_of(held, uses.get(&held.endpoint))).collect()
+    let mut reports = Vec::new();
+    for held in permits.held.iter_mut() {
+        let report = report_of(held, uses.get(&held.endpoint));
+        let known = held.reported_at.is_some_and(|at| told.is_some_and(|told| at <= told));
+        if known && held.last_report.as_ref() == Some(&report) {
+            continue;
+        }
+        held.reported_at = Some(now);
+        held.last_report = Some(report.clone());
+        reports.push(report);
+    }
+    reports
 }
 
 fn report_of(held: &Held, used: Option<&ConnectionUse>) -> PermitReport {
--- a/crates/cumincart-core/src/entry/quota.rs
+++ b/crates/cumincart-core/src/entry/quota.rs
@@ -173,10 +173,11 @@
     quota.waiting -= quota.ready.len() - ready;
 }
 
-/// What the next heartbeat tells of each organisation with traffic or holdings.
-pub fn report(quota: &mut Quota, now: Instant) -> Vec<ShareReport> {
+/// What the next heartbeat tells: of every organisation with traffic or holdings, or only of those with news where the
+/// leader knows what was told until `told`.
+pub fn report(quota: &mut Quota, now: Instant, told: Option<Instant>) -> Vec<ShareReport> {
     drop_expired(quota, now);
-    quota.buckets.iter_mut().filter_map(|bucket| bucket.report(now)).collect()
+    quota.buckets.iter_mut().filter_map(|bucket| bucket.report(now, told)).collect()
 }
 
 /// The share and the tokens, in thousandths, that this instance holds of an organisation's rate.
--- a/crates/cumincart-core/src/entry/quota/bucket.rs
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -30,6 +30,9 @@
 /// The shortest time over which arrivals are counted as a rate, in milliseconds.
 const DEMAND_MIN_INTERVAL_MS: u64 = 100;
 
+/// Demand is reported again when it has changed by more than one part in this many.
+const REPORTED_DEMAND_DIVISOR: u64 = 8;
+
 /// A request asks the leader for a token if its own share takes longer than this, in milliseconds.
 const OWN_WAIT_MS: u64 = 200;
 
@@ -42,6 +45,13 @@
     pub until: Instant,
 }
 
+/// A report and when it was made.
+#[derive(Debug)]
+struct Reported {
+    at: Instant,
+    report: ShareReport,
+}
+
 /// How many requests arrive, as a decaying average.
 #[derive(Debug)]
 pub struct Demand {
@@ -76,7 +86,7 @@
     reserve_at: Instant,
     /// Arrivals.
     pub demand: Demand,
-    reported_demand_milli_per_s: u64,
+    last_report: Option<Reported>,
     /// Requests that wait, in the order of arrival.
     pub waiting: VecDeque<Waiter>,
 }
@@ -146,7 +156,7 @@
             returned_milli: 0,
             reserve_at: now,
             demand: Demand { arrivals: 0, counted_from: now, milli_per_s: 0 },
-            reported_demand_milli_per_s: 0,
+            last_report: None,
             waiting: VecDeque::new(),
         }
     }
@@ -287,19 +297,29 @@
         self.must_report = true;
     }
 
-    /// The report for the next heartbeat; none for a bucket that is idle and holds nothing.
-    pub fn report(&mut self, now: Instant) -> Option<ShareReport> {
+    /// The report for the next heartbeat; none for a bucket that is idle and holds nothing, nor for one without news
+    /// where the leader knows what was told until `told`.
+    pub fn report(&mut self, now: Instant, told: Option<Instant>) -> Option<ShareReport> {
         let demand_milli_per_s = self.demand.average(now);
-        let quiet = demand_milli_per_s == 0 && self.reported_demand_milli_per_s == 0;
-        self.reported_demand_milli_per_s = demand_milli_per_s;
+        let quiet = demand_milli_per_s == 0 && self.last_demand_milli_per_s() == 0;
         let idle = quiet && self.waiting.is_empty() && self.granted == Share::default();
         if idle && !self.must_report {
             return None;
         }
+        let report = self.report_of(demand_milli_per_s);
+        if !self.must_report && self.is_known(&report, told) {
+            return None;
+        }
+        self.return_idle_tokens(now);
+        let report = ShareReport { returned_milli: self.returned_milli, ..report };
         self.must_report = false;
         self.lowered = false;
-        self.return_idle_tokens(now);
-        Some(ShareReport {
+        self.last_report = Some(Reported { at: now, report: report.clone() });
+        Some(report)
+    }
+
+    fn report_of(&self, demand_milli_per_s: u64) -> ShareReport {
+        ShareReport {
             organisation: self.organisation.clone(),
             grant_number: self.grant_number,
             held: self.granted,
@@ -307,7 +327,24 @@
             demand_milli_per_s,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             returned_milli: self.returned_milli,
-        })
+        }
+    }
+
+    fn last_demand_milli_per_s(&self) -> u64 {
+        self.last_report.as_ref().map_or(0, |last| last.report.demand_milli_per_s)
+    }
+
+    /// Whether the leader knows a report that says nearly the same.
+    fn is_known(&self, report: &ShareReport, told: Option<Instant>) -> bool {
+        let Some(last) = self.last_report.as_ref().filter(|last| told.is_some_and(|told| last.at <= told))
+        else {
+            return false;
+        };
+        let demand_milli_per_s = last.report.demand_milli_per_s;
+        let near = report.demand_milli_per_s.abs_diff(demand_milli_per_s)
+            <= demand_milli_per_s / REPORTED_DEMAND_DIVISOR;
+        near && report.waiting == 0
+            && *report == ShareReport { demand_milli_per_s: report.demand_milli_per_s, ..last.report.clone() }
     }
 
     fn admit_waiting(&mut self, now: Instant, out: &mut Vec<(Ticket, QuotaDecision)>) {
--- a/crates/cumincart-core/tests/limits_permits.rs
+++ b/crates/cumincart-core/tests/limits_permits.rs
@@ -155,3 +155,20 @@
         }
     }
 }
+
+#[test]
+fn permits_come_back_after_a_peak() {
+    let mut fleet = fleet_with_endpoints(3);
+    run_ms(&mut fleet, 20_000);
+    let endpoint = endpoint(0).name;
+    let want_at = |fleet: &mut Fleet, node: usize, wanted| {
+        fleet.nodes[node].connections.get_mut(&endpoint).expect("it is there").wanted = wanted;
+    };
+    want_at(&mut fleet, 0, 15);
+    run_ms(&mut fleet, 10_000);
+    want_at(&mut fleet, 0, 1);
+    fleet.nodes[0].connections.get_mut(&endpoint).expect("it is there").open = 1;
+    want_at(&mut fleet, 1, 15);
+    run_ms(&mut fleet, 15_000);
+    assert!(allowed_at(&fleet, 1, 0) >= 15, "{}", allowed_at(&fleet, 1, 0));
+}
