--- a/crates/cumincart-core/tests/limits_support/fleet.rs
+++ b/crates/cumincart-core/tests/limits_support/fleet.rs
@@ -79,6 +79,8 @@
     /// The end of the longest lease that an answer gave, arrived or not.
     leased_until: Instant,
     waiting: Vec<WaitingRequest>,
+    /// Connections to each endpoint: open and wanted.
+    pub connections: SortedVec<ConnectionUse>,
     pub counts: Counts,
 }
 
@@ -123,6 +125,8 @@
     pub ideals: Vec<Recorder>,
     /// Requests of each organisation that were refused although a single bucket had a token.
     pub wrongly_refused: Vec<u64>,
+    /// What the last refused request was told.
+    pub last_retry_after_ms: Option<u64>,
     pub random: ChaCha20Rng,
     pub bytes_to_leader: u64,
     pub bytes_from_leader: u64,
@@ -181,6 +185,7 @@
             limits_pending: false,
             ideals: Vec::new(),
             wrongly_refused: vec![0; limits.len()],
+            last_retry_after_ms: None,
             random: ChaCha20Rng::seed_from_u64(seed),
             bytes_to_leader: 0,
             bytes_from_leader: 0,
@@ -215,6 +220,7 @@
             cut: false,
             leased_until: Instant::ZERO,
             waiting: Vec::new(),
+            connections: SortedVec::new(),
             counts: Counts::default(),
         });
         self.nodes.len() - 1
@@ -244,6 +250,14 @@
         self.leader = Some(leader);
     }
 
+    /// Puts a leader in place that knows of no earlier one, as the first of a new control group does.
+    pub fn elect_first(&mut self, clock: Clock) {
+        self.elect(clock);
+        let leader = self.leader.as_mut().expect("one was elected");
+        share_ledger::on_first_elected(&mut leader.shares, leader.control_term);
+        permit_ledger::on_first_elected(&mut leader.permits, leader.control_term);
+    }
+
     /// Commits new lists. Until they are in force everywhere, the greatest of the limits since the last time holds.
     pub fn apply(&mut self, limits: &[(f64, u32)]) {
         for (recorder, (rate, burst)) in self.recorders.iter_mut().zip(limits) {
@@ -260,6 +274,7 @@
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].alive = false;
         self.nodes[node].waiting.clear();
+        self.nodes[node].connections = SortedVec::new();
     }
 
     /// Sends one request of an organisation to an instance.
@@ -284,7 +299,8 @@
             QuotaDecision::Waiting => {
                 node.waiting.push(WaitingRequest { ticket, organisation_index, sent_us: now_us, within });
             }
-            QuotaDecision::Refused { .. } => {
+            QuotaDecision::Refused { retry_after_ms } => {
+                self.last_retry_after_ms = Some(retry_after_ms);
                 node.counts.refused += 1;
                 self.wrongly_refused[organisation_index] += u64::from(within);
             }
@@ -339,7 +355,8 @@
                     node.counts.waited_us += now_us - request.sent_us;
                     self.recorders[request.organisation_index].admit(now_us);
                 }
-                QuotaDecision::Refused { .. } => {
+                QuotaDecision::Refused { retry_after_ms } => {
+                    self.last_retry_after_ms = Some(retry_after_ms);
                     node.counts.refused += 1;
                     self.wrongly_refused[request.organisation_index] += u64::from(request.within);
                 }
@@ -355,9 +372,8 @@
         if !node.alive || !membership::due(&node.board, now) {
             return;
         }
-        let uses: SortedVec<ConnectionUse> = SortedVec::new();
         let started = std::time::Instant::now();
-        let heartbeat = membership::heartbeat(&mut node.board, now, Vec::new(), &uses);
+        let heartbeat = membership::heartbeat(&mut node.board, now, Vec::new(), &node.connections);
         self.entry_time += started.elapsed();
         self.heartbeats += 1;
         self.post(&Message::Heartbeat(index, heartbeat));
