--- a/crates/cumincart-core/examples/data_measures/choice.rs
+++ b/crates/cumincart-core/examples/data_measures/choice.rs
@@ -27,6 +27,7 @@
         Named { name: "least_in_flight", choice: policy::least_in_flight },
         Named { name: "two_choices", choice: policy::two_choices },
         Named { name: "two_choices_without_stalled", choice: policy::two_choices_without_stalled },
+        Named { name: "two_choices_local", choice: policy::two_choices_local },
         Named { name: "local_without_stalled", choice: policy::local_without_stalled },
     ];
     for deployment in [Deployment::telvara(), Deployment::association()] {
--- a/crates/cumincart-core/examples/data_measures/fairness.rs
+++ b/crates/cumincart-core/examples/data_measures/fairness.rs
@@ -46,7 +46,7 @@
 }
 
 fn run(deployment: &Deployment, case: &Case, seed: u64) {
-    let mut fleet = Fleet::open(deployment, policy::local_without_stalled, seed);
+    let mut fleet = Fleet::open(deployment, policy::two_choices_local, seed);
     let primaries_per_s =
         deployment.groups as f64 * f64::from(deployment.slots) * 1e6 / deployment.service_micros;
     let total_per_s = primaries_per_s * LOAD / WRITE_SHARE;
--- a/crates/cumincart-core/src/entry/routing/policy.rs
+++ b/crates/cumincart-core/src/entry/routing/policy.rs
@@ -38,13 +38,13 @@
 /// The one with less load of two drawn at random.
 pub fn two_choices(candidates: &[Candidate], draw: u64) -> Option<usize> {
     let everyone: Vec<usize> = (0..candidates.len()).collect();
-    better_of_two(candidates, &everyone, draw)
+    better_of_two(candidates, &everyone, draw, |candidate| candidate.load)
 }
 
 /// Two choices among the replicas that are not stalled.
 pub fn two_choices_without_stalled(candidates: &[Candidate], draw: u64) -> Option<usize> {
     let healthy = without_stalled(candidates);
-    better_of_two(candidates, &healthy, draw)
+    better_of_two(candidates, &healthy, draw, |candidate| candidate.load)
 }
 
 /// One of this failure domain before others, then the least load, among the replicas that are not stalled.
@@ -53,11 +53,24 @@
     healthy.into_iter().min_by_key(|index| (candidates[*index].distant, candidates[*index].load))
 }
 
+/// Two choices among the replicas that are not stalled, where one in another failure domain counts as having one
+/// request more.
+pub fn two_choices_local(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let healthy = without_stalled(candidates);
+    let rank = |candidate: &Candidate| candidate.load + usize::from(candidate.distant);
+    better_of_two(candidates, &healthy, draw, rank)
+}
+
 fn without_stalled(candidates: &[Candidate]) -> Vec<usize> {
     (0..candidates.len()).filter(|index| !candidates[*index].stalled).collect()
 }
 
-fn better_of_two(candidates: &[Candidate], among: &[usize], draw: u64) -> Option<usize> {
+fn better_of_two(
+    candidates: &[Candidate],
+    among: &[usize],
+    draw: u64,
+    rank: impl Fn(&Candidate) -> usize,
+) -> Option<usize> {
     let count = u64::try_from(among.len()).ok()?;
     let first = usize::try_from(draw.checked_rem(count)?).ok()?;
     if count == 1 {
@@ -66,5 +79,5 @@
     // The second draw uses the bits that the first left, over the others.
     let step = 1 + usize::try_from((draw >> 32) % (count - 1)).ok()?;
     let second = (first + step) % among.len();
-    [among[first], among[second]].into_iter().min_by_key(|index| candidates[*index].load)
+    [among[first], among[second]].into_iter().min_by_key(|index| rank(&candidates[*index]))
 }
