Revert the delay-based limit of the works under way

Change: the limit is the endpoint's slots and the permits again. The measured choice of replicas stays.

--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -1,7 +1,6 @@
 //! The entry instances' decisions: admission, quota, sessions, routing, pools, fairness, transactions, retries.
 
 pub mod admission;
-pub mod concurrency;
 pub mod counters;
 pub mod dispatch;
 pub mod drain;
--- a/crates/cumincart-core/src/entry/dispatch.rs
+++ b/crates/cumincart-core/src/entry/dispatch.rs
@@ -104,11 +104,7 @@
         let Some(endpoint) = board.pool.endpoints.get_mut(name) else {
             return;
         };
-        if endpoint.queue.is_empty() {
-            return;
-        }
-        if endpoint.in_flight >= endpoint.concurrency.limit() {
-            endpoint.concurrency.note_reached();
+        if endpoint.queue.is_empty() || endpoint.in_flight >= endpoint.slots.max(1) {
             return;
         }
         let Some(connection) = endpoint.idle.last().copied() else {
@@ -124,7 +120,7 @@
 
 fn open_for_queue(board: &mut Board, now: Instant, name: &EndpointName, out: &mut Vec<Effect>) {
     let missing = board.pool.endpoint(name).map_or(0, |endpoint| {
-        let useful = endpoint.concurrency.limit().saturating_sub(endpoint.in_flight) as usize;
+        let useful = endpoint.slots.saturating_sub(endpoint.in_flight) as usize;
         endpoint.queue.len().min(useful).saturating_sub(endpoint.opening as usize)
     });
     for _ in 0..missing {
--- a/crates/cumincart-core/src/entry/pool.rs
+++ b/crates/cumincart-core/src/entry/pool.rs
@@ -6,7 +6,6 @@
     self::history::PositionHistory,
     super::{
         Effect, Ticket,
-        concurrency::ConcurrencyLimit,
         fairness::FairQueue,
         permits::{self, Permits},
     },
@@ -122,8 +121,6 @@
     pub probing: bool,
     /// The mean time from a work's start to its end, over the last ones, in microseconds.
     pub service_micros: u64,
-    /// How many works may be under way.
-    pub concurrency: ConcurrencyLimit,
     /// Requests that wait for it.
     pub queue: FairQueue,
     /// Its last known state.
@@ -172,7 +169,6 @@
             in_flight: 0,
             probing: false,
             service_micros: 0,
-            concurrency: ConcurrencyLimit::new(entry.slots),
             queue: FairQueue::default(),
             observed: None,
             history: PositionHistory::default(),
@@ -195,7 +191,7 @@
 
     /// How long a request with so many before it in the queue is expected to wait.
     pub fn expected_wait(&self, places_ahead: usize) -> Duration {
-        let in_parallel = u64::from(self.concurrency.limit().min(self.connections).max(1));
+        let in_parallel = u64::from(self.slots.min(self.connections).max(1));
         let rounds = places_ahead as u64 / in_parallel;
         Duration::from_micros(self.service_micros.saturating_mul(rounds))
     }
@@ -215,7 +211,6 @@
             0 => micros,
             mean => mean - mean / SERVICE_TIME_WINDOW + micros / SERVICE_TIME_WINDOW,
         };
-        self.concurrency.note_work(took, self.slots);
     }
 
     fn work_ended(&mut self, owner: Owner) {
@@ -369,9 +364,7 @@
         let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
         endpoint.work_ended(owner);
         endpoint.answered_at = now;
-        if owner != Owner::Pool {
-            endpoint.note_service_time(now.saturating_since(since));
-        }
+        endpoint.note_service_time(now.saturating_since(since));
         Some(Finished { endpoint: endpoint.name.clone(), owner })
     }
 
