Cap each organisation's works under way while an endpoint is congested

Cause: the weighted queue orders what waits here, but up to 28 works of one organisation already wait inside the endpoint, in order of arrival. Change: lanes know what they have under way; while the mean time of a work is above 1.4 times its least, a lane may have its weight's part of the limit, at least one.

--- a/crates/cumincart-core/examples/data_measures/deployment.rs
+++ b/crates/cumincart-core/examples/data_measures/deployment.rs
@@ -29,6 +29,8 @@
     pub caller_micros: u64,
     pub open_micros: u64,
     pub service_micros: f64,
+    /// The rate of the last organisation's plan, where its plan limits it.
+    pub limited_per_s: Option<f64>,
     pub catalogue: Arc<Catalogue>,
 }
 
@@ -64,12 +66,20 @@
             caller_micros: 3_000,
             open_micros: 12_000,
             service_micros: 2_000.0,
+            limited_per_s: None,
             catalogue: Arc::default(),
         };
         deployment.catalogue = Arc::new(deployment.build_catalogue());
         deployment
     }
 
+    /// The same deployment with the last organisation on a plan of its own, with this rate and as much burst.
+    pub fn limited(mut self, rate_per_s: f64) -> Self {
+        self.limited_per_s = Some(rate_per_s);
+        self.catalogue = Arc::new(self.build_catalogue());
+        self
+    }
+
     pub fn service(group: usize) -> String {
         format!("service-{group:04}")
     }
@@ -106,10 +116,12 @@
             burst: 100_000,
             weight: 1,
         };
+        let rate_per_s = self.limited_per_s.unwrap_or(plan.rate_per_s);
+        let limited = Plan { name: "limited".into(), rate_per_s, burst: rate_per_s as u32, ..plan.clone() };
         let organisations = (0..ORGANISATIONS)
             .map(|index| Organisation {
                 name: format!("organisation-{index}").into(),
-                plan: "plan".into(),
+                plan: if index + 1 == ORGANISATIONS { "limited".into() } else { "plan".into() },
                 keys: vec![KeyDigest {
                     id: format!("key-{index}").into(),
                     sha256: Self::key(index)
@@ -122,7 +134,7 @@
             .collect();
         let lists = Lists {
             organisations: OrganisationList { organisations },
-            plans: PlanList { services, plans: vec![plan] },
+            plans: PlanList { services, plans: vec![plan, limited] },
         };
         let groups = (0..self.groups).map(|group| self.group(group)).collect();
         Catalogue { revision: Revision(1), lists: Arc::new(lists), groups, ..Catalogue::default() }
@@ -148,17 +160,22 @@
     }
 
     pub fn shares(&self) -> Vec<ShareGrant> {
-        let share = Share { rate_milli_per_s: 10_000_000, burst_milli: 10_000_000 };
-        (0..ORGANISATIONS)
-            .map(|index| ShareGrant {
-                organisation: format!("organisation-{index}").into(),
-                grant_number: first_grant_number(ControlTerm(1)) + 1,
-                replaces: 0,
-                share,
-                tokens_milli: 10_000_000,
-                next_token_ms: 0,
-            })
-            .collect()
+        (0..ORGANISATIONS).map(|index| self.share(index)).collect()
+    }
+
+    /// An organisation's share of one instance: an equal part.
+    fn share(&self, organisation: usize) -> ShareGrant {
+        let limited = self.limited_per_s.filter(|_| organisation + 1 == ORGANISATIONS);
+        let rate_per_s = limited.unwrap_or(70_000.0) / self.instances as f64;
+        let milli = (rate_per_s * 1_000.0) as u64;
+        ShareGrant {
+            organisation: format!("organisation-{organisation}").into(),
+            grant_number: first_grant_number(ControlTerm(1)) + 1,
+            replaces: 0,
+            share: Share { rate_milli_per_s: milli, burst_milli: milli },
+            tokens_milli: milli,
+            next_token_ms: 0,
+        }
     }
 
     pub fn permits(&self) -> Vec<PermitGrant> {
--- a/crates/cumincart-core/examples/data_measures/fairness.rs
+++ b/crates/cumincart-core/examples/data_measures/fairness.rs
@@ -26,15 +26,18 @@
     queue: &'static str,
     open: bool,
     factor: f64,
+    /// Whether the loud organisation's plan limits it to its own rate.
+    limited: bool,
 }
 
 pub fn measure() {
     let cases = [
-        Case { queue: "weighted", open: false, factor: 0.0 },
-        Case { queue: "weighted", open: false, factor: 1.0 },
-        Case { queue: "weighted", open: false, factor: 5.0 },
-        Case { queue: "arrival", open: true, factor: 1.0 },
-        Case { queue: "arrival", open: true, factor: 5.0 },
+        Case { queue: "weighted", open: false, factor: 0.0, limited: false },
+        Case { queue: "weighted", open: false, factor: 1.0, limited: false },
+        Case { queue: "weighted", open: false, factor: 5.0, limited: false },
+        Case { queue: "weighted", open: false, factor: 5.0, limited: true },
+        Case { queue: "arrival", open: true, factor: 1.0, limited: false },
+        Case { queue: "arrival", open: true, factor: 5.0, limited: false },
     ];
     for deployment in [Deployment::telvara(), Deployment::association()] {
         for case in &cases {
@@ -46,10 +49,13 @@
 }
 
 fn run(deployment: &Deployment, case: &Case, seed: u64) {
-    let mut fleet = Fleet::open(deployment, policy::two_choices_local, seed);
     let primaries_per_s =
         deployment.groups as f64 * f64::from(deployment.slots) * 1e6 / deployment.service_micros;
     let total_per_s = primaries_per_s * LOAD / WRITE_SHARE;
+    let own_rate_per_s = total_per_s * PARTS[LOUD];
+    let deployment =
+        &if case.limited { deployment.clone().limited(own_rate_per_s) } else { deployment.clone() };
+    let mut fleet = Fleet::open(deployment, policy::two_choices_local, seed);
     let streams: Vec<Stream> = PARTS
         .iter()
         .enumerate()
@@ -70,10 +76,11 @@
     let loud: Vec<&Sample> = samples.iter().filter(|sample| sample.organisation == LOUD).collect();
     let loud_refused = loud.iter().filter(|sample| sample.outcome == Outcome::NotRun).count();
     println!(
-        r#"{{"measure":"fairness","deployment":"{}","queue":"{}","factor":{},"seed":{seed},"others":{},"worst_p99_ms":{:.2},"refused":{refused},"unknown":{unknown},"loud":{},"loud_refused":{loud_refused}}}"#,
+        r#"{{"measure":"fairness","deployment":"{}","queue":"{}","factor":{},"limited":{},"seed":{seed},"others":{},"worst_p99_ms":{:.2},"refused":{refused},"unknown":{unknown},"loud":{},"loud_refused":{loud_refused}}}"#,
         deployment.name,
         case.queue,
         case.factor,
+        case.limited,
         others.len(),
         worst as f64 / 1e3,
         loud.len(),
--- a/crates/cumincart-core/src/entry/dispatch.rs
+++ b/crates/cumincart-core/src/entry/dispatch.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Board, Effect, Ticket, admission,
-        fairness::Waiting,
+        fairness::Turn,
         pool::Owner,
         request::{self, Kind, Pending, Run, Stage},
         routing::{self, Destination, Question},
@@ -90,7 +90,7 @@
                 .retry_after_ms(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
         return request::finish(board, ticket, Err(refusal), out);
     }
-    if endpoint.queue.push(organisation, weight, Waiting { ticket }).is_err() {
+    if endpoint.queue.push(now, organisation, weight, ticket).is_err() {
         let refusal = Refusal::not_run(RefusalCode::Overloaded, "the endpoint's queue is full");
         return request::finish(board, ticket, Err(refusal), out);
     }
@@ -111,10 +111,11 @@
             open_for_queue(board, now, name, out);
             return;
         };
-        let Some(waiting) = endpoint.queue.pop() else {
+        let limit = endpoint.slots.min(endpoint.connections).max(1);
+        let Some(turn) = endpoint.queue.pop(now, limit, endpoint.is_congested()) else {
             return;
         };
-        start(board, now, waiting.ticket, name, connection, out);
+        start(board, now, turn, name, connection, out);
     }
 }
 
@@ -146,31 +147,51 @@
 fn start(
     board: &mut Board,
     now: Instant,
-    ticket: Ticket,
+    turn: Turn,
     name: &EndpointName,
     connection: ConnectionId,
     out: &mut Vec<Effect>,
 ) {
+    if try_start(board, now, turn.ticket, name, connection, out) {
+        board.pool.note_lane(connection, turn.lane);
+    } else if let Some(endpoint) = board.pool.endpoints.get_mut(name) {
+        endpoint.queue.ended(turn.lane);
+    }
+}
+
+/// Sends a request's work, unless the request has ended, is too late or belongs elsewhere by now.
+fn try_start(
+    board: &mut Board,
+    now: Instant,
+    ticket: Ticket,
+    name: &EndpointName,
+    connection: ConnectionId,
+    out: &mut Vec<Effect>,
+) -> bool {
     let catalogue = board.freshness.catalogue.clone();
     let Some(pending) = board.requests.get(&ticket) else {
-        return;
+        return false;
     };
     if let Some(refusal) = late_refusal(board, now, pending) {
-        return request::finish(board, ticket, Err(refusal), out);
+        request::finish(board, ticket, Err(refusal), out);
+        return false;
     }
     let group = catalogue.group(&pending.admitted.service);
     let Some(group) = group.filter(|group| may_start(board, now, group, pending, name)) else {
-        return park(board, ticket, now);
+        park(board, ticket, now);
+        return false;
     };
     let work = work_for(pending);
     let Some(work) = board.pool.execute(now, connection, Owner::Request(ticket), work, out) else {
-        return park(board, ticket, now);
+        park(board, ticket, now);
+        return false;
     };
     let run = Run { endpoint: name.clone(), connection, work, term: group.term };
     if let Some(pending) = board.requests.get_mut(&ticket) {
         pending.attempts += 1;
         pending.stage = Stage::Running(run);
     }
+    true
 }
 
 /// Why a request that waited can't start any more: its deadline has passed, or its key was withdrawn meanwhile.
--- a/crates/cumincart-core/src/entry/pool.rs
+++ b/crates/cumincart-core/src/entry/pool.rs
@@ -6,7 +6,7 @@
     self::history::PositionHistory,
     super::{
         Effect, Ticket,
-        fairness::FairQueue,
+        fairness::{FairQueue, LaneId},
         permits::{self, Permits},
     },
     crate::work::{ConnectionId, EndpointState, Work, WorkId},
@@ -22,6 +22,12 @@
 /// Time between two attempts to connect to an endpoint that can't be reached, in milliseconds.
 pub const REOPEN_INTERVAL_MS: u64 = 200;
 
+/// Over how many works the least mean service time doubles unless it is confirmed.
+const LEAST_TIME_WINDOW: u64 = 2_048;
+
+/// The mean service time at which an endpoint counts as congested, in thousandths of the least mean.
+const CONGESTED_MILLI: u64 = 1_400;
+
 /// Over how many works an endpoint's mean service time is taken.
 const SERVICE_TIME_WINDOW: u64 = 16;
 
@@ -79,6 +85,8 @@
     pub endpoint: EndpointName,
     /// What it is doing.
     pub state: ConnectionState,
+    /// The lane of the endpoint's queue that the work on it came from.
+    pub lane: Option<LaneId>,
 }
 
 impl Keyed for Connection {
@@ -121,6 +129,8 @@
     pub probing: bool,
     /// The mean time from a work's start to its end, over the last ones, in microseconds.
     pub service_micros: u64,
+    /// The least mean time of a work in the last while, in microseconds.
+    pub least_service_micros: u64,
     /// Requests that wait for it.
     pub queue: FairQueue,
     /// Its last known state.
@@ -169,6 +179,7 @@
             in_flight: 0,
             probing: false,
             service_micros: 0,
+            least_service_micros: u64::MAX,
             queue: FairQueue::default(),
             observed: None,
             history: PositionHistory::default(),
@@ -196,6 +207,11 @@
         Duration::from_micros(self.service_micros.saturating_mul(rounds))
     }
 
+    /// Whether works take well longer than they did at best, so that they wait for each other inside the endpoint.
+    pub fn is_congested(&self) -> bool {
+        self.service_micros.saturating_mul(1_000) > self.least_service_micros.saturating_mul(CONGESTED_MILLI)
+    }
+
     /// Whether works are under way and no answer has come for a while.
     pub fn is_stalled(&self, now: Instant) -> bool {
         let Some(oldest) = self.oldest_work_at else {
@@ -211,9 +227,15 @@
             0 => micros,
             mean => mean - mean / SERVICE_TIME_WINDOW + micros / SERVICE_TIME_WINDOW,
         };
+        let forgotten =
+            self.least_service_micros.saturating_add(self.least_service_micros / LEAST_TIME_WINDOW);
+        self.least_service_micros = forgotten.min(self.service_micros);
     }
 
-    fn work_ended(&mut self, owner: Owner) {
+    fn work_ended(&mut self, owner: Owner, lane: Option<LaneId>) {
+        if let Some(lane) = lane {
+            self.queue.ended(lane);
+        }
         self.in_flight -= 1;
         self.probing &= owner != Owner::Pool;
         if self.in_flight == 0 {
@@ -286,7 +308,12 @@
         let id = ConnectionId(self.last_connection);
         endpoint.connections += 1;
         endpoint.opening += 1;
-        self.connections.insert(Connection { id, endpoint: name.clone(), state: ConnectionState::Opening });
+        self.connections.insert(Connection {
+            id,
+            endpoint: name.clone(),
+            state: ConnectionState::Opening,
+            lane: None,
+        });
         out.push(Effect::Open { connection: id, endpoint: name.clone(), address: endpoint.address.clone() });
         true
     }
@@ -307,7 +334,7 @@
 
     /// A connection is gone; gives what it was.
     pub fn closed(&mut self, now: Instant, id: ConnectionId) -> Option<Connection> {
-        let connection = self.connections.remove(&id)?;
+        let mut connection = self.connections.remove(&id)?;
         let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
         endpoint.connections -= 1;
         match connection.state {
@@ -317,7 +344,7 @@
                 endpoint.open_again_at = now + Duration::from_millis(REOPEN_INTERVAL_MS);
             }
             ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
-            ConnectionState::Busy { owner, .. } => endpoint.work_ended(owner),
+            ConnectionState::Busy { owner, .. } => endpoint.work_ended(owner, connection.lane.take()),
             ConnectionState::Closing => endpoint.closing -= 1,
             ConnectionState::Pinned => {}
         }
@@ -350,6 +377,13 @@
         Some(work_id)
     }
 
+    /// Notes the lane that the work on a connection came from.
+    pub fn note_lane(&mut self, id: ConnectionId, lane: LaneId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.lane = Some(lane);
+        }
+    }
+
     /// A work ended: gives what waited for it. An answer to anything but the work on the connection is
     /// dropped. The connection is pinned afterwards; give it back with [`Pool::release`] when it is clean.
     pub fn done(&mut self, now: Instant, id: ConnectionId, work: WorkId) -> Option<Finished> {
@@ -362,9 +396,11 @@
         }
         connection.state = ConnectionState::Pinned;
         let endpoint = self.endpoints.get_mut(&connection.endpoint)?;
-        endpoint.work_ended(owner);
+        endpoint.work_ended(owner, connection.lane.take());
         endpoint.answered_at = now;
-        endpoint.note_service_time(now.saturating_since(since));
+        if owner != Owner::Pool {
+            endpoint.note_service_time(now.saturating_since(since));
+        }
         Some(Finished { endpoint: endpoint.name.clone(), owner })
     }
 
@@ -394,7 +430,7 @@
             ConnectionState::Closing => return,
             ConnectionState::Opening => endpoint.opening -= 1,
             ConnectionState::Idle => endpoint.idle.retain(|idle| *idle != id),
-            ConnectionState::Busy { owner, .. } => endpoint.work_ended(owner),
+            ConnectionState::Busy { owner, .. } => endpoint.work_ended(owner, connection.lane.take()),
             ConnectionState::Pinned => {}
         }
         connection.state = ConnectionState::Closing;
