Confirm a pushed change at once

Cause: an entry instance confirmed a change with its next regular heartbeat, up to 500 ms later; a planned move holds writes until all have confirmed the fence.

Ruled out: parking each heartbeat until something changes or the next one comes. A lease counts from when it was asked for, so every lease would be a heartbeat shorter, and one lost exchange would end it. Ruled out: a shorter heartbeat interval, which costs every instance bytes all the time.

Change: an entry instance sends a heartbeat when its revision is ahead of the one it last confirmed, at most every 20 ms.

Test: control_push fails without the change: no heartbeat before the regular one.

--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -10,6 +10,7 @@
     crate::timing::HEARTBEAT_INTERVAL_MS,
     cumincart_protocol::{
         heartbeat::{EndpointReport, Heartbeat, HeartbeatAnswer},
+        number::Revision,
         sorted::SortedVec,
         time::Instant,
     },
@@ -20,7 +21,7 @@
 /// demand has moved.
 pub const HEARTBEAT_MIN_INTERVAL_MS: u64 = 100;
 
-/// The shortest time between two heartbeats where the leader waits to hear that a grant lowered a share, in
+/// The shortest time between two heartbeats where the leader waits to hear of a lowered share or a change, in
 /// milliseconds.
 pub const CONFIRM_INTERVAL_MS: u64 = 20;
 
@@ -29,6 +30,8 @@
 pub struct Membership {
     /// When the last heartbeat was made.
     pub last_asked_at: Option<Instant>,
+    /// The revision that the last heartbeat confirmed.
+    pub last_revision: Revision,
     /// Whether this instance is stopping and gives back all that it holds.
     pub leaving: bool,
 }
@@ -44,13 +47,19 @@
     }
     if since < Duration::from_millis(HEARTBEAT_MIN_INTERVAL_MS) {
         return since >= Duration::from_millis(CONFIRM_INTERVAL_MS)
-            && quota::has_unreported_grant(&board.quota);
+            && (quota::has_unreported_grant(&board.quota) || has_unconfirmed_revision(board));
     }
     quota::needs_tokens(&board.quota, now)
         || quota::has_unreported_grant(&board.quota)
+        || has_unconfirmed_revision(board)
         || quota::demand_has_moved(&board.quota, now)
 }
 
+/// Whether the leader does not know yet that a change is in force here; a change of primary waits for it.
+fn has_unconfirmed_revision(board: &Board) -> bool {
+    board.freshness.revision() > board.membership.last_revision
+}
+
 /// Makes the next heartbeat. `endpoints` is what was seen of endpoints since the last one, `uses` what is open to each
 /// endpoint and could be used.
 pub fn heartbeat(
@@ -60,6 +69,7 @@
     uses: &SortedVec<ConnectionUse>,
 ) -> Heartbeat {
     board.membership.last_asked_at = Some(now);
+    board.membership.last_revision = board.freshness.revision();
     Heartbeat {
         instance: board.settings.instance.clone(),
         incarnation: board.settings.incarnation,
