--- a/crates/cumincart-core/tests/control_replication.rs
+++ b/crates/cumincart-core/tests/control_replication.rs
@@ -98,7 +98,10 @@
     let before = fleet.statuses.len();
     fleet.thaw(old);
     fleet.run_ms(2_000);
-    assert!(fleet.statuses[before..].iter().all(Result::is_err), "an old leader answered for the present");
+    assert!(
+        fleet.statuses[before..].iter().all(|status| status.result.is_err()),
+        "an old leader answered for the present"
+    );
     assert!(fleet.answer(late).is_some_and(Result::is_err), "{:?}", fleet.answer(late));
     assert_eq!(fleet.catalogue(old), fleet.catalogue(fleet.the_leader()));
     fleet.check_writes();
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -135,6 +135,13 @@
     pub result: Result<Outcome, ControlRefusal>,
 }
 
+/// An answer to a question for the status.
+#[derive(Debug, Clone)]
+pub struct StatusAnswer {
+    pub ticket: u64,
+    pub result: Result<Box<Status>, ControlRefusal>,
+}
+
 struct Event {
     at: Instant,
     number: u64,
@@ -194,7 +201,7 @@
     pub endpoints: Vec<Endpoint>,
     pub writes: Vec<Acknowledged>,
     pub answers: Vec<OperatorAnswer>,
-    pub statuses: Vec<Result<Box<Status>, ControlRefusal>>,
+    pub statuses: Vec<StatusAnswer>,
     pub notes: Vec<String>,
     /// Bytes of messages that entry instances received or sent, in CBOR.
     pub entry_bytes: u64,
@@ -331,10 +338,11 @@
         ticket
     }
 
-    /// Asks a control instance for its status.
-    pub fn ask_status(&mut self, control: usize) {
+    /// Asks a control instance for its status; gives the ticket.
+    pub fn ask_status(&mut self, control: usize) -> u64 {
         let ticket = self.ticket(0);
         self.input(control, Input::Status(Ticket(ticket)));
+        ticket
     }
 
     /// The answer to an operator's ticket.
@@ -620,7 +628,9 @@
             Effect::AnswerOperator(ticket, result) => {
                 self.answers.push(OperatorAnswer { ticket: ticket.0, result });
             }
-            Effect::AnswerStatus(_, result) => self.statuses.push(result),
+            Effect::AnswerStatus(ticket, result) => {
+                self.statuses.push(StatusAnswer { ticket: ticket.0, result });
+            }
             Effect::Promote(promotion) => {
                 let name: Arc<str> = promotion.endpoint.as_str().into();
                 self.send(&from, &name, What::Promote(control, promotion));
@@ -700,7 +710,12 @@
         }
         node.awaits_answer = false;
         let before = node.catalogue.revision;
+        let lists_before = node.catalogue.lists_revision;
         apply_update(&mut node.catalogue, answer.update);
+        assert!(
+            node.catalogue.revision >= before && node.catalogue.lists_revision >= lists_before,
+            "reverted"
+        );
         if node.catalogue.revision >= answer.revision {
             let lease = |length_ms| answer.asked_at + Duration::from_millis(length_ms);
             node.term_lease_until = node.term_lease_until.max(lease(answer.term_lease_ms));
