--- /dev/null
+++ b/crates/cumincart-core/tests/control_rules.rs
@@ -0,0 +1,205 @@
+//! Single rules of the replicated log that random faults seldom reach, message by message.
+
+use {
+    cumincart_core::control::{Board, Effect, Input, Persist, Settings, Stored, step},
+    cumincart_protocol::{
+        number::{ControlTerm, Incarnation, LogIndex},
+        replication::{
+            Append, AppendAnswer, Ballot, Command, DiskId, Member, Members, Record, ReplicationBody,
+            ReplicationMessage, VoteAnswer, VoteRequest,
+        },
+        time::Instant,
+    },
+    rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
+    test_case::test_case,
+};
+
+const SEED: u64 = 43;
+
+/// One of three members, with the messages of the other two made by hand.
+struct Node {
+    board: Board,
+    stored: Stored,
+    now_ms: u64,
+}
+
+fn member(number: u8) -> Member {
+    let name = format!("control-{number}");
+    Member {
+        instance: name.as_str().into(),
+        disk: DiskId(format!("disk-{number}").into()),
+        peer_address: name.into(),
+    }
+}
+
+fn record(index: u64, term: u64) -> Record {
+    Record { index: LogIndex(index), term: ControlTerm(term), command: Command::Open }
+}
+
+impl Node {
+    fn open(stored: Stored) -> Self {
+        let voters = (1..=3).map(member).collect();
+        let settings = Settings {
+            member: member(1),
+            incarnation: Incarnation(1),
+            first_members: Members { voters, ..Members::default() },
+        };
+        let board = Board::open(settings, stored.clone(), ChaCha20Rng::seed_from_u64(SEED));
+        Self { board, stored, now_ms: 1_000 }
+    }
+
+    fn with_log(terms: &[u64]) -> Self {
+        let records = terms.iter().zip(1..).map(|(term, index)| record(index, *term)).collect();
+        let term = ControlTerm(terms.last().copied().unwrap_or_default());
+        Self::open(Stored { ballot: Ballot { term, voted_for: None }, records, ..Stored::default() })
+    }
+
+    /// Starts again from what was persisted before any other effect.
+    fn restart(self) -> Self {
+        Self::open(self.stored)
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Effect> {
+        let mut out = Vec::new();
+        step(&mut self.board, Instant::from_millis(self.now_ms), input, &mut out);
+        for effect in &out {
+            match effect {
+                Effect::Persist(Persist::Ballot(ballot)) => self.stored.ballot = ballot.clone(),
+                Effect::Persist(Persist::Append(records)) => self.stored.records.extend_from_slice(records),
+                Effect::Persist(Persist::TruncateFrom(index)) => {
+                    self.stored.records.retain(|record| record.index < *index);
+                }
+                _ => {}
+            }
+        }
+        out
+    }
+
+    fn receive(&mut self, from: u8, term: u64, body: ReplicationBody) -> Vec<Effect> {
+        let sender = member(from);
+        let term = ControlTerm(term);
+        let message = ReplicationMessage { disk: sender.disk, incarnation: Incarnation(1), term, body };
+        self.step(Input::Replication(sender.instance, message))
+    }
+
+    /// Lets the election time-out pass and gives member 2's votes; the node then leads.
+    fn elect(&mut self) {
+        self.step(Input::Tick);
+        self.now_ms += 1_000;
+        self.step(Input::Tick);
+        let next = self.board.election.ballot.term.next();
+        let vote = VoteAnswer { term: next, granted: true };
+        self.receive(2, next.0 - 1, ReplicationBody::PreVoteAnswer(vote.clone()));
+        self.receive(2, next.0, ReplicationBody::VoteAnswer(vote));
+        assert!(self.board.election.is_leader());
+    }
+
+    fn acknowledge(&mut self, from: u8, matched: u64) -> Vec<Effect> {
+        let term = self.board.election.ballot.term.0;
+        let answer = AppendAnswer { sent_at: Instant::ZERO, success: true, matched: LogIndex(matched) };
+        self.receive(from, term, ReplicationBody::AppendAnswer(answer))
+    }
+
+    fn vote(&mut self, from: u8, term: u64, last_index: u64, last_term: u64) -> bool {
+        let ask = VoteRequest {
+            term: ControlTerm(term),
+            last_index: LogIndex(last_index),
+            last_term: ControlTerm(last_term),
+        };
+        let effects = self.receive(from, term, ReplicationBody::Vote(ask));
+        effects.iter().any(|effect| match effect {
+            Effect::Send(_, message) => {
+                matches!(&message.body, ReplicationBody::VoteAnswer(answer) if answer.granted)
+            }
+            _ => false,
+        })
+    }
+}
+
+#[test]
+fn a_vote_is_on_disk_before_it_is_given_and_binds_after_a_restart() {
+    let mut node = Node::with_log(&[1]);
+    assert!(node.vote(2, 5, 1, 1));
+    let mut node = node.restart();
+    assert!(!node.vote(3, 5, 1, 1), "two votes in one term");
+    assert!(node.vote(2, 5, 1, 1), "the same candidate may ask again");
+    assert!(node.vote(3, 6, 1, 1));
+}
+
+#[test_case(2, 4, false; "a longer log of an earlier term")]
+#[test_case(2, 1, false; "a shorter log of the same term")]
+#[test_case(2, 2, true; "the same log")]
+#[test_case(3, 1, true; "a shorter log of a later term")]
+fn a_vote_needs_a_log_that_is_up_to_date(last_term: u64, last_index: u64, granted: bool) {
+    let mut node = Node::with_log(if last_index == 4 { &[1, 3] } else { &[1, 2] });
+    assert_eq!(node.vote(2, 9, last_index, last_term), granted);
+}
+
+#[test]
+fn a_record_of_an_earlier_term_is_committed_only_with_one_of_the_own() {
+    let mut node = Node::with_log(&[1, 2]);
+    node.elect();
+    node.acknowledge(2, 2);
+    assert_eq!(node.board.log.commit, LogIndex(0), "a later leader may still replace record 2");
+    node.acknowledge(2, 3);
+    assert_eq!(node.board.log.commit, LogIndex(3));
+}
+
+#[test]
+fn an_acknowledgement_counts_only_from_a_members_disk() {
+    let mut node = Node::with_log(&[1]);
+    node.elect();
+    let answer = AppendAnswer { sent_at: Instant::ZERO, success: true, matched: LogIndex(2) };
+    let message = ReplicationMessage {
+        disk: DiskId("another disk".into()),
+        incarnation: Incarnation(2),
+        term: node.board.election.ballot.term,
+        body: ReplicationBody::AppendAnswer(answer),
+    };
+    node.step(Input::Replication(member(2).instance, message));
+    assert_eq!(node.board.log.commit, LogIndex(0));
+}
+
+#[test]
+fn a_follower_replaces_what_a_leader_has_not_and_syncs_before_it_answers() {
+    let mut node = Node::with_log(&[1, 2, 2]);
+    let append = Append {
+        previous_index: LogIndex(1),
+        previous_term: ControlTerm(1),
+        records: vec![record(2, 3)],
+        commit: LogIndex(2),
+        sent_at: Instant::from_millis(7),
+    };
+    let effects = node.receive(2, 3, ReplicationBody::Append(append));
+    let position =
+        |wanted: fn(&Effect) -> bool| effects.iter().position(wanted).expect("the effect is there");
+    let truncated = position(|effect| matches!(effect, Effect::Persist(Persist::TruncateFrom(LogIndex(2)))));
+    let appended = position(|effect| matches!(effect, Effect::Persist(Persist::Append(_))));
+    let answered = position(|effect| matches!(effect, Effect::Send(..)));
+    assert!(truncated < appended && appended < answered);
+    assert_eq!(node.board.log.last_index(), LogIndex(2));
+    assert_eq!(node.board.log.applied, LogIndex(2));
+}
+
+#[test]
+fn a_follower_that_lacks_records_tells_where_to_go_on() {
+    let mut node = Node::with_log(&[1]);
+    let append = Append {
+        previous_index: LogIndex(9),
+        previous_term: ControlTerm(2),
+        records: vec![record(10, 2)],
+        commit: LogIndex(10),
+        sent_at: Instant::from_millis(7),
+    };
+    let effects = node.receive(2, 2, ReplicationBody::Append(append));
+    let answer = effects.iter().find_map(|effect| match effect {
+        Effect::Send(_, message) => match &message.body {
+            ReplicationBody::AppendAnswer(answer) => Some(answer.clone()),
+            _ => None,
+        },
+        _ => None,
+    });
+    let expected = AppendAnswer { sent_at: Instant::from_millis(7), success: false, matched: LogIndex(1) };
+    assert_eq!(answer, Some(expected));
+    assert_eq!(node.board.log.commit, LogIndex(0));
+}
