Confirm a new revision at once

Cause: an entry instance told the leader that a revision is in force there only with its next ordinary heartbeat, up to 500 ms later. Operators wait for that, and so does the fence before a promotion.

Ruled out: the leader's push of the revision; it arrives within milliseconds since second answers are carried.

Change: a heartbeat is due 20 ms after the last one when a revision has come into force that none has confirmed (`entry/membership.rs`). It costs one more heartbeat an instance and revision; a revision confirmed costs none.

Before: the new tests failed: `(1, Revision(0))` instead of `(2, Revision(5))`, and 2 heartbeats instead of 3.

--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -10,6 +10,7 @@
     crate::timing::HEARTBEAT_INTERVAL_MS,
     cumincart_protocol::{
         heartbeat::{EndpointReport, Heartbeat, HeartbeatAnswer},
+        number::Revision,
         sorted::SortedVec,
         time::Instant,
     },
@@ -20,8 +21,8 @@
 /// demand has moved.
 pub const HEARTBEAT_MIN_INTERVAL_MS: u64 = 100;
 
-/// The shortest time between two heartbeats where the leader waits to hear that a grant lowered a share, in
-/// milliseconds.
+/// The shortest time between two heartbeats where the leader waits to hear that a grant lowered a share or that a
+/// revision is in force here, in milliseconds.
 pub const CONFIRM_INTERVAL_MS: u64 = 20;
 
 /// The state of the exchange of heartbeats.
@@ -29,6 +30,8 @@
 pub struct Membership {
     /// When the last heartbeat was made.
     pub last_asked_at: Option<Instant>,
+    /// The revision that the last heartbeat confirmed.
+    pub confirmed: Revision,
     /// Whether this instance is stopping and gives back all that it holds.
     pub leaving: bool,
 }
@@ -43,14 +46,18 @@
         return true;
     }
     if since < Duration::from_millis(HEARTBEAT_MIN_INTERVAL_MS) {
-        return since >= Duration::from_millis(CONFIRM_INTERVAL_MS)
-            && quota::has_unreported_grant(&board.quota);
+        return since >= Duration::from_millis(CONFIRM_INTERVAL_MS) && has_unconfirmed(board);
     }
     quota::needs_tokens(&board.quota, now)
-        || quota::has_unreported_grant(&board.quota)
+        || has_unconfirmed(board)
         || quota::demand_has_moved(&board.quota, now)
 }
 
+/// Whether the leader may wait to hear of something that is in force here.
+fn has_unconfirmed(board: &Board) -> bool {
+    quota::has_unreported_grant(&board.quota) || board.freshness.revision() > board.membership.confirmed
+}
+
 /// Makes the next heartbeat. `endpoints` is what was seen of endpoints since the last one, `uses` what is open to each
 /// endpoint and could be used.
 pub fn heartbeat(
@@ -60,6 +67,7 @@
     uses: &SortedVec<ConnectionUse>,
 ) -> Heartbeat {
     board.membership.last_asked_at = Some(now);
+    board.membership.confirmed = board.freshness.revision();
     Heartbeat {
         instance: board.settings.instance.clone(),
         incarnation: board.settings.incarnation,
--- /dev/null
+++ b/crates/cumincart-core/tests/entry_confirms.rs
@@ -0,0 +1,98 @@
+//! An entry instance confirms a new revision at once: an operator waits for it, and so does a change of primary.
+
+use {
+    cumincart_core::{
+        entry::{Board, Effect, Input, Settings, membership::CONFIRM_INTERVAL_MS, step},
+        timing::{FRESHNESS_LEASE_MS, HEARTBEAT_INTERVAL_MS, TERM_LEASE_MS, TICK_INTERVAL_MS},
+    },
+    cumincart_protocol::{
+        catalogue::Catalogue,
+        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer},
+        number::{ControlTerm, Incarnation, Revision},
+        time::Instant,
+    },
+    rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
+    std::{sync::Arc, time::Duration},
+};
+
+const SEED: u64 = 7;
+
+/// An instance on a virtual clock, with every heartbeat that it sent.
+struct Entry {
+    board: Board,
+    now: Instant,
+    heartbeats: Vec<Heartbeat>,
+}
+
+impl Entry {
+    fn open() -> Self {
+        println!("seed {SEED}");
+        let settings = Settings {
+            instance: "entry-1".into(),
+            incarnation: Incarnation(1),
+            domain: "sofia-a".into(),
+            peer_address: "127.0.0.1:1".into(),
+        };
+        let board = Board::open(settings, ChaCha20Rng::seed_from_u64(SEED));
+        Self { board, now: Instant::from_millis(1_000), heartbeats: Vec::new() }
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut effects = Vec::new();
+        step(&mut self.board, self.now, input, &mut effects);
+        for effect in effects {
+            if let Effect::Heartbeat(heartbeat) = effect {
+                self.heartbeats.push(*heartbeat);
+            }
+        }
+    }
+
+    fn advance_ms(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / TICK_INTERVAL_MS {
+            self.now = self.now + Duration::from_millis(TICK_INTERVAL_MS);
+            self.input(Input::Tick);
+        }
+    }
+
+    /// Answers the last heartbeat with a catalogue.
+    fn answer(&mut self, revision: u64) {
+        let asked_at = self.heartbeats.last().expect("a heartbeat was sent").asked_at;
+        let catalogue = Catalogue { revision: Revision(revision), ..Catalogue::default() };
+        let answer = HeartbeatAnswer {
+            asked_at,
+            incarnation: Incarnation(1),
+            control_term: ControlTerm(1),
+            revision: Revision(revision),
+            term_lease_ms: TERM_LEASE_MS,
+            freshness_lease_ms: FRESHNESS_LEASE_MS,
+            update: CatalogueUpdate::Snapshot(Arc::new(catalogue)),
+            shares: Vec::new(),
+            permits: Vec::new(),
+            instances: None,
+        };
+        self.input(Input::HeartbeatAnswer(Box::new(answer)));
+    }
+}
+
+#[test]
+fn a_new_revision_is_confirmed_before_the_next_heartbeat_is_due() {
+    let mut entry = Entry::open();
+    entry.advance_ms(TICK_INTERVAL_MS);
+    entry.answer(5);
+    entry.advance_ms(CONFIRM_INTERVAL_MS + TICK_INTERVAL_MS);
+    let last = entry.heartbeats.last().expect("a heartbeat was sent");
+    assert_eq!((entry.heartbeats.len(), last.revision), (2, Revision(5)));
+}
+
+#[test]
+fn a_revision_that_was_confirmed_costs_no_heartbeat() {
+    let mut entry = Entry::open();
+    entry.advance_ms(TICK_INTERVAL_MS);
+    entry.answer(5);
+    entry.advance_ms(CONFIRM_INTERVAL_MS + TICK_INTERVAL_MS);
+    entry.answer(5);
+    entry.advance_ms(HEARTBEAT_INTERVAL_MS - 2 * TICK_INTERVAL_MS);
+    assert_eq!(entry.heartbeats.len(), 2);
+    entry.advance_ms(2 * TICK_INTERVAL_MS);
+    assert_eq!(entry.heartbeats.len(), 3);
+}
