Look at the status sooner while waiting

Cause: `--wait` looked at the status, and then again after 100 ms, although most revisions are in force everywhere within 30 ms.

Change: the first pause is 10 ms and doubles up to 200 ms. The measurement tells the first edit apart.

--- a/crates/cumincart-cli/examples/in_force.rs
+++ b/crates/cumincart-cli/examples/in_force.rs
@@ -44,10 +44,11 @@
             return Err(format!("edit {edit}: {finished:?}").into());
         }
     }
+    let first_ms = waited_ms[0];
     waited_ms.sort_unstable();
     let at = |per_cent: usize| waited_ms[(edits - 1) * per_cent / 100];
     println!(
-        "{edits} edits in force everywhere: median {} ms, p99 {} ms, greatest {} ms",
+        "{edits} edits in force everywhere: median {} ms, p99 {} ms, greatest {} ms; the first {first_ms} ms",
         at(50),
         at(99),
         at(100)
--- a/crates/cumincart-cli/src/wait.rs
+++ b/crates/cumincart-cli/src/wait.rs
@@ -13,8 +13,11 @@
     tokio::time::sleep,
 };
 
-/// Time between two looks at the status.
-const POLL_PAUSE: Duration = Duration::from_millis(100);
+/// The first pause between two looks at the status; each one is twice as long as the one before.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+
+/// The longest pause between two looks at the status.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
 /// How far a revision has come.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
@@ -104,16 +107,18 @@
 ) -> Result<InForce, CliError> {
     let until = Instant::now() + timeout;
     let bar = progress_bar(revision);
+    let mut pause = FIRST_PAUSE;
     loop {
         let status = client.status().await?;
         let in_force = InForce::of(&status, revision);
         bar.set_length(u64::try_from(status.instances.len()).unwrap_or(u64::MAX));
         bar.set_position(u64::try_from(in_force.confirmed.len()).unwrap_or(u64::MAX));
-        if in_force.is_everywhere() || Instant::now() + POLL_PAUSE >= until {
+        if in_force.is_everywhere() || Instant::now() + pause >= until {
             bar.finish_and_clear();
             return Ok(in_force);
         }
-        sleep(POLL_PAUSE).await;
+        sleep(pause).await;
+        pause = LONGEST_PAUSE.min(pause * 2);
     }
 }
 
