Keep callers from instances without permits, and connections from abandoned transactions

Transactions that their callers had left pinned every connection of an instance until they timed out. And an instance whose control instance was frozen waited 3 s for an answer, longer than its lease.

Ruled out: giving permits before the earlier ones can be gone (the sum would pass the limit), and a shorter time for every work (long statements would be cut).

Change: without its lease an instance closes a connection whose work takes over 1 s, so that a new leader waits 6 s instead of 15; an instance with a lease is ready only once it may reach each group's primary; transactions hold at most half of the permits for an endpoint; a heartbeat is waited for 400 ms before the next goes elsewhere.

--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -12,7 +12,7 @@
 
 use {
     crate::{
-        entry::{maintenance::STUCK_WORK_MS, permits::KEPT_PERMIT_LEASE_MS},
+        entry::{maintenance::SURPLUS_WORK_MS, permits::KEPT_PERMIT_LEASE_MS},
         timing::{FRESHNESS_LEASE_MS, grantor_lease_ms},
     },
     cumincart_protocol::{
@@ -29,7 +29,7 @@
 };
 
 /// How long an instance may take to close connections after its lease has run out, in milliseconds.
-const CLOSE_GRACE_MS: u64 = STUCK_WORK_MS + 1_000;
+const CLOSE_GRACE_MS: u64 = SURPLUS_WORK_MS + 1_000;
 
 /// Time between two searches for holders whose lease has run out, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 100;
--- a/crates/cumincart-core/src/entry/dispatch.rs
+++ b/crates/cumincart-core/src/entry/dispatch.rs
@@ -7,7 +7,7 @@
         pool::Owner,
         request::{self, Kind, Pending, Run, Stage},
         routing::{self, Destination, Question},
-        session,
+        session, transaction,
     },
     crate::work::{ConnectionId, Work},
     cumincart_protocol::{
@@ -181,6 +181,11 @@
         park(board, ticket, now);
         return false;
     };
+    if pending.kind == Kind::Begin && transaction::is_full(board, now, name) {
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, "transactions hold too many connections");
+        request::finish(board, ticket, Err(refusal), out);
+        return false;
+    }
     let work = work_for(pending);
     let Some(work) = board.pool.execute(now, connection, Owner::Request(ticket), work, out) else {
         park(board, ticket, now);
--- a/crates/cumincart-core/src/entry/drain.rs
+++ b/crates/cumincart-core/src/entry/drain.rs
@@ -1,7 +1,7 @@
 //! The planned stop: out of the balancer, no new requests, running ones end, everything is given back.
 
 use {
-    super::{Board, Effect, heartbeat, request::Kind},
+    super::{Board, Effect, heartbeat, permits, request::Kind},
     cumincart_protocol::{
         refusal::{Refusal, RefusalCode},
         time::Instant,
@@ -38,9 +38,19 @@
 }
 
 /// Whether the platform's balancer may send requests here.
-pub fn is_ready(board: &Board, _now: Instant) -> bool {
+///
+/// An instance that holds a lease is ready only when it may open connections to each group's primary: one that has
+/// just started waits for its permits. One without a lease stays ready, since its failure domain may be cut off and
+/// have no other.
+pub fn is_ready(board: &Board, now: Instant) -> bool {
     let knows_lists = board.freshness.revision().0 > 0;
-    board.drain == DrainState::Serving && knows_lists && is_in_service(board)
+    let has_permits = !board.freshness.holds_term_lease(now) || reaches_primaries(board, now);
+    board.drain == DrainState::Serving && knows_lists && is_in_service(board) && has_permits
+}
+
+fn reaches_primaries(board: &Board, now: Instant) -> bool {
+    let mut primaries = board.freshness.catalogue.groups.iter().filter_map(|group| group.primary.as_ref());
+    primaries.all(|primary| permits::allowed(&board.permits, now, primary) > 0)
 }
 
 /// Begins a planned stop.
--- a/crates/cumincart-core/src/entry/maintenance.rs
+++ b/crates/cumincart-core/src/entry/maintenance.rs
@@ -34,6 +34,10 @@
 /// connection is kept, although its request has ended, since the endpoint may still hold its side of it.
 pub const STUCK_WORK_MS: u64 = 10_000;
 
+/// The same for a connection that this instance has no permit for any more, since its lease has run out. The control
+/// leader gives such a permit to another instance a little later.
+pub const SURPLUS_WORK_MS: u64 = 1_000;
+
 /// Does a round of upkeep when one is due.
 pub fn run_when_due(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     if now >= board.next_maintenance_at {
@@ -153,17 +157,20 @@
 }
 
 fn close_stuck(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let longest_ms = if board.permits.holds_lease(now) { STUCK_WORK_MS } else { SURPLUS_WORK_MS };
     let connections = board.pool.connections.iter();
-    let stuck: Vec<ConnectionId> =
-        connections.filter(|connection| is_stuck(connection, now)).map(|connection| connection.id).collect();
+    let stuck: Vec<ConnectionId> = connections
+        .filter(|connection| is_stuck(connection, now, longest_ms))
+        .map(|connection| connection.id)
+        .collect();
     for connection in stuck {
         board.pool.close(connection, out);
     }
 }
 
-fn is_stuck(connection: &Connection, now: Instant) -> bool {
+fn is_stuck(connection: &Connection, now: Instant, longest_ms: u64) -> bool {
     let ConnectionState::Busy { since, .. } = connection.state else {
         return false;
     };
-    now.saturating_since(since) >= Duration::from_millis(STUCK_WORK_MS)
+    now.saturating_since(since) >= Duration::from_millis(longest_ms)
 }
--- a/crates/cumincart-core/src/entry/permits.rs
+++ b/crates/cumincart-core/src/entry/permits.rs
@@ -38,6 +38,13 @@
     reported_at: Option<Instant>,
 }
 
+impl Permits {
+    /// Whether the lease on all permits runs; without it only those that are kept count.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        now < self.lease_until
+    }
+}
+
 impl Held {
     fn new(endpoint: EndpointName) -> Self {
         Self { endpoint, grant_number: 0, permits: 0, kept: 0, last_report: None, reported_at: None }
--- a/crates/cumincart-core/src/entry/transaction.rs
+++ b/crates/cumincart-core/src/entry/transaction.rs
@@ -14,7 +14,7 @@
 
 use {
     super::{
-        Board, Effect, Ticket, outcome,
+        Board, Effect, Ticket, outcome, permits,
         request::{self, Run},
     },
     crate::work::{Claim, ConnectionId},
@@ -187,3 +187,11 @@
         &self.ticket
     }
 }
+
+/// Whether open transactions hold all of the connections to an endpoint that they may: half of the permits, at least
+/// one. A transaction that its caller has left holds its connection until it times out, and other requests need some.
+pub fn is_full(board: &Board, now: Instant, endpoint: &EndpointName) -> bool {
+    let limit = (permits::allowed(&board.permits, now, endpoint) / 2).max(1);
+    let open = board.transactions.iter().filter(|transaction| transaction.endpoint == *endpoint);
+    open.count() >= limit as usize
+}
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -13,8 +13,9 @@
     tokio::sync::mpsc,
 };
 
-/// How long an answer to a heartbeat is waited for.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long an answer to a heartbeat is waited for before the next one goes to another control instance. Shorter than
+/// a lease, so that a leader that is frozen costs no lease where another leads.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How many control instances are tried in a row before the next heartbeat.
 const ATTEMPTS: usize = 3;
--- a/crates/cumincart-history/src/world/entry.rs
+++ b/crates/cumincart-history/src/world/entry.rs
@@ -33,6 +33,9 @@
 /// How long it takes until a connection that gets no answer counts as lost.
 const CONNECTION_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// How long an answer to a heartbeat is waited for before another control instance is asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// How long it takes until a link between entry instances that gets no answer counts as lost.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -45,6 +48,8 @@
     pub process: Option<EntryProcess>,
     pub runs: u64,
     target: usize,
+    /// Since when the control instance has not answered.
+    unanswered_since: Option<Instant>,
 }
 
 /// One run.
@@ -120,6 +125,7 @@
                 process: None,
                 runs: 0,
                 target: 0,
+                unanswered_since: None,
             });
         }
     }
@@ -247,6 +253,9 @@
         let node = &mut self.entries[index];
         let now = node.clock.read(self.now);
         let Some(process) = node.process.as_mut().filter(|process| process.run == run) else { return };
+        if matches!(input, Input::HeartbeatAnswer(_)) {
+            node.unanswered_since = None;
+        }
         if let Input::Closed(id) = &input {
             process.connections.retain(|connection| connection.id != *id);
         }
@@ -282,7 +291,7 @@
             Effect::Execute(connection, id, work) => self.send_work(index, run, connection, id, work),
             Effect::Heartbeat(heartbeat) => self.send_heartbeat(index, run, heartbeat),
             Effect::Stopped => self.end_entry(index),
-            Effect::Note(note) => self.note(self.entries[index].name.clone(), &note),
+            Effect::Note(note) => self.note(&self.entries[index].name.clone(), &note),
         }
     }
 
@@ -397,6 +406,11 @@
     }
 
     fn send_heartbeat(&mut self, index: usize, run: ProcessRun, heartbeat: Box<Heartbeat>) {
+        let now = self.now;
+        let since = *self.entries[index].unanswered_since.get_or_insert(now);
+        if now.saturating_since(since) > ANSWER_TIMEOUT {
+            self.retarget(index, run, None);
+        }
         let target = self.entries[index].target;
         let (from, to) = (self.entries[index].domain, self.controls[target].domain);
         match self.network.deliver(&mut self.random, from, to) {
@@ -414,6 +428,7 @@
         let node = &mut self.entries[index];
         if node.run() == Some(run) {
             node.target = leader.unwrap_or((node.target + 1) % controls);
+            node.unanswered_since = None;
         }
     }
 
