--- a/crates/cumincart-core/src/control/shares/target.rs
+++ b/crates/cumincart-core/src/control/shares/target.rs
@@ -30,9 +30,6 @@
 /// A share is changed only by more than one part in this many, to keep small fluctuations out of heartbeats.
 const HYSTERESIS_DIVISOR: u64 = 16;
 
-/// A plan is divided only if its burst has this many tokens for each instance.
-const MIN_TOKENS_EACH: u64 = 4;
-
 /// How long demand must exceed a plan before requests are refused early, in milliseconds. Until then demand may only
 /// be moving from one instance to another, and count twice.
 const OVERLOAD_SETTLING_MS: u64 = 3 * HEARTBEAT_INTERVAL_MS;
@@ -63,10 +60,10 @@
         total * FLOOR_PER_MILLE / 1_000 / parts
     }
 
-    /// Whether a plan is too small to be divided: less than one token a second or too small a burst for each instance.
+    /// Whether a plan is too small to be divided: less than one token a second or two of burst for each instance.
     fn is_indivisible(&self, plan: Share) -> bool {
         let instances_milli = self.instances.max(1) * TOKEN_MILLI;
-        plan.rate_milli_per_s < instances_milli || plan.burst_milli < MIN_TOKENS_EACH * instances_milli
+        plan.rate_milli_per_s < instances_milli || plan.burst_milli < 2 * instances_milli
     }
 }
 
