--- a/crates/cumincart-core/src/entry/quota.rs
+++ b/crates/cumincart-core/src/entry/quota.rs
@@ -5,6 +5,7 @@
 //! waits a little, since the leader can often send one.
 
 mod bucket;
+mod demand;
 
 use {
     super::{Ticket, admission::Index},
--- a/crates/cumincart-core/src/entry/quota/bucket.rs
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -1,7 +1,7 @@
 //! One organisation's token bucket at one instance.
 
 use {
-    super::{QUOTA_WAIT_MS, QuotaDecision},
+    super::{QUOTA_WAIT_MS, QuotaDecision, demand::Demand},
     crate::entry::Ticket,
     cumincart_protocol::{
         heartbeat::{Share, ShareGrant, ShareReport, grant_term},
@@ -21,15 +21,6 @@
 /// One token in thousandths.
 const TOKEN_MILLI: u64 = 1_000;
 
-/// The time over which demand is averaged, in milliseconds.
-const DEMAND_WINDOW_MS: u64 = 1_000;
-
-/// The shortest time over which demand that has moved is averaged anew, in milliseconds.
-const DEMAND_MOVED_WINDOW_MS: u64 = 250;
-
-/// The shortest time over which arrivals are counted as a rate, in milliseconds.
-const DEMAND_MIN_INTERVAL_MS: u64 = 100;
-
 /// Demand is reported again when it has changed by more than one part in this many.
 const REPORTED_DEMAND_DIVISOR: u64 = 8;
 
@@ -52,14 +43,6 @@
     report: ShareReport,
 }
 
-/// How many requests arrive, as a decaying average.
-#[derive(Debug)]
-pub struct Demand {
-    arrivals: u64,
-    counted_from: Instant,
-    milli_per_s: u64,
-}
-
 /// A share of one organisation's rate and burst, and what it holds now.
 #[derive(Debug)]
 pub struct Bucket {
@@ -99,47 +82,6 @@
     }
 }
 
-impl Demand {
-    /// Counts one arrival.
-    pub fn count(&mut self, now: Instant) {
-        let resumes = self.arrivals == 0 && self.milli_per_s == 0;
-        if resumes {
-            self.counted_from = now;
-        }
-        self.arrivals += 1;
-    }
-
-    fn average(&mut self, now: Instant) -> u64 {
-        let interval_ms = millis_between(self.counted_from, now);
-        if interval_ms < DEMAND_MIN_INTERVAL_MS {
-            return self.milli_per_s;
-        }
-        let arrived_milli = self.arrivals * TOKEN_MILLI * 1_000;
-        let memory_ms = if self.has_moved(interval_ms) {
-            DEMAND_MOVED_WINDOW_MS.saturating_sub(interval_ms)
-        } else {
-            DEMAND_WINDOW_MS
-        };
-        self.milli_per_s = (self.milli_per_s * memory_ms + arrived_milli) / (memory_ms + interval_ms);
-        self.arrivals = 0;
-        self.counted_from = now;
-        self.milli_per_s
-    }
-
-    /// Whether the leader should hear now that demand has moved.
-    fn is_news(&self, now: Instant) -> bool {
-        let interval_ms = millis_between(self.counted_from, now);
-        interval_ms >= DEMAND_MIN_INTERVAL_MS && self.milli_per_s != 0 && self.has_moved(interval_ms)
-    }
-
-    /// Whether the arrivals differ from the average by more than three standard deviations of a Poisson process.
-    fn has_moved(&self, interval_ms: u64) -> bool {
-        let expected = self.milli_per_s * interval_ms / (TOKEN_MILLI * 1_000);
-        let deviation = self.arrivals.abs_diff(expected);
-        self.milli_per_s == 0 || deviation * deviation > 9 * (expected + 1)
-    }
-}
-
 impl Bucket {
     /// An empty bucket without a share.
     pub fn new(organisation: OrganisationName, now: Instant) -> Self {
@@ -155,7 +97,7 @@
             refilled_at: now,
             returned_milli: 0,
             reserve_at: now,
-            demand: Demand { arrivals: 0, counted_from: now, milli_per_s: 0 },
+            demand: Demand::new(now),
             last_report: None,
             waiting: VecDeque::new(),
         }
@@ -413,6 +355,7 @@
     later.as_micros().saturating_sub(earlier.as_micros())
 }
 
-fn millis_between(earlier: Instant, later: Instant) -> u64 {
+/// Milliseconds from one instant to another, rounded up.
+pub fn millis_between(earlier: Instant, later: Instant) -> u64 {
     micros_between(earlier, later).div_ceil(1_000)
 }
--- a/crates/cumincart-core/tests/limits_shares.rs
+++ b/crates/cumincart-core/tests/limits_shares.rs
@@ -244,3 +244,15 @@
     run_at_nodes(&mut fleet, &[0, 1], 1_000);
     assert_eq!(refused_at_nodes(&mut fleet, &[0, 1], 4_000), 0);
 }
+
+#[test]
+fn a_plan_raised_in_full_traffic_is_given_out_within_2_s() {
+    let mut fleet = Fleet::new(13, &[(100.0, 20)]);
+    fleet.add_many(6, 3);
+    fleet.elect(Clock::default());
+    fleet.run_ms(6_000);
+    run_at_nodes(&mut fleet, &[0, 1, 2, 3, 4, 5], 4_000);
+    fleet.apply(&[(400.0, 80)]);
+    run_at_nodes(&mut fleet, &[0, 1, 2, 3, 4, 5], 2_000);
+    assert_eq!(refused_at_nodes(&mut fleet, &[0, 1, 2, 3, 4, 5], 4_000), 0);
+}
