Divide enormous plans without overflow

Nothing in the lists' format bounds a rate.

Change: rates beyond 1e9 a second count as 1e9; parts of rates are worked out in 128 bits.

--- a/crates/cumincart-core/src/control/shares/target.rs
+++ b/crates/cumincart-core/src/control/shares/target.rs
@@ -164,5 +164,6 @@
 }
 
 fn part(total: u64, share: u64, of: u64) -> u64 {
-    total * share / of.max(1)
+    let part = u128::from(total) * u128::from(share) / u128::from(of.max(1));
+    u64::try_from(part).unwrap_or(u64::MAX)
 }
--- a/crates/cumincart-core/tests/limits_shares.rs
+++ b/crates/cumincart-core/tests/limits_shares.rs
@@ -256,3 +256,15 @@
     run_at_nodes(&mut fleet, &[0, 1, 2, 3, 4, 5], 2_000);
     assert_eq!(refused_at_nodes(&mut fleet, &[0, 1, 2, 3, 4, 5], 4_000), 0);
 }
+
+#[test_case(1e15, u32::MAX; "a rate beyond any machine")]
+#[test_case(f64::MAX, u32::MAX; "the greatest number")]
+fn an_enormous_plan_is_divided_like_any_other(rate: f64, burst: u32) {
+    let mut fleet = Fleet::new(14, &[(rate, burst)]);
+    fleet.checked = false;
+    fleet.add_many(6, 3);
+    fleet.elect(Clock::default());
+    fleet.run_ms(6_000);
+    run_at_nodes(&mut fleet, &[0, 1], 2_000);
+    assert_eq!(refused_at_nodes(&mut fleet, &[0, 1], 2_000), 0);
+}
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -96,10 +96,13 @@
     ControlTerm(grant_number >> GRANT_COUNTER_BITS)
 }
 
+/// The greatest rate that is told apart from a greater one, in thousandths of a request a second.
+const MAX_RATE_MILLI_PER_S: f64 = 1e12;
+
 impl Share {
     /// The whole of what a plan allows one organisation.
     pub fn of_plan(plan: &Plan) -> Self {
-        let rate_milli_per_s = (plan.rate_per_s * 1_000.0).floor().max(0.0) as u64;
+        let rate_milli_per_s = (plan.rate_per_s * 1_000.0).clamp(0.0, MAX_RATE_MILLI_PER_S).floor() as u64;
         Self { rate_milli_per_s, burst_milli: u64::from(plan.burst) * 1_000 }
     }
 }
