--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -166,7 +166,7 @@
             requests: SortedVec::new(),
             transactions: SortedVec::new(),
             forwards: SortedVec::new(),
-            replica_choice: routing::policy::local_without_stalled,
+            replica_choice: routing::policy::two_choices_local,
             retry_budget: retry::RetryBudget::default(),
             drain: drain::DrainState::default(),
             out_since: None,
--- a/crates/cumincart-core/src/entry/heartbeat.rs
+++ b/crates/cumincart-core/src/entry/heartbeat.rs
@@ -68,7 +68,7 @@
     drain::note_service(board, now, out);
     for group in &after.groups {
         for entry in &group.endpoints {
-            board.pool.learn(entry);
+            board.pool.learn(&group.service, entry);
         }
     }
 }
--- a/crates/cumincart-core/src/entry/maintenance.rs
+++ b/crates/cumincart-core/src/entry/maintenance.rs
@@ -27,9 +27,15 @@
 /// Time between two rounds of upkeep, in milliseconds.
 pub const MAINTENANCE_INTERVAL_MS: u64 = 50;
 
-/// How old an endpoint's last known state may get before it is asked for, in milliseconds.
+/// How old the last known state of an endpoint in use may get before it is asked for, in milliseconds.
 pub const PROBE_INTERVAL_MS: u64 = 250;
 
+/// The same for an endpoint that is not in use, in milliseconds.
+pub const IDLE_PROBE_INTERVAL_MS: u64 = 2_000;
+
+/// How long an endpoint counts as in use after the last request for it, in milliseconds.
+pub const IN_USE_MS: u64 = 5_000;
+
 /// How long a work may stay without an answer before its connection is closed, in milliseconds. Until then the
 /// connection is kept, although its request has ended, since the endpoint may still hold its side of it.
 pub const STUCK_WORK_MS: u64 = 10_000;
@@ -63,7 +69,7 @@
     if matches!(board.drain, DrainState::Closing | DrainState::Stopped) {
         return 0;
     }
-    match entry(catalogue, name) {
+    match entry(board, catalogue, name) {
         Some(entry) if routing::takes_new_work(catalogue, entry) => {
             permits::allowed(&board.permits, now, name)
         }
@@ -71,8 +77,9 @@
     }
 }
 
-fn entry<'a>(catalogue: &'a Catalogue, name: &EndpointName) -> Option<&'a EndpointEntry> {
-    catalogue.groups.iter().find_map(|group| group.endpoints.get(name))
+fn entry<'a>(board: &Board, catalogue: &'a Catalogue, name: &EndpointName) -> Option<&'a EndpointEntry> {
+    let endpoint = board.pool.endpoint(name)?;
+    catalogue.group(&endpoint.service)?.endpoints.get(name)
 }
 
 fn close_surplus(board: &mut Board, name: &EndpointName, allowed: u32, out: &mut Vec<Effect>) {
@@ -111,7 +118,8 @@
 }
 
 fn is_probe_due(endpoint: &Endpoint, now: Instant) -> bool {
-    let interval = Duration::from_millis(PROBE_INTERVAL_MS);
+    let in_use = now.saturating_since(endpoint.used_at) < Duration::from_millis(IN_USE_MS);
+    let interval = Duration::from_millis(if in_use { PROBE_INTERVAL_MS } else { IDLE_PROBE_INTERVAL_MS });
     endpoint.in_flight == 0
         && endpoint.observed.is_none_or(|observed| now.saturating_since(observed.at) >= interval)
 }
--- a/crates/cumincart-core/src/entry/pool.rs
+++ b/crates/cumincart-core/src/entry/pool.rs
@@ -12,7 +12,7 @@
     crate::work::{ConnectionId, EndpointState, Work, WorkId},
     cumincart_protocol::{
         catalogue::EndpointEntry,
-        name::EndpointName,
+        name::{EndpointName, ServiceName},
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
@@ -111,6 +111,8 @@
 pub struct Endpoint {
     /// Its name.
     pub name: EndpointName,
+    /// The service whose group it belongs to.
+    pub service: ServiceName,
     /// Its address, as `ip:port`.
     pub address: Arc<str>,
     /// How many statements it runs at once.
@@ -143,6 +145,8 @@
     pub open_again_at: Instant,
     /// When the first of the works under way was sent, since none was.
     pub oldest_work_at: Option<Instant>,
+    /// When a request was last sent to it.
+    pub used_at: Instant,
     /// When the last answer came.
     pub answered_at: Instant,
 }
@@ -167,9 +171,10 @@
 }
 
 impl Endpoint {
-    fn new(entry: &EndpointEntry) -> Self {
+    fn new(service: &ServiceName, entry: &EndpointEntry) -> Self {
         Self {
             name: entry.name.clone(),
+            service: service.clone(),
             address: entry.address.clone(),
             slots: entry.slots,
             connections: 0,
@@ -186,6 +191,7 @@
             contact: None,
             open_again_at: Instant::ZERO,
             oldest_work_at: None,
+            used_at: Instant::ZERO,
             answered_at: Instant::ZERO,
         }
     }
@@ -282,8 +288,11 @@
     }
 
     /// Takes an endpoint in, or its new address and slots.
-    pub fn learn(&mut self, entry: &EndpointEntry) {
-        let endpoint = self.endpoints.get_or_insert_with(&entry.name, || Endpoint::new(entry));
+    pub fn learn(&mut self, service: &ServiceName, entry: &EndpointEntry) {
+        let endpoint = self.endpoints.get_or_insert_with(&entry.name, || Endpoint::new(service, entry));
+        if endpoint.service != *service {
+            endpoint.service = service.clone();
+        }
         endpoint.slots = entry.slots;
         if endpoint.address != entry.address {
             endpoint.address = entry.address.clone();
@@ -373,6 +382,9 @@
         endpoint.in_flight += 1;
         endpoint.oldest_work_at.get_or_insert(now);
         endpoint.probing |= owner == Owner::Pool;
+        if owner != Owner::Pool {
+            endpoint.used_at = now;
+        }
         out.push(Effect::Execute(id, work_id, work));
         Some(work_id)
     }
--- a/crates/cumincart-core/src/entry/routing.rs
+++ b/crates/cumincart-core/src/entry/routing.rs
@@ -33,6 +33,9 @@
     Lost,
 }
 
+/// The wait in a replica's queue from which on its reads may go to the primary, in milliseconds.
+pub const SPILL_WAIT_MS: u64 = 10;
+
 /// A request as routing sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
@@ -65,7 +68,7 @@
     if reads_from_replicas(question) {
         let needed = session::needed_position(&seen);
         if let Some(replica) = choose_replica(board, now, question, needed) {
-            return Destination::Endpoint(replica);
+            return Destination::Endpoint(unless_overloaded(board, now, question.group, replica));
         }
     }
     match usable_primary(board, now, question.group) {
@@ -121,6 +124,23 @@
     entries.get(index).map(|entry| entry.name.clone())
 }
 
+/// The replica, or the primary where the replica's queue is long and the primary's is not.
+fn unless_overloaded(board: &Board, now: Instant, group: &Group, replica: EndpointName) -> EndpointName {
+    let wait = expected_wait(board, &replica);
+    if wait < Duration::from_millis(SPILL_WAIT_MS) {
+        return replica;
+    }
+    match usable_primary(board, now, group) {
+        Some(primary) if expected_wait(board, &primary) * 2 < wait => primary,
+        _ => replica,
+    }
+}
+
+fn expected_wait(board: &Board, name: &EndpointName) -> Duration {
+    let endpoint = board.pool.endpoint(name);
+    endpoint.map_or(Duration::ZERO, |endpoint| endpoint.expected_wait(endpoint.queue.len()))
+}
+
 fn candidate(board: &Board, now: Instant, entry: &EndpointEntry) -> Candidate {
     let endpoint = board.pool.endpoint(&entry.name);
     Candidate {
--- a/crates/cumincart-core/tests/entry_data_path.rs
+++ b/crates/cumincart-core/tests/entry_data_path.rs
@@ -2,6 +2,8 @@
 
 #[path = "entry_data_path/fixture.rs"]
 mod fixture;
+#[path = "entry_data_path/load.rs"]
+mod load;
 #[path = "entry_data_path/path.rs"]
 mod path;
 #[path = "entry_data_path/sessions.rs"]
