Give a planned move up when no replica catches up in time

Cause: a planned move held writes for as long as the old primary was alive and no replica had all of its log; a stopped replication stopped the service (a_planned_move_whose_replicas_stop_goes_back_and_is_tried_again: no primary after 8 s).

Ruled out: promoting the best replica after the time-out, which loses acknowledged writes in a move that was planned.

Change: after 2 s the old primary goes on in the new term, and the move is tried again after 10 s. In a failure domain that is out it still gets no work, since entry instances see to that themselves.

After: writes are held for less than 4 s, the primary moves once replication runs again, nothing is lost.

--- a/crates/cumincart-core/src/control/choice.rs
+++ b/crates/cumincart-core/src/control/choice.rs
@@ -16,6 +16,9 @@
 /// How long endpoints that were heard lately are waited for beyond a majority, in milliseconds.
 pub const STRAGGLER_WAIT_MS: u64 = 2 * ANNOUNCEMENT_INTERVAL_MS + 50;
 
+/// How long a planned move holds writes for a replica to catch up, in milliseconds.
+pub const MOVE_TIMEOUT_MS: u64 = 2_000;
+
 /// What to do about a term without a primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
@@ -23,6 +26,8 @@
     Wait(&'static str),
     /// This endpoint.
     Endpoint(EndpointName),
+    /// The old primary, although it should move: no replica has caught up in time.
+    GoBack(EndpointName),
 }
 
 /// Orders replicas by how much of the group's log they have: a later timeline first, then the position.
@@ -39,7 +44,8 @@
         .filter(|answer| is_on_course(group, answer))
         .collect();
     if let Some(former) = answers.iter().find(|answer| is_former_primary(group, answer)) {
-        return choose_for_move(board, group, &answers, former);
+        let held = now.saturating_since(fenced_at);
+        return choose_for_move(board, group, &answers, former, held);
     }
     if awaits_former_primary(board, now, group) {
         return Choice::Wait("the old primary has not announced its last position");
@@ -58,17 +64,24 @@
 }
 
 /// The old primary is alive: whoever takes over must have all that it has.
-fn choose_for_move(board: &Board, group: &Group, answers: &[&Announcement], former: &Announcement) -> Choice {
+fn choose_for_move(
+    board: &Board,
+    group: &Group,
+    answers: &[&Announcement],
+    former: &Announcement,
+    held: Duration,
+) -> Choice {
     if service_state::may_be_primary(board, group, &former.endpoint) {
         return Choice::Endpoint(former.endpoint.clone());
     }
-    let Some(best) = best_in_service(board, group, answers) else {
-        return Choice::Wait("no replica in service has announced itself");
-    };
-    if best.position < former.position {
-        return Choice::Wait("no replica in service has all of the old primary's log");
+    let best = best_in_service(board, group, answers);
+    if let Some(best) = best.filter(|best| best.position >= former.position) {
+        return Choice::Endpoint(best.endpoint.clone());
+    }
+    if held >= Duration::from_millis(MOVE_TIMEOUT_MS) {
+        return Choice::GoBack(former.endpoint.clone());
     }
-    Choice::Endpoint(best.endpoint.clone())
+    Choice::Wait("no replica in service has all of the old primary's log")
 }
 
 fn choose_among_majority(
--- a/crates/cumincart-core/src/control/failover.rs
+++ b/crates/cumincart-core/src/control/failover.rs
@@ -34,6 +34,9 @@
 /// How long an order to promote may stay without an outcome, in milliseconds.
 pub const PROMOTION_TIMEOUT_MS: u64 = 3_000;
 
+/// Time before a planned move that was given up is tried again, in milliseconds.
+pub const MOVE_RETRY_MS: u64 = 10_000;
+
 /// How often the outcome may be unknown before a silent endpoint is given up and another is chosen.
 pub const PROMOTION_ATTEMPTS: u32 = 3;
 
@@ -45,6 +48,22 @@
     /// What entry instances report of endpoints.
     pub reports: Reports,
     changes: SortedVec<PrimaryChange>,
+    paused_moves: SortedVec<PausedMove>,
+}
+
+/// A planned move that was given up, until it is tried again.
+#[derive(Debug)]
+struct PausedMove {
+    service: ServiceName,
+    until: Instant,
+}
+
+impl Keyed for PausedMove {
+    type Key = ServiceName;
+
+    fn key(&self) -> &ServiceName {
+        &self.service
+    }
 }
 
 /// A change of primary that is under way.
@@ -95,6 +114,7 @@
 pub fn on_elected(board: &mut Board) {
     board.failover.reports = Reports::default();
     board.failover.changes = SortedVec::default();
+    board.failover.paused_moves = SortedVec::default();
 }
 
 /// Looks at every group.
@@ -211,7 +231,7 @@
     let Some(primary) = &group.primary else { return };
     if detection::is_dead(board, now, primary) {
         note(out, &group.service, &format!("the primary {primary} is dead"));
-    } else if service_state::must_move(board, now, group) {
+    } else if !is_paused(board, now, &group.service) && service_state::must_move(board, now, group) {
         note(out, &group.service, &format!("the primary moves away from {primary}"));
     } else {
         return;
@@ -238,16 +258,34 @@
                 note(out, &group.service, &format!("term {} waits: {reason}", group.term));
             }
         }
-        Choice::Endpoint(endpoint) => {
-            note(out, &group.service, &format!("{endpoint} is chosen as the primary of term {}", group.term));
-            let service = group.service.clone();
-            let command = Command::BeginTerm { service, term: group.term, primary: Some(endpoint) };
-            let index = replicate::propose(board, now, command, out);
-            change_of(board, now, &group.service).proposed = index;
+        Choice::Endpoint(endpoint) => name_primary(board, now, group, endpoint, out),
+        Choice::GoBack(endpoint) => {
+            let until = now + Duration::from_millis(MOVE_RETRY_MS);
+            board.failover.paused_moves.insert(PausedMove { service: group.service.clone(), until });
+            note(out, &group.service, "the move is given up: no replica has caught up in time");
+            name_primary(board, now, group, endpoint, out);
         }
     }
 }
 
+fn name_primary(
+    board: &mut Board,
+    now: Instant,
+    group: &Group,
+    endpoint: EndpointName,
+    out: &mut Vec<Effect>,
+) {
+    let service = group.service.clone();
+    note(out, &service, &format!("{endpoint} is chosen as the primary of term {}", group.term));
+    let command = Command::BeginTerm { service, term: group.term, primary: Some(endpoint) };
+    let index = replicate::propose(board, now, command, out);
+    change_of(board, now, &group.service).proposed = index;
+}
+
+fn is_paused(board: &Board, now: Instant, service: &ServiceName) -> bool {
+    board.failover.paused_moves.get(service).is_some_and(|paused| now < paused.until)
+}
+
 /// When the fence of the current term was complete; none while it is not.
 fn wait_for_fence(board: &mut Board, now: Instant, service: &ServiceName) -> Option<Instant> {
     let applied = board.log.applied;
--- a/crates/cumincart-core/tests/control_failover.rs
+++ b/crates/cumincart-core/tests/control_failover.rs
@@ -243,6 +243,26 @@
     fleet.check_writes();
 }
 
+#[test]
+fn a_planned_move_whose_replicas_stop_goes_back_and_is_tried_again() {
+    let (mut fleet, old) = settled(430);
+    let name = fleet.endpoints[old].name.clone();
+    for replica in ["pbx-2", "pbx-3"] {
+        fleet.cut_one_way(&name, replica);
+    }
+    fleet.run_ms(200);
+    let since = fleet.now;
+    fleet.endpoints[old].leaving = true;
+    fleet.run_ms(8_000);
+    assert_eq!(fleet.primary(), Some(old), "{:#?}", fleet.notes);
+    assert!(fleet.longest_gap_ms(since) < 4_000, "writes were held for {} ms", fleet.longest_gap_ms(since));
+    fleet.heal();
+    wait_for_other_primary(&mut fleet, old);
+    fleet.run_ms(1_000);
+    check_nothing_lost(&fleet);
+    fleet.check_writes();
+}
+
 #[test_case(0)]
 #[test_case(20)]
 #[test_case(100)]
