--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -11,6 +11,7 @@
 pub mod members;
 pub mod operators;
 pub mod permits;
+pub mod promotion;
 pub mod read_index;
 pub mod replicate;
 pub mod service_state;
@@ -18,14 +19,19 @@
 pub mod snapshot;
 pub mod status;
 
+pub use {
+    promotion::{PromotedState, Promotion, PromotionError},
+    status::{EndpointStatus, InstanceStatus, Status},
+};
+
 use {
     cumincart_protocol::{
         announcement::Announcement,
         catalogue::Catalogue,
         change::{Change, Outcome},
         heartbeat::Heartbeat,
-        name::{EndpointName, InstanceName, ServiceName},
-        number::{ControlTerm, Incarnation, LogIndex, LogPosition, Revision, Term, Timeline},
+        name::InstanceName,
+        number::{ControlTerm, Incarnation, LogIndex},
         peer::{Leader, PeerBody},
         replication::{
             Ballot, DiskId, Member, Members, Record, ReplicationBody, ReplicationMessage, Snapshot,
@@ -83,37 +89,6 @@
     Promoted(Promotion, Result<PromotedState, PromotionError>),
 }
 
-/// A promotion that is ordered of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Promotion {
-    /// The service.
-    pub service: ServiceName,
-    /// The term that the endpoint is to be primary of.
-    pub term: Term,
-    /// The endpoint.
-    pub endpoint: EndpointName,
-    /// Its address, as `ip:port`.
-    pub address: Arc<str>,
-}
-
-/// The state of an endpoint just promoted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PromotedState {
-    /// The timeline that its promotion opened.
-    pub timeline: Timeline,
-    /// The position at which that timeline began.
-    pub start: LogPosition,
-}
-
-/// Why a promotion failed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PromotionError {
-    /// The endpoint could not be reached; it was not promoted.
-    NotReached,
-    /// The answer did not come; it may have been promoted.
-    Unknown,
-}
-
 /// Something that the runtime must do. Effects are carried out in order: a `Persist` is synced to disk before any
 /// effect behind it.
 #[derive(Debug, Clone)]
@@ -159,47 +134,6 @@
     NoQuorum,
 }
 
-/// The state of the system as a quorum confirmed it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Status {
-    /// The leader.
-    pub leader: InstanceName,
-    /// Its term.
-    pub term: ControlTerm,
-    /// The catalogue.
-    pub catalogue: Arc<Catalogue>,
-    /// The control group.
-    pub members: Members,
-    /// The entry instances that hold a lease or held one lately.
-    pub instances: Vec<InstanceStatus>,
-    /// How long leases that an earlier leader gave to instances not listed here may still run.
-    pub earlier_leases_left_ms: u64,
-    /// The last announcement of each endpoint.
-    pub endpoints: Vec<EndpointStatus>,
-}
-
-/// An entry instance as the leader knows it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct InstanceStatus {
-    /// Its name.
-    pub instance: InstanceName,
-    /// Its run.
-    pub incarnation: Incarnation,
-    /// The revision that it confirmed.
-    pub revision: Revision,
-    /// How long its lease still runs; 0 when it has run out.
-    pub lease_left_ms: u64,
-}
-
-/// An endpoint as the leader knows it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndpointStatus {
-    /// Its last announcement.
-    pub announcement: Announcement,
-    /// How long ago it came.
-    pub age_ms: u64,
-}
-
 /// All state of a control instance.
 #[derive(Debug)]
 pub struct Board {
@@ -279,7 +213,7 @@
         Input::Operator(ticket, change) => operators::on_change(board, now, ticket, change, out),
         Input::Status(ticket) => read_index::ask(board, now, ticket, read_index::Question::Status, out),
         Input::Announced(announcement) => announcements::on_announced(board, now, announcement, out),
-        Input::Promoted(promotion, result) => failover::on_promoted(board, now, &promotion, &result, out),
+        Input::Promoted(promotion, result) => promotion::on_promoted(board, now, &promotion, &result, out),
     }
     replicate::advance(board, now, out);
     failover::on_news(board, now, out);
--- a/crates/cumincart-core/src/control/failover.rs
+++ b/crates/cumincart-core/src/control/failover.rs
@@ -6,11 +6,12 @@
 
 use {
     super::{
-        Board, Effect, PromotedState, Promotion, PromotionError,
+        Board, Effect,
         catalogue::revision_of,
         choice::{self, Choice},
         detection::{self, Policy, Reports},
         leases::Fence,
+        promotion::{self, Order},
         replicate, service_state,
     },
     cumincart_protocol::{
@@ -28,18 +29,9 @@
 /// How long a new group's primaries are listened to before one is adopted, in milliseconds.
 pub const ADOPTION_DELAY_MS: u64 = 400;
 
-/// Time between two orders to promote the same endpoint, in milliseconds.
-pub const PROMOTION_RETRY_MS: u64 = 200;
-
-/// How long an order to promote may stay without an outcome, in milliseconds.
-pub const PROMOTION_TIMEOUT_MS: u64 = 3_000;
-
 /// Time before a planned move that was given up is tried again, in milliseconds.
 pub const MOVE_RETRY_MS: u64 = 10_000;
 
-/// How often the outcome may be unknown before a silent endpoint is given up and another is chosen.
-pub const PROMOTION_ATTEMPTS: u32 = 3;
-
 /// What the leader knows of primaries and their changes.
 #[derive(Debug, Default)]
 pub struct Failover {
@@ -68,26 +60,17 @@
 
 /// A change of primary that is under way.
 #[derive(Debug)]
-struct PrimaryChange {
+pub(super) struct PrimaryChange {
     service: ServiceName,
     started_at: Instant,
     /// The change's last record; nothing more is done before it is applied.
-    proposed: LogIndex,
+    pub(super) proposed: LogIndex,
     fence: Option<Fence>,
     fenced_at: Option<Instant>,
-    order: Order,
+    pub(super) order: Order,
     waits_for: Option<&'static str>,
 }
 
-/// The order to promote the primary of the current term.
-#[derive(Debug, Default)]
-struct Order {
-    term: Term,
-    ordered_at: Option<Instant>,
-    retry_at: Instant,
-    unknown: u32,
-}
-
 impl Keyed for PrimaryChange {
     type Key = ServiceName;
 
@@ -141,38 +124,11 @@
     }
 }
 
-/// Takes the outcome of an order to promote.
-pub fn on_promoted(
-    board: &mut Board,
-    now: Instant,
-    promotion: &Promotion,
-    result: &Result<PromotedState, PromotionError>,
-    out: &mut Vec<Effect>,
-) {
-    let Some(group) = board.catalogue.group(&promotion.service) else { return };
-    let is_awaited = is_in_charge(board)
-        && group.term == promotion.term
-        && !group.writable
-        && group.primary.as_ref() == Some(&promotion.endpoint)
-        && is_settled(board, &promotion.service);
-    if !is_awaited {
-        return;
-    }
-    match result {
-        Ok(state) => open_term(board, now, promotion, *state, out),
-        Err(PromotionError::NotReached) => {
-            note(out, &promotion.service, &format!("{} was not reached; choosing again", promotion.endpoint));
-            begin_term(board, now, &promotion.service, promotion.term.next(), out);
-        }
-        Err(PromotionError::Unknown) => on_unknown(board, now, promotion, out),
-    }
-}
-
-fn is_in_charge(board: &Board) -> bool {
+pub(super) fn is_in_charge(board: &Board) -> bool {
     board.election.is_leader() && board.replication.has_committed_own_term(&board.log)
 }
 
-fn is_settled(board: &Board, service: &ServiceName) -> bool {
+pub(super) fn is_settled(board: &Board, service: &ServiceName) -> bool {
     board.failover.changes.get(service).is_none_or(|change| change.proposed <= board.log.applied)
 }
 
@@ -187,7 +143,7 @@
     } else if group.writable {
         watch(board, now, group, out);
     } else if let Some(primary) = &group.primary {
-        promote(board, now, group, primary, out);
+        promotion::order(board, now, group, primary, out);
     } else {
         fence_and_choose(board, now, group, out);
     }
@@ -239,7 +195,13 @@
     begin_term(board, now, &group.service, group.term.next(), out);
 }
 
-fn begin_term(board: &mut Board, now: Instant, service: &ServiceName, term: Term, out: &mut Vec<Effect>) {
+pub(super) fn begin_term(
+    board: &mut Board,
+    now: Instant,
+    service: &ServiceName,
+    term: Term,
+    out: &mut Vec<Effect>,
+) {
     let command = Command::BeginTerm { service: service.clone(), term, primary: None };
     let index = replicate::propose(board, now, command, out);
     let change = change_of(board, now, service);
@@ -302,68 +264,15 @@
     change.fenced_at
 }
 
-/// Orders the promotion of the chosen primary, again when the outcome of the last order is unknown.
-fn promote(board: &mut Board, now: Instant, group: &Group, primary: &EndpointName, out: &mut Vec<Effect>) {
-    let Some(entry) = group.endpoints.get(primary) else { return };
-    let promotion = Promotion {
-        service: group.service.clone(),
-        term: group.term,
-        endpoint: primary.clone(),
-        address: Arc::clone(&entry.address),
-    };
-    let order = &mut change_of(board, now, &group.service).order;
-    if order.term != group.term {
-        *order = Order { term: group.term, ..Order::default() };
-    }
-    let timeout = Duration::from_millis(PROMOTION_TIMEOUT_MS);
-    if order.ordered_at.is_some_and(|at| now.saturating_since(at) < timeout) || now < order.retry_at {
-        return;
-    }
-    order.ordered_at = Some(now);
-    out.push(Effect::Promote(promotion));
-}
-
-fn on_unknown(board: &mut Board, now: Instant, promotion: &Promotion, out: &mut Vec<Effect>) {
-    let order = &mut change_of(board, now, &promotion.service).order;
-    order.ordered_at = None;
-    order.retry_at = now + Duration::from_millis(PROMOTION_RETRY_MS);
-    order.unknown += 1;
-    let gives_up = order.unknown >= PROMOTION_ATTEMPTS;
-    if gives_up && detection::is_silent(board, now, &promotion.endpoint) {
-        note(out, &promotion.service, &format!("{} does not answer; choosing again", promotion.endpoint));
-        begin_term(board, now, &promotion.service, promotion.term.next(), out);
-    }
-}
-
-fn open_term(
-    board: &mut Board,
+pub(super) fn change_of<'a>(
+    board: &'a mut Board,
     now: Instant,
-    promotion: &Promotion,
-    state: PromotedState,
-    out: &mut Vec<Effect>,
-) {
-    let service = &promotion.service;
-    let last = board.catalogue.group(service).and_then(|group| group.term_starts.last());
-    // An endpoint that was the primary already goes on with its timeline: nothing that it has is lost.
-    let stays = last.is_some_and(|last| last.timeline == state.timeline);
-    let position = board.announcements.get(&promotion.endpoint).map(|heard| heard.announcement.position);
-    let start = if stays { state.start.max(position.unwrap_or_default()) } else { state.start };
-    let command = Command::OpenTerm {
-        service: service.clone(),
-        term: promotion.term,
-        primary: promotion.endpoint.clone(),
-        timeline: state.timeline,
-        start,
-    };
-    let index = replicate::propose(board, now, command, out);
-    change_of(board, now, service).proposed = index;
-}
-
-fn change_of<'a>(board: &'a mut Board, now: Instant, service: &ServiceName) -> &'a mut PrimaryChange {
+    service: &ServiceName,
+) -> &'a mut PrimaryChange {
     let applied = board.log.applied;
     board.failover.changes.get_or_insert_with(service, || PrimaryChange::begin(service, now, applied))
 }
 
-fn note(out: &mut Vec<Effect>, service: &ServiceName, text: &str) {
+pub(super) fn note(out: &mut Vec<Effect>, service: &ServiceName, text: &str) {
     out.push(Effect::Note(format!("{service}: {text}").into()));
 }
--- a/crates/cumincart-core/src/control/status.rs
+++ b/crates/cumincart-core/src/control/status.rs
@@ -1,11 +1,59 @@
 //! The state of the system as operators see it.
 
 use {
-    super::{Board, EndpointStatus, InstanceStatus, Status, announcements::Heard, leases::Holder},
-    cumincart_protocol::time::Instant,
+    super::{Board, announcements::Heard, leases::Holder},
+    cumincart_protocol::{
+        announcement::Announcement,
+        catalogue::Catalogue,
+        name::InstanceName,
+        number::{ControlTerm, Incarnation, Revision},
+        replication::Members,
+        time::Instant,
+    },
     std::sync::Arc,
 };
 
+/// The state of the system as a quorum confirmed it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Status {
+    /// The leader.
+    pub leader: InstanceName,
+    /// Its term.
+    pub term: ControlTerm,
+    /// The catalogue.
+    pub catalogue: Arc<Catalogue>,
+    /// The control group.
+    pub members: Members,
+    /// The entry instances that hold a lease or held one lately.
+    pub instances: Vec<InstanceStatus>,
+    /// How long leases that an earlier leader gave to instances not listed here may still run.
+    pub earlier_leases_left_ms: u64,
+    /// The last announcement of each endpoint.
+    pub endpoints: Vec<EndpointStatus>,
+}
+
+/// An entry instance as the leader knows it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InstanceStatus {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The revision that it confirmed.
+    pub revision: Revision,
+    /// How long its lease still runs; 0 when it has run out.
+    pub lease_left_ms: u64,
+}
+
+/// An endpoint as the leader knows it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointStatus {
+    /// Its last announcement.
+    pub announcement: Announcement,
+    /// How long ago it came.
+    pub age_ms: u64,
+}
+
 /// The leader's state, to be given only after a quorum has confirmed the leadership.
 pub fn current(board: &Board, now: Instant) -> Status {
     Status {
