--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -3,6 +3,7 @@
 pub mod announcements;
 pub mod catalogue;
 pub mod choice;
+pub mod commit;
 pub mod detection;
 pub mod election;
 pub mod failover;
@@ -18,6 +19,7 @@
 pub mod shares;
 pub mod snapshot;
 pub mod status;
+pub mod voting;
 
 pub use {
     promotion::{PromotedState, Promotion, PromotionError},
@@ -215,9 +217,9 @@
         Input::Announced(announcement) => announcements::on_announced(board, now, announcement, out),
         Input::Promoted(promotion, result) => promotion::on_promoted(board, now, &promotion, &result, out),
     }
-    replicate::advance(board, now, out);
+    commit::advance(board, now, out);
     failover::on_news(board, now, out);
-    replicate::advance(board, now, out);
+    commit::advance(board, now, out);
     leases::push(board, out);
 }
 
@@ -230,7 +232,7 @@
     replicate::on_tick(board, now, out);
     leases::on_tick(board, now, out);
     announcements::on_tick(board, now, out);
-    replicate::advance(board, now, out);
+    commit::advance(board, now, out);
     failover::on_tick(board, now, out);
 }
 
@@ -244,8 +246,8 @@
     let Some(sender) = election::sender(board, from, &message) else { return };
     let is_old = message.term < board.election.ballot.term;
     match message.body {
-        ReplicationBody::PreVote(ask) => election::on_pre_vote(board, now, &sender, &ask, out),
-        ReplicationBody::Vote(ask) => election::on_vote(board, now, &sender, &ask, out),
+        ReplicationBody::PreVote(ask) => voting::on_pre_vote(board, now, &sender, &ask, out),
+        ReplicationBody::Vote(ask) => voting::on_vote(board, now, &sender, &ask, out),
         ReplicationBody::Join(member) => members::on_join(board, now, &member, out),
         ReplicationBody::Announcements(list) => announcements::on_passed_on(board, now, list, out),
         ReplicationBody::Append(append) if is_old => {
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -69,7 +69,8 @@
         self.leader.as_ref()
     }
 
-    fn hears_leader(&self, now: Instant) -> bool {
+    /// Whether a leader was heard within the shortest election time-out.
+    pub fn hears_leader(&self, now: Instant) -> bool {
         let limit = Duration::from_millis(ELECTION_TIMEOUT_MIN_MS);
         self.heard_at.is_some_and(|at| now.saturating_since(at) < limit)
     }
@@ -120,34 +121,6 @@
     reset_timeout(board, now);
 }
 
-/// Answers whether a candidate could win.
-pub fn on_pre_vote(board: &mut Board, now: Instant, from: &Member, ask: &VoteRequest, out: &mut Vec<Effect>) {
-    let granted = ask.term > board.election.ballot.term
-        && !board.election.is_leader()
-        && !board.election.hears_leader(now)
-        && is_up_to_date(board, ask);
-    let answer = VoteAnswer { term: ask.term, granted };
-    replicate::send(board, from, ReplicationBody::PreVoteAnswer(answer), out);
-}
-
-/// Answers a request for a vote.
-pub fn on_vote(board: &mut Board, now: Instant, from: &Member, ask: &VoteRequest, out: &mut Vec<Effect>) {
-    if board.election.hears_leader(now) {
-        return;
-    }
-    observe_term(board, now, ask.term, out);
-    let ballot = &board.election.ballot;
-    let free = ballot.voted_for.as_ref().is_none_or(|name| *name == from.instance);
-    let granted = ask.term == ballot.term && free && is_up_to_date(board, ask);
-    if granted && ballot.voted_for.is_none() {
-        board.election.ballot.voted_for = Some(from.instance.clone());
-        out.push(Effect::Persist(super::Persist::Ballot(board.election.ballot.clone())));
-        reset_timeout(board, now);
-    }
-    let answer = VoteAnswer { term: ask.term, granted };
-    replicate::send(board, from, ReplicationBody::VoteAnswer(answer), out);
-}
-
 /// Counts a pre-vote.
 pub fn on_pre_vote_answer(
     board: &mut Board,
@@ -301,10 +274,6 @@
     votes.iter().any(|vote| vote.instance == *instance && (!disk.is_bound() || vote.disk == *disk))
 }
 
-fn is_up_to_date(board: &Board, ask: &VoteRequest) -> bool {
-    (ask.last_term, ask.last_index) >= (board.log.last_term(), board.log.last_index())
-}
-
 fn vote_request(board: &Board, term: ControlTerm) -> VoteRequest {
     VoteRequest { term, last_index: board.log.last_index(), last_term: board.log.last_term() }
 }
@@ -317,7 +286,7 @@
     }
 }
 
-fn reset_timeout(board: &mut Board, now: Instant) {
+pub(super) fn reset_timeout(board: &mut Board, now: Instant) {
     let timeout_ms = board.random.random_range(ELECTION_TIMEOUT_MIN_MS..=ELECTION_TIMEOUT_MAX_MS);
     board.election.due_at = Some(now + Duration::from_millis(timeout_ms));
 }
--- a/crates/cumincart-core/src/control/read_index.rs
+++ b/crates/cumincart-core/src/control/read_index.rs
@@ -3,7 +3,7 @@
 //! All questions that wait are served by one round of messages; a new round starts when the one before is confirmed.
 
 use {
-    super::{Board, ControlRefusal, Effect, Ticket, election, leases, replicate, status},
+    super::{Board, ControlRefusal, Effect, Ticket, commit, election, leases, replicate, status},
     cumincart_protocol::{heartbeat::Heartbeat, peer::PeerBody, time::Instant},
 };
 
@@ -49,7 +49,7 @@
     if board.reads.waiting.is_empty() || !board.replication.has_committed_own_term(&board.log) {
         return;
     }
-    let confirmed = replicate::quorum_stamp(board);
+    let confirmed = commit::quorum_stamp(board);
     let (ready, waiting): (Vec<_>, Vec<_>) =
         std::mem::take(&mut board.reads.waiting).into_iter().partition(|read| read.stamp <= confirmed);
     board.reads.waiting = waiting;
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -1,9 +1,8 @@
-//! Copies the log from the leader to its followers, commits by majority and applies what is committed.
+//! Copies the log from the leader to its followers.
 
 use {
-    super::{Board, Effect, Persist, catalogue, election, members, operators, read_index, snapshot},
+    super::{Board, Effect, Persist, election, members, snapshot},
     cumincart_protocol::{
-        heartbeat::CatalogueDelta,
         name::InstanceName,
         number::LogIndex,
         replication::{
@@ -12,7 +11,7 @@
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
 /// Time between two messages of the leader to a follower when there is nothing to send, in milliseconds.
@@ -81,7 +80,8 @@
         self.last_stamp + Duration::from_micros(1)
     }
 
-    fn confirmed(&self, instance: &InstanceName) -> Instant {
+    /// The greatest stamp that an instance has answered.
+    pub fn confirmed(&self, instance: &InstanceName) -> Instant {
         self.peers.get(instance).map(|peer| peer.confirmed).unwrap_or_default()
     }
 
@@ -184,75 +184,6 @@
     }
 }
 
-/// Commits what a majority has, applies it and answers those who waited for it.
-pub fn advance(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
-    if board.election.is_leader() {
-        commit_by_majority(board);
-    }
-    while board.log.applied < board.log.commit {
-        apply_next(board, out);
-    }
-    snapshot::take_if_due(board, out);
-    if board.election.is_leader() {
-        members::promote_learners(board, now, out);
-        read_index::serve(board, now, out);
-    }
-}
-
-/// The greatest stamp that a quorum has answered.
-pub fn quorum_stamp(board: &Board) -> Instant {
-    let mut stamps: Vec<Instant> =
-        board.log.members().voters.iter().map(|voter| confirmed_stamp(board, &voter.instance)).collect();
-    stamps.sort_unstable();
-    let members = board.log.members();
-    let confirms = |stamp: Instant| {
-        members::is_quorum(members, |voter| confirmed_stamp(board, &voter.instance) >= stamp)
-    };
-    stamps.into_iter().rev().find(|stamp| confirms(*stamp)).unwrap_or_default()
-}
-
-fn confirmed_stamp(board: &Board, instance: &InstanceName) -> Instant {
-    if *instance == board.settings.member.instance {
-        return Instant::from_micros(u64::MAX);
-    }
-    board.replication.confirmed(instance)
-}
-
-fn matched_index(board: &Board, instance: &InstanceName) -> LogIndex {
-    if *instance == board.settings.member.instance {
-        return board.log.last_index();
-    }
-    board.replication.matched(instance)
-}
-
-fn commit_by_majority(board: &mut Board) {
-    let members = board.log.members();
-    let mut indexes: Vec<LogIndex> =
-        members.voters.iter().map(|voter| matched_index(board, &voter.instance)).collect();
-    indexes.sort_unstable();
-    let on_quorum =
-        |index: LogIndex| members::is_quorum(members, |voter| matched_index(board, &voter.instance) >= index);
-    let Some(index) = indexes.into_iter().rev().find(|index| on_quorum(*index)) else { return };
-    // A record of an earlier term is committed only through one of the own term (Raft, 5.4.2).
-    if index > board.log.commit && board.log.term_at(index) == Some(board.election.ballot.term) {
-        board.log.commit = index;
-    }
-}
-
-fn apply_next(board: &mut Board, out: &mut Vec<Effect>) {
-    let index = board.log.applied.next();
-    let Some(record) = board.log.get(index) else { return };
-    let from = board.catalogue.revision;
-    let catalogue = Arc::make_mut(&mut board.catalogue);
-    let (change, outcome) = catalogue::apply(catalogue, &mut board.outcomes, record);
-    let to = board.catalogue.revision;
-    board.recent.push(CatalogueDelta { from, to, change });
-    board.log.applied = index;
-    if let Some(outcome) = outcome {
-        operators::on_applied(board, index, &outcome, out);
-    }
-}
-
 fn followers(board: &Board) -> Vec<Member> {
     let own = &board.settings.member.instance;
     members::all(board.log.members()).filter(|member| member.instance != *own).cloned().collect()
