Measure an entry process's processor time and each organisation's latency

Cause: the processor time of an entry instance could only be estimated inside a process that holds the whole fleet; latencies were told for all organisations together.

--- a/crates/cumincart-load/src/experiment/overhead.rs
+++ b/crates/cumincart-load/src/experiment/overhead.rs
@@ -5,6 +5,7 @@
     crate::{
         arrivals::poisson,
         open_loop,
+        processor::processor_s,
         report::{Baseline, NamedSummary, Report},
         session::{Call, Session},
         summary::{Outcome, Sample, Summary},
@@ -27,9 +28,6 @@
 const RATE_PER_S: f64 = 200.0;
 const WARM_UP: Duration = Duration::from_secs(2);
 
-/// Ticks of `/proc/self/stat` a second, as Linux gives them to programs on every architecture.
-const TICKS_PER_S: f64 = 100.0;
-
 /// Connections that the direct way keeps open.
 const CONNECTIONS: usize = 5;
 
@@ -85,7 +83,7 @@
             "telvara" => (
                 "pbx-organisations-1",
                 "emergency-number",
-                vec![("region", Value::Text("plovdiv".into()))],
+                vec![("region".to_owned(), Value::Text("plovdiv".into()))],
                 "select number from emergency_numbers where region = $1",
                 vec![Value::Text("plovdiv".into())],
             ),
@@ -163,20 +161,9 @@
 
 /// The processor time that this process spent meanwhile, in seconds, over the span of an experiment.
 async fn cpu_during<T>(work: impl Future<Output = T>) -> Result<(f64, T), ExperimentError> {
-    let (begun, before_s) = (Instant::now(), cpu_s()?);
+    let (begun, before_s) = (Instant::now(), processor_s("self").map_err(setup)?);
     let result = work.await;
-    let spent_s = cpu_s()? - before_s;
+    let spent_s = processor_s("self").map_err(setup)? - before_s;
     let stretch = SPAN.as_secs_f64() / begun.elapsed().as_secs_f64();
     Ok((spent_s * stretch, result))
 }
-
-/// User and system time of this process, in seconds.
-fn cpu_s() -> Result<f64, ExperimentError> {
-    let stat = std::fs::read_to_string("/proc/self/stat").map_err(setup)?;
-    // The second field holds the name in parentheses and may contain spaces.
-    let (_, fields) = stat.rsplit_once(')').ok_or_else(|| setup("/proc/self/stat can't be read"))?;
-    let fields: Vec<&str> = fields.split_ascii_whitespace().collect();
-    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok());
-    let (user, system) = ticks(11).zip(ticks(12)).ok_or_else(|| setup("/proc/self/stat can't be read"))?;
-    Ok((user + system) / TICKS_PER_S)
-}
--- a/crates/cumincart-load/src/experiment/replica_reads.rs
+++ b/crates/cumincart-load/src/experiment/replica_reads.rs
@@ -61,6 +61,15 @@
         answered_reads.len() as u64,
     );
     report.runs.push(NamedSummary { name: "all requests".into(), summary: Summary::of(&samples) });
+    for (index, organisation) in bench.organisations.iter().enumerate() {
+        for (kind, is_write) in [("reads", false), ("writes", true)] {
+            let own = traffic.iter().zip(&samples);
+            let own = own.filter(|(due, _)| due.organisation == index && due.is_write == is_write);
+            let own: Vec<_> = own.map(|(_, sample)| sample.clone()).collect();
+            let name = format!("{} of {} at {} a second", kind, organisation.name, organisation.rate_per_s);
+            report.runs.push(NamedSummary { name, summary: Summary::of(&own) });
+        }
+    }
     Ok(report)
 }
 
--- a/crates/cumincart-load/src/session.rs
+++ b/crates/cumincart-load/src/session.rs
@@ -21,7 +21,7 @@
     /// The route.
     pub route: Arc<str>,
     /// The named arguments.
-    pub arguments: Vec<(&'static str, Value)>,
+    pub arguments: Vec<(String, Value)>,
     /// The id of a request that may not be repeated.
     pub request_id: Option<String>,
 }
@@ -42,7 +42,9 @@
     pub async fn call(&self, entry: &str, call: &Call) -> Outcome {
         let mut caller = self.lock().clone();
         let options = CallOptions { request_id: call.request_id.as_deref(), ..CallOptions::default() };
-        let asked = caller.call_with(entry, &call.service, &call.route, &call.arguments, options);
+        let arguments: Vec<_> =
+            call.arguments.iter().map(|(name, value)| (name.as_str(), value.clone())).collect();
+        let asked = caller.call_with(entry, &call.service, &call.route, &arguments, options);
         let Ok(answered) = tokio::time::timeout(ANSWER_TIMEOUT, asked).await else {
             return Outcome::Failed("no answer within the caller's patience".into());
         };
--- a/crates/cumincart-load/src/traffic.rs
+++ b/crates/cumincart-load/src/traffic.rs
@@ -158,19 +158,24 @@
     let subject = format!("s{}", random.random_range(0..SUBJECTS));
     let unique = format!("{seed}-{number}");
     let text = |text: &str| Value::Text(text.into());
+    let named = |name: &str, value: Value| (name.to_owned(), value);
     let arguments = match route.name.as_str() {
-        "call-setup" => vec![("number", text(&subject))],
-        "save-rule" => vec![("number", text(&subject)), ("target", text(&unique))],
-        "extension" => vec![("extension", text(&subject))],
-        "save-extension" => vec![("extension", text(&subject)), ("desk_phone", text(&unique))],
-        "call-record" => vec![("call_id", text(&unique)), ("duration_s", Value::Int(60))],
+        "call-setup" => vec![named("number", text(&subject))],
+        "save-rule" => vec![named("number", text(&subject)), named("target", text(&unique))],
+        "extension" => vec![named("extension", text(&subject))],
+        "save-extension" => vec![named("extension", text(&subject)), named("desk_phone", text(&unique))],
+        "call-record" => vec![named("call_id", text(&unique)), named("duration_s", Value::Int(60))],
         "post-listing" => {
-            vec![("listing", text(&unique)), ("title", text("anvil")), ("price_cents", Value::Int(12_000))]
+            vec![
+                named("listing", text(&unique)),
+                named("title", text("anvil")),
+                named("price_cents", Value::Int(12_000)),
+            ]
         }
-        "hold" => vec![("listing", text(&unique)), ("buyer", text(&subject))],
-        "release-hold" | "listing" => vec![("listing", text(&subject))],
-        "change-price" => vec![("listing", text(&subject)), ("price_cents", Value::Int(9_000))],
-        "price-history" => vec![("kind", text(&subject))],
+        "hold" => vec![named("listing", text(&unique)), named("buyer", text(&subject))],
+        "release-hold" | "listing" => vec![named("listing", text(&subject))],
+        "change-price" => vec![named("listing", text(&subject)), named("price_cents", Value::Int(9_000))],
+        "price-history" => vec![named("kind", text(&subject))],
         _ => Vec::new(),
     };
     let request_id = (route.access == Access::Write && !route.repeatable).then_some(unique);
