Prepare the endpoint adapter's own statements once for each connection

Cause: every read parsed and described BEGIN, COMMIT and the long state query anew, on both sides.

Change: the five fixed statements are prepared in one round trip when a connection opens. The stand-in keeps what it described with its text, so that a description can't be taken for another statement's.

Tests replaced by as strict ones: that a whole work is sent before any answer is now seen by its Sync messages, since the texts are no longer sent with it; that a refused command does not reach the endpoint is now seen by its count, since the connection prepares a ROLLBACK of its own.

--- a/crates/cumincart-runtime/src/endpoint.rs
+++ b/crates/cumincart-runtime/src/endpoint.rs
@@ -3,6 +3,7 @@
 //! Each connection is one task that drives the protocol and does its orders one after another. A work's statements are
 //! sent together, so that reads and writes take one round trip.
 
+mod fixed;
 mod guard;
 mod login;
 mod promotion;
@@ -17,7 +18,8 @@
         entry::Input,
         work::{ConnectionId, Work, WorkDone, WorkError, WorkId},
     },
-    login::{Connected, connect},
+    fixed::{Fixed, Link},
+    login::{Connected, open},
     std::{collections::VecDeque, sync::Arc},
     tokio::sync::mpsc,
     work::Progress,
@@ -44,14 +46,14 @@
 ) {
     let task = async move {
         let opened = tokio::select! {
-            opened = connect(&address, &login) => opened.ok(),
+            opened = open(&address, &login) => opened.ok(),
             // Orders come only after `Opened`; the end of the channel takes the attempt back.
             _ = orders.recv() => None,
         };
-        if let Some(connected) = opened {
+        if let Some((connected, fixed)) = opened {
             // The receiver is gone only when the process ends.
             let _ = inputs.send(Input::Opened(connection));
-            serve(connection, connected, &mut orders, &inputs).await;
+            serve(connection, connected, &fixed, &mut orders, &inputs).await;
         }
         fail_rest(connection, &mut orders, &inputs);
         let _ = inputs.send(Input::Closed(connection));
@@ -63,6 +65,7 @@
 async fn serve(
     connection: ConnectionId,
     mut connected: Connected,
+    fixed: &Fixed,
     orders: &mut mpsc::UnboundedReceiver<Order>,
     inputs: &mpsc::UnboundedSender<Input>,
 ) {
@@ -78,7 +81,7 @@
             },
         };
         let Some(Order { id, work }) = next else { break };
-        let (result, go_on) = perform(&mut connected, &work, &progress, orders, &mut waiting).await;
+        let (result, go_on) = perform(&mut connected, fixed, &work, &progress, orders, &mut waiting).await;
         let _ = inputs.send(Input::Done(connection, id, result));
         if !go_on {
             break;
@@ -92,6 +95,7 @@
 /// Does one work; the second value tells whether the connection may be used further.
 async fn perform(
     connected: &mut Connected,
+    fixed: &Fixed,
     work: &Work,
     progress: &Progress,
     orders: &mut mpsc::UnboundedReceiver<Order>,
@@ -101,7 +105,7 @@
         return (Err(WorkError::NotSent), false);
     }
     let Connected { client, driver, .. } = connected;
-    let doing = work::perform(client, work, progress);
+    let doing = work::perform(Link { client, fixed }, work, progress);
     tokio::pin!(doing);
     let mut driving = true;
     loop {
--- a/crates/cumincart-runtime/src/endpoint/login.rs
+++ b/crates/cumincart-runtime/src/endpoint/login.rs
@@ -1,7 +1,9 @@
 //! Opening connections.
 
 use {
+    super::fixed::Fixed,
     std::{future::Future, pin::Pin, sync::Arc, time::Duration},
+    tokio::time::{Instant, timeout_at},
     tokio_postgres::{Client, Config, NoTls},
 };
 
@@ -40,6 +42,19 @@
     }
 }
 
+/// Connects, logs in and prepares the fixed statements within the login's timeout.
+pub(super) async fn open(address: &str, login: &EndpointLogin) -> Result<(Connected, Fixed), ()> {
+    let deadline = Instant::now() + login.connect_timeout;
+    let mut connected = connect(address, login).await?;
+    let Connected { client, driver, .. } = &mut connected;
+    let fixed = tokio::select! {
+        biased;
+        prepared = timeout_at(deadline, Fixed::prepare(client)) => prepared.map_err(|_| ())?.map_err(|_| ())?,
+        () = driver => return Err(()),
+    };
+    Ok((connected, fixed))
+}
+
 /// Connects and logs in within the login's timeout; any failure leaves nothing behind at the endpoint.
 pub(super) async fn connect(address: &str, login: &EndpointLogin) -> Result<Connected, ()> {
     let (host, port) = address.rsplit_once(':').ok_or(())?;
--- a/crates/cumincart-runtime/src/endpoint/statement.rs
+++ b/crates/cumincart-runtime/src/endpoint/statement.rs
@@ -8,7 +8,7 @@
     futures_util::{TryStreamExt, pin_mut},
     std::error::Error,
     tokio_postgres::{
-        Client,
+        Client, RowStream,
         types::{IsNull, ToSql, Type, to_sql_checked},
     },
 };
@@ -80,7 +80,18 @@
 /// Sends SQL with parameters at the first poll and waits for the rows.
 pub(super) async fn run(client: &Client, sql: &str, parameters: &[Value]) -> Result<Rows, Failure> {
     let parameters = parameters.iter().map(|value| (Parameter(value), parameter_type(value)));
-    let stream = client.query_typed_raw(sql, parameters.collect::<Vec<_>>()).await?;
+    collect(client.query_typed_raw(sql, parameters.collect::<Vec<_>>()).await?).await
+}
+
+/// Sends a prepared statement without parameters at the first poll and waits for its rows.
+pub(super) async fn run_fixed(
+    client: &Client,
+    statement: &tokio_postgres::Statement,
+) -> Result<Rows, Failure> {
+    collect(client.query_raw(statement, Vec::<Parameter<'_>>::new()).await?).await
+}
+
+async fn collect(stream: RowStream) -> Result<Rows, Failure> {
     pin_mut!(stream);
     let mut rows = Rows::default();
     while let Some(row) = stream.try_next().await? {
--- a/crates/cumincart-runtime/src/endpoint/work.rs
+++ b/crates/cumincart-runtime/src/endpoint/work.rs
@@ -5,25 +5,20 @@
 
 use {
     super::{
+        fixed::Link,
         guard::refused_command,
-        statement::{Failure, run, run_plain, run_statement},
+        statement::{Failure, run, run_fixed, run_plain, run_statement},
     },
     cumincart_core::work::{Claim, EndpointState, Work, WorkDone, WorkError},
     cumincart_protocol::{
         announcement::Role,
-        endpoint_sql::STATE_SQL,
         number::{LogPosition, Timeline},
         request::{Rows, Statement, Value},
     },
     futures_util::join,
     std::sync::atomic::{AtomicBool, Ordering},
-    tokio_postgres::Client,
 };
 
-const BEGIN_SQL: &str = "BEGIN";
-const BEGIN_READ_ONLY_SQL: &str = "BEGIN READ ONLY";
-const COMMIT_SQL: &str = "COMMIT";
-const ROLLBACK_SQL: &str = "ROLLBACK";
 const CLAIM_SQL: &str = "INSERT INTO cumincart_claim (organisation, request_id) VALUES ($1, $2)";
 const CLAIM_TABLE_SQL: &str = "CREATE TABLE IF NOT EXISTS cumincart_claim \
 (organisation text, request_id text, PRIMARY KEY (organisation, request_id))";
@@ -63,26 +58,22 @@
 }
 
 /// Does one work.
-pub(super) async fn perform(
-    client: &Client,
-    work: &Work,
-    progress: &Progress,
-) -> Result<WorkDone, WorkError> {
+pub(super) async fn perform(link: Link<'_>, work: &Work, progress: &Progress) -> Result<WorkDone, WorkError> {
     progress.committing.store(false, Ordering::Relaxed);
     match work {
         Work::Read(statement) => {
             check_command(statement)?;
-            read(client, statement).await
+            read(link, statement).await
         }
         Work::Write(statement, claim) => {
             check_command(statement)?;
-            write(client, statement, claim.as_ref(), progress).await
+            write(link, statement, claim.as_ref(), progress).await
         }
-        Work::Begin { read_only } => begin(client, *read_only, progress).await,
-        Work::Within(statement) => within(client, statement, progress).await,
-        Work::Commit(claim) => commit(client, claim.as_ref(), progress).await,
-        Work::Rollback => rollback(client).await,
-        Work::Probe => probe(client).await,
+        Work::Begin { read_only } => begin(link, *read_only, progress).await,
+        Work::Within(statement) => within(link, statement, progress).await,
+        Work::Commit(claim) => commit(link, claim.as_ref(), progress).await,
+        Work::Rollback => rollback(link).await,
+        Work::Probe => probe(link).await,
     }
 }
 
@@ -92,12 +83,12 @@
     Err(WorkError::Statement { code: NOT_SUPPORTED.into(), message: message.into() })
 }
 
-async fn read(client: &Client, statement: &Statement) -> Result<WorkDone, WorkError> {
+async fn read(link: Link<'_>, statement: &Statement) -> Result<WorkDone, WorkError> {
     let (begun, state, rows, ended) = join!(
-        run_plain(client, BEGIN_READ_ONLY_SQL),
-        run_plain(client, STATE_SQL),
-        run_statement(client, statement),
-        run_plain(client, COMMIT_SQL),
+        run_fixed(link.client, &link.fixed.begin_read_only),
+        run_fixed(link.client, &link.fixed.state),
+        run_statement(link.client, statement),
+        run_fixed(link.client, &link.fixed.commit),
     );
     begun.map_err(Failure::before_commit)?;
     let state = state.and_then(|rows| parse_state(&rows)).map_err(Failure::before_commit)?;
@@ -108,16 +99,16 @@
 }
 
 async fn write(
-    client: &Client,
+    link: Link<'_>,
     statement: &Statement,
     claim: Option<&Claim>,
     progress: &Progress,
 ) -> Result<WorkDone, WorkError> {
     progress.committing.store(true, Ordering::Relaxed);
-    match write_once(client, statement, claim).await {
+    match write_once(link, statement, claim).await {
         Err(ClaimedWriteError::NoClaimTable) => {
-            create_claim_table(client).await?;
-            write_once(client, statement, claim).await
+            create_claim_table(link).await?;
+            write_once(link, statement, claim).await
         }
         result => result,
     }
@@ -151,16 +142,16 @@
 }
 
 async fn write_once(
-    client: &Client,
+    link: Link<'_>,
     statement: &Statement,
     claim: Option<&Claim>,
 ) -> Result<WorkDone, ClaimedWriteError> {
     let (begun, claimed, rows, ended, state) = join!(
-        run_plain(client, BEGIN_SQL),
-        insert_claim(client, claim),
-        run_statement(client, statement),
-        run_plain(client, COMMIT_SQL),
-        run_plain(client, STATE_SQL),
+        run_fixed(link.client, &link.fixed.begin),
+        insert_claim(link, claim),
+        run_statement(link.client, statement),
+        run_fixed(link.client, &link.fixed.commit),
+        run_fixed(link.client, &link.fixed.state),
     );
     begun.map_err(lost_or_refused)?;
     check_claim(claimed)?;
@@ -179,11 +170,11 @@
     }
 }
 
-async fn insert_claim(client: &Client, claim: Option<&Claim>) -> Result<(), Failure> {
+async fn insert_claim(link: Link<'_>, claim: Option<&Claim>) -> Result<(), Failure> {
     let Some(claim) = claim else { return Ok(()) };
     let organisation = claim.organisation.as_ref().map_or("", |name| name.as_str());
     let parameters = [Value::Text(organisation.into()), Value::Text(claim.request_id.0.clone())];
-    run(client, CLAIM_SQL, &parameters).await.map(drop)
+    run(link.client, CLAIM_SQL, &parameters).await.map(drop)
 }
 
 fn check_claim(claimed: Result<(), Failure>) -> Result<(), ClaimedWriteError> {
@@ -197,22 +188,22 @@
 }
 
 /// Makes the claims' table; another connection may do the same at the same time.
-async fn create_claim_table(client: &Client) -> Result<(), WorkError> {
-    match run_plain(client, CLAIM_TABLE_SQL).await {
+async fn create_claim_table(link: Link<'_>) -> Result<(), WorkError> {
+    match run_plain(link.client, CLAIM_TABLE_SQL).await {
         Ok(_) => Ok(()),
         Err(Failure::Refused { code, .. }) if code == UNIQUE_VIOLATION => Ok(()),
         Err(failure) => Err(failure.before_commit()),
     }
 }
 
-async fn begin(client: &Client, read_only: bool, progress: &Progress) -> Result<WorkDone, WorkError> {
-    let sql = if read_only { BEGIN_READ_ONLY_SQL } else { BEGIN_SQL };
+async fn begin(link: Link<'_>, read_only: bool, progress: &Progress) -> Result<WorkDone, WorkError> {
+    let begin = if read_only { &link.fixed.begin_read_only } else { &link.fixed.begin };
     // A claim that failed at the commit for want of its table would take the whole transaction with it.
     let make_table = !read_only && !progress.claim_table_made.swap(true, Ordering::Relaxed);
     let (_, begun, state) = join!(
-        async { if make_table { create_claim_table(client).await } else { Ok(()) } },
-        run_plain(client, sql),
-        run_plain(client, STATE_SQL),
+        async { if make_table { create_claim_table(link).await } else { Ok(()) } },
+        run_fixed(link.client, begin),
+        run_fixed(link.client, &link.fixed.state),
     );
     begun.map_err(Failure::before_commit)?;
     progress.transaction_failed.store(false, Ordering::Relaxed);
@@ -220,11 +211,11 @@
     Ok(WorkDone { rows: Rows::default(), state: Some(state) })
 }
 
-async fn within(client: &Client, statement: &Statement, progress: &Progress) -> Result<WorkDone, WorkError> {
+async fn within(link: Link<'_>, statement: &Statement, progress: &Progress) -> Result<WorkDone, WorkError> {
     let allowed = check_command(statement);
     let sent = match &allowed {
-        Ok(()) => run_statement(client, statement).await,
-        Err(_) => run_plain(client, FAILING_SQL).await,
+        Ok(()) => run_statement(link.client, statement).await,
+        Err(_) => run_plain(link.client, FAILING_SQL).await,
     };
     if sent.is_err() {
         progress.transaction_failed.store(true, Ordering::Relaxed);
@@ -236,28 +227,31 @@
     }
 }
 
-async fn commit(client: &Client, claim: Option<&Claim>, progress: &Progress) -> Result<WorkDone, WorkError> {
+async fn commit(link: Link<'_>, claim: Option<&Claim>, progress: &Progress) -> Result<WorkDone, WorkError> {
     if progress.transaction_failed.load(Ordering::Relaxed) {
-        rollback(client).await?;
+        rollback(link).await?;
         let message = "a statement of the transaction failed, so it was rolled back".into();
         return Err(WorkError::Statement { code: TRANSACTION_FAILED.into(), message });
     }
     progress.committing.store(true, Ordering::Relaxed);
-    let (claimed, ended, state) =
-        join!(insert_claim(client, claim), run_plain(client, COMMIT_SQL), run_plain(client, STATE_SQL));
+    let (claimed, ended, state) = join!(
+        insert_claim(link, claim),
+        run_fixed(link.client, &link.fixed.commit),
+        run_fixed(link.client, &link.fixed.state)
+    );
     check_claim(claimed).map_err(ClaimedWriteError::into_work_error)?;
     ended.map_err(Failure::in_commit)?;
     let state = state.and_then(|rows| parse_state(&rows)).map_err(|_| WorkError::LostInCommit)?;
     Ok(WorkDone { rows: Rows::default(), state: Some(state) })
 }
 
-async fn rollback(client: &Client) -> Result<WorkDone, WorkError> {
-    run_plain(client, ROLLBACK_SQL).await.map_err(Failure::before_commit)?;
+async fn rollback(link: Link<'_>) -> Result<WorkDone, WorkError> {
+    run_fixed(link.client, &link.fixed.rollback).await.map_err(Failure::before_commit)?;
     Ok(WorkDone { rows: Rows::default(), state: None })
 }
 
-async fn probe(client: &Client) -> Result<WorkDone, WorkError> {
-    let state = run_plain(client, STATE_SQL)
+async fn probe(link: Link<'_>) -> Result<WorkDone, WorkError> {
+    let state = run_fixed(link.client, &link.fixed.state)
         .await
         .and_then(|rows| parse_state(&rows))
         .map_err(Failure::before_commit)?;
--- a/crates/cumincart-runtime/tests/endpoint.rs
+++ b/crates/cumincart-runtime/tests/endpoint.rs
@@ -278,9 +278,11 @@
 async fn commands_beyond_the_transaction_never_reach_the_endpoint(sql: &str) {
     let group = group().await;
     let mut link = Link::open(member(&group, 1)).await;
+    // The connection's own statements were prepared before, with texts of their own.
+    let before = member(&group, 1).received().count(sql.as_bytes());
     refused_with(link.perform(Work::Read(statement(sql, &[]))).await, "0A000");
     refused_with(link.perform(Work::Write(statement(sql, &[]), None)).await, "0A000");
-    assert!(!member(&group, 1).received().contains(sql.as_bytes()));
+    assert_eq!(member(&group, 1).received().count(sql.as_bytes()), before);
     link.perform(Work::Write(statement("update call set caller = 'x'", &[]), None))
         .await
         .expect("others run");
@@ -332,15 +334,19 @@
     link.closed().await;
 }
 
-#[test_case(Work::Read(count()); "read")]
-#[test_case(Work::Write(insert(1), Some(claim("r1"))); "write with a claim")]
+/// The message that ends each statement of a client; a client that waited for an answer would not have sent the next.
+const SYNC: &[u8] = b"S\0\0\0\x04";
+
+#[test_case(Work::Read(count()), 4; "read")]
+#[test_case(Work::Write(insert(1), Some(claim("r1"))), 5; "write with a claim")]
 #[tokio::test]
-async fn whole_work_is_sent_before_any_answer(work: Work) {
+async fn whole_work_is_sent_before_any_answer(work: Work, statements: usize) {
     let group = group().await;
     let mut link = Link::open(member(&group, 1)).await;
     member(&group, 1).freeze();
+    let before = member(&group, 1).received().count(SYNC);
     let id = link.order(work);
-    until(|| member(&group, 1).received().contains(b"COMMIT")).await;
+    until(|| member(&group, 1).received().count(SYNC) == before + statements).await;
     member(&group, 1).thaw();
     // The first claim of a database makes the claims' table and sends the work once more.
     link.outcome(id).await.expect("the work ends");
--- a/crates/cumincart-standin/src/handlers.rs
+++ b/crates/cumincart-standin/src/handlers.rs
@@ -43,11 +43,18 @@
 #[derive(Debug)]
 struct State {
     session: Session,
-    /// The columns that were described for the statement that is bound now.
-    described: Option<Vec<ColumnShape>>,
+    /// What was described last.
+    described: Option<Described>,
     counted: Option<CountedConnection>,
 }
 
+/// A statement's text and the columns that its client was told to expect.
+#[derive(Debug)]
+struct Described {
+    sql: Arc<str>,
+    columns: Vec<ColumnShape>,
+}
+
 impl Handlers {
     /// Handlers for a new connection.
     pub fn new(database: Database) -> Self {
@@ -57,7 +64,8 @@
 
     async fn execute(&self, statement: &Statement, format: &Format) -> PgWireResult<Response> {
         let mut state = self.state.lock().await;
-        let described = state.described.take();
+        let described = state.described.take().filter(|described| described.sql == statement.sql);
+        let described = described.map(|described| described.columns);
         let reply = state.session.execute(statement).await.map_err(|error| error.to_wire(SEVERITY_ERROR))?;
         match reply {
             Reply::Output(output) => wire::response(&statement.sql, output, described, format),
@@ -70,7 +78,7 @@
     async fn describe(&self, statement: &Statement) -> Vec<ColumnShape> {
         let mut state = self.state.lock().await;
         let columns = state.session.describe(statement).await;
-        state.described = Some(columns.clone());
+        state.described = Some(Described { sql: statement.sql.clone(), columns: columns.clone() });
         columns
     }
 }
--- a/crates/cumincart-standin/src/record.rs
+++ b/crates/cumincart-standin/src/record.rs
@@ -75,6 +75,13 @@
         self.lock().streams.iter().any(|stream| stream.windows(needle.len()).any(|window| window == needle))
     }
 
+    /// How often these bytes were received in a row.
+    pub fn count(&self, needle: &[u8]) -> usize {
+        let inner = self.lock();
+        let windows = inner.streams.iter().flat_map(|stream| stream.windows(needle.len()));
+        windows.filter(|window| *window == needle).count()
+    }
+
     /// How many bytes are kept.
     pub fn len(&self) -> usize {
         self.lock().total
