Keep the rule for names and the search for a near name in one place each

Cause: the check of a name's characters stood three times (lists, change ids, key ids), and the search for the nearest known name twice. `lists/services.rs` had grown to 296 lines with two jobs.

Change: `protocol::name::is_name` and `config::suggestion::nearest`; statements and their parameters have a file of their own. No behaviour changes.

Before and after: `cargo test -p cumincart-config -p cumincart-cli` passes with the same tests.

--- a/crates/cumincart-cli/src/change.rs
+++ b/crates/cumincart-cli/src/change.rs
@@ -12,6 +12,7 @@
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     cumincart_protocol::{
         change::{Action, Change, ChangeId, Outcome},
+        name::is_name,
         number::{ListsRevision, Revision},
     },
     serde::Serialize,
@@ -26,9 +27,6 @@
 /// How long `--wait` waits, in milliseconds.
 pub const DEFAULT_WAIT_TIMEOUT_MS: u64 = 15_000;
 
-/// The longest change id, in bytes.
-const CHANGE_ID_MAX_BYTES: usize = 64;
-
 /// Adds the arguments of commands that change something.
 pub fn with_change(command: Command) -> Command {
     command
@@ -56,8 +54,7 @@
 }
 
 fn parse_change_id(text: &str) -> Result<ChangeId, String> {
-    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
-    if !(1..=CHANGE_ID_MAX_BYTES).contains(&text.len()) || !text.bytes().all(is_allowed) {
+    if !is_name(text) {
         return Err("a change id has 1 to 64 ASCII letters, digits, `-`, `_` and `.`".to_owned());
     }
     Ok(ChangeId(Arc::from(text)))
--- a/crates/cumincart-cli/src/commands/key.rs
+++ b/crates/cumincart-cli/src/commands/key.rs
@@ -4,7 +4,7 @@
     super::Example,
     crate::{error::CliError, exit, report::Report},
     clap::{Arg, ArgMatches, Command},
-    cumincart_protocol::lists::KeyDigest,
+    cumincart_protocol::{lists::KeyDigest, name::is_name},
     serde::Serialize,
     sha2::{Digest, Sha256},
     std::sync::Arc,
@@ -48,8 +48,7 @@
 }
 
 fn parse_id(text: &str) -> Result<String, String> {
-    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
-    if !(1..=64).contains(&text.len()) || !text.bytes().all(is_allowed) {
+    if !is_name(text) {
         return Err("an id has 1 to 64 ASCII letters, digits, `-`, `_` and `.`".to_owned());
     }
     Ok(text.to_owned())
--- a/crates/cumincart-cli/src/service_state.rs
+++ b/crates/cumincart-cli/src/service_state.rs
@@ -3,6 +3,7 @@
 use {
     crate::{change::with_change, client::ControlClient, error::CliError, options::with_control},
     clap::{Arg, ArgAction, ArgMatches, Command},
+    cumincart_config::suggestion::nearest,
     cumincart_protocol::operator_api::StatusBody,
 };
 
@@ -11,9 +12,6 @@
 const NAME: &str = "name";
 const FORCE: &str = "force";
 
-/// The greatest edit distance at which a name is offered in place of a wrong one.
-const NEAR_NAME_MAX_EDITS: usize = 2;
-
 /// Adds the subcommands `out` and `in`.
 pub fn with_out_and_in(command: Command, name_help: &'static str) -> Command {
     let subcommand = |name: &'static str, about: &'static str| {
@@ -74,9 +72,7 @@
 }
 
 fn near_name(wrong: &str, names: &[String]) -> String {
-    let distance = |name: &&String| strsim::damerau_levenshtein(wrong, name);
-    let nearest = names.iter().filter(|name| distance(name) <= NEAR_NAME_MAX_EDITS).min_by_key(distance);
-    match nearest {
+    match nearest(wrong, names.iter().map(String::as_str)) {
         Some(nearest) => format!("did you mean `{nearest}`"),
         None if names.is_empty() => "none is known yet".to_owned(),
         None => format!("known are {}", names.join(", ")),
--- a/crates/cumincart-config/src/lib.rs
+++ b/crates/cumincart-config/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod schema;
 pub mod settings;
 pub mod source;
+pub mod suggestion;
 
 pub use {
     lists::parse_lists,
--- a/crates/cumincart-config/src/lists.rs
+++ b/crates/cumincart-config/src/lists.rs
@@ -4,6 +4,7 @@
 mod plans;
 mod services;
 mod sql;
+mod statement;
 
 use {
     crate::{
--- a/crates/cumincart-config/src/lists/services.rs
+++ b/crates/cumincart-config/src/lists/services.rs
@@ -1,7 +1,7 @@
 //! Services and their routes.
 
 use {
-    super::sql::used_parameters,
+    super::statement::read_statement,
     crate::{
         problem::ProblemKind,
         read::{
@@ -10,13 +10,10 @@
         },
     },
     cumincart_protocol::{
-        lists::{Access, DEFAULT_DEADLINE_MS, FixedStatement, ParameterSource, Route, Service},
+        lists::{Access, DEFAULT_DEADLINE_MS, ParameterSource, Route, Service},
         name::{RouteName, ServiceName},
     },
-    jsonc_parser::{
-        ast::Value,
-        common::{Range, Ranged},
-    },
+    jsonc_parser::{ast::Value, common::Ranged},
     std::sync::Arc,
 };
 
@@ -234,63 +231,3 @@
     };
     notes.add(parameters, kind);
 }
-
-fn read_statement(value: &Value<'_>, route: &str, notes: &mut Notes<'_>) -> Option<FixedStatement> {
-    let fields = Fields::open(value, "a statement", &["sql", "parameters"], notes)?;
-    let sql = fields.required("sql", notes).and_then(|value| read_text(value, "sql", notes));
-    let parameters = match fields.optional("parameters") {
-        Some(value) => read_parameters(value, notes),
-        None => Some((Vec::new(), fields.range())),
-    };
-    let (sql, (parameters, parameters_range)) = (sql?, parameters?);
-    check_parameters(route, &sql, parameters.len(), parameters_range, notes);
-    Some(FixedStatement { sql: sql.value, parameters })
-}
-
-fn read_parameters(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<(Vec<ParameterSource>, Range)> {
-    let elements = read_array(value, "parameters", notes)?;
-    let sources: Vec<_> = elements.iter().filter_map(|element| read_parameter(element, notes)).collect();
-    (sources.len() == elements.len()).then(|| (sources, value.range()))
-}
-
-fn read_parameter(value: &Value<'_>, notes: &mut Notes<'_>) -> Option<ParameterSource> {
-    if let Some(literal) = value.as_string_lit() {
-        if literal.value == "organisation" {
-            return Some(ParameterSource::Organisation);
-        }
-        let kind = ProblemKind::UnknownValue {
-            what: "a parameter".to_owned(),
-            found: literal.value.to_string(),
-            help: format!(
-                "write \"organisation\", or {{\"caller\": \"{}\"}} for a value of the caller",
-                literal.value
-            ),
-        };
-        notes.add(literal.range, kind);
-        return None;
-    }
-    let fields = Fields::open(value, "a parameter", &["caller"], notes)?;
-    let name = read_text(fields.required("caller", notes)?, "caller", notes)?;
-    check_name(&name, "a parameter", notes).then_some(ParameterSource::Caller(name.value))
-}
-
-/// Compares the numbers of the parameters in the SQL with the declared ones.
-fn check_parameters(
-    route: &str,
-    sql: &Spanned<Arc<str>>,
-    count: usize,
-    parameters_range: Range,
-    notes: &mut Notes<'_>,
-) {
-    let used = used_parameters(&sql.value);
-    let is_declared = |number: u32| (1..=count).contains(&usize::try_from(number).unwrap_or(usize::MAX));
-    for &number in used.iter().filter(|&&number| !is_declared(number)) {
-        notes.add(sql.range, ProblemKind::UndeclaredParameter { route: route.to_owned(), number, count });
-    }
-    for number in 1..=count {
-        let is_used = used.iter().any(|&used| usize::try_from(used) == Ok(number));
-        if !is_used {
-            notes.add(parameters_range, ProblemKind::UnusedParameter { route: route.to_owned(), number });
-        }
-    }
-}
--- a/crates/cumincart-config/src/read/value.rs
+++ b/crates/cumincart-config/src/read/value.rs
@@ -2,7 +2,8 @@
 
 use {
     super::document::{Notes, Spanned},
-    crate::problem::ProblemKind,
+    crate::{problem::ProblemKind, suggestion::nearest},
+    cumincart_protocol::name::is_name,
     jsonc_parser::{
         ast::Value,
         common::{Range, Ranged},
@@ -10,12 +11,6 @@
     std::{net::SocketAddr, ops::RangeInclusive, sync::Arc},
 };
 
-/// The longest name, in bytes.
-pub const NAME_MAX_BYTES: usize = 64;
-
-/// The greatest edit distance at which a name is offered in place of a wrong one.
-const NEAR_NAME_MAX_EDITS: usize = 2;
-
 /// The problem of a value with a wrong type.
 pub fn type_mismatch(what: impl Into<String>, expected: &'static str, value: &Value<'_>) -> ProblemKind {
     ProblemKind::TypeMismatch { what: what.into(), expected, found: type_name(value) }
@@ -106,9 +101,7 @@
 
 /// Checks a name's length and characters.
 pub fn check_name(name: &Spanned<Arc<str>>, what: &'static str, notes: &mut Notes<'_>) -> bool {
-    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
-    let length_fits = (1..=NAME_MAX_BYTES).contains(&name.value.len());
-    let good = length_fits && name.value.bytes().all(is_allowed);
+    let good = is_name(&name.value);
     if !good {
         notes.add(name.range, ProblemKind::BadName { what, found: name.value.to_string() });
     }
@@ -150,9 +143,7 @@
 
 /// A help line that offers the nearest known name, or lists them all.
 pub fn near_name<'n>(wrong: &str, known: impl Iterator<Item = &'n str> + Clone, intro: &str) -> String {
-    let distance = |name: &&str| strsim::damerau_levenshtein(wrong, name);
-    let nearest = known.clone().filter(|name| distance(name) <= NEAR_NAME_MAX_EDITS).min_by_key(distance);
-    if let Some(nearest) = nearest {
+    if let Some(nearest) = nearest(wrong, known.clone()) {
         return format!("did you mean `{nearest}`?");
     }
     let names: Vec<String> = known.map(|name| format!("`{name}`")).collect();
--- a/crates/cumincart-protocol/src/name.rs
+++ b/crates/cumincart-protocol/src/name.rs
@@ -8,6 +8,15 @@
     std::{fmt, sync::Arc},
 };
 
+/// The longest name, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+/// Whether a text can be a name: 1 to 64 ASCII letters, digits, `-`, `_` and `.`.
+pub fn is_name(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    (1..=NAME_MAX_BYTES).contains(&text.len()) && text.bytes().all(is_allowed)
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
