Take back the entry instances' data folder

Cause: the settings of an entry instance accepted `data_folder`, and the page said that the last revision is remembered there; no code reads it. A setting that does nothing misleads.

Ruled out: remembering the revision. An instance serves with keys only under a lease on a revision that a quorum confirmed after it asked, so a remembered one adds nothing.

The tests that used it use `operator_token_file`, the other optional path, with the same assertions.

Before: `data_folder` accepted and ignored.

--- a/crates/cumincart-config/src/settings/entry.rs
+++ b/crates/cumincart-config/src/settings/entry.rs
@@ -43,12 +43,9 @@
     /// How it logs.
     #[schemars(default)]
     pub log: LogSettings,
-    /// Where it remembers its last revision over a restart; without it, it starts with none.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub data_folder: Option<PathBuf>,
 }
 
-const KNOWN: [&str; 11] = [
+const KNOWN: [&str; 10] = [
     SCHEMA_FIELD,
     "instance",
     "domain",
@@ -59,7 +56,6 @@
     "operator_token_file",
     "endpoint_login",
     "log",
-    "data_folder",
 ];
 
 /// Reads the settings of an entry instance.
@@ -79,7 +75,6 @@
     let operator_token_file = read_optional_path(&fields, "operator_token_file", folder, notes);
     let endpoint_login = read_login(&fields, folder, notes);
     let log = read_log(&fields, notes);
-    let data_folder = read_optional_path(&fields, "data_folder", folder, notes);
     let all: Vec<_> = http.iter().chain(&peer).chain(controls.iter().flatten()).collect();
     check_addresses(&all, notes);
     Some(EntrySettings {
@@ -92,7 +87,6 @@
         operator_token_file,
         endpoint_login: endpoint_login?,
         log,
-        data_folder,
     })
 }
 
--- a/crates/cumincart-config/tests/settings.rs
+++ b/crates/cumincart-config/tests/settings.rs
@@ -65,14 +65,14 @@
     assert_eq!(settings.fleet_secret_file, folder.path().join("fleet-secret"));
     assert_eq!(settings.endpoint_login.connect_timeout_ms, 1_000);
     assert_eq!((settings.log.format, settings.log.level), (LogFormat::Terminal, LogLevel::Info));
-    assert_eq!(settings.data_folder, None);
+    assert_eq!(settings.operator_token_file, None);
 }
 
 #[test]
 fn an_optional_path_may_be_null() {
-    let text = ENTRY.replace("\"fleet-secret\"", "\"fleet-secret\", \"data_folder\": null");
+    let text = ENTRY.replace("\"fleet-secret\"", "\"fleet-secret\", \"operator_token_file\": null");
     let settings = parse_entry_settings(&Source::new("entry.jsonc", text), Path::new("/etc"));
-    assert_eq!(settings.expect("the settings are good").data_folder, None);
+    assert_eq!(settings.expect("the settings are good").operator_token_file, None);
 }
 
 #[test]
