Test malformed bodies against the callers' page

Cause: the page says that a body which is malformed or too large is refused with 400, `bad_request` and `not_run`; no test sent one.

Change: six such bodies go to a running entry instance. Nothing had to be mended.

--- a/crates/cumincart-cli/tests/api_document.rs
+++ b/crates/cumincart-cli/tests/api_document.rs
@@ -2,7 +2,10 @@
 
 use {
     cumincart_fleet::{Deployment, Fleet, FleetOptions},
-    cumincart_protocol::refusal::{Refusal, RefusalCode},
+    cumincart_protocol::{
+        refusal::{Refusal, RefusalCode},
+        verdict::Verdict,
+    },
     cumincart_runtime::logging,
     reqwest::Method,
     schemars::schema_for,
@@ -112,3 +115,35 @@
         }
     }
 }
+
+/// Bodies that the callers' page calls malformed: each is refused with 400, `bad_request` and the verdict `not_run`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn malformed_bodies_are_refused_as_the_callers_page_says() {
+    const PAGE_BODY_LIMIT_BYTES: usize = 256 * 1024;
+    let options =
+        FleetOptions { controls: 1, entries_per_domain: 1, ..FleetOptions::new(logging::discard()) };
+    let fleet = Fleet::spawn(Deployment::telvara(), options).await.expect("the fleet starts");
+    let url = format!("{}/v1/pbx-organisations-1/call-setup", fleet.entries[0].url());
+    let too_large = format!(r#"{{"arguments": {{"number": "{}"}}}}"#, "1".repeat(PAGE_BODY_LIMIT_BYTES));
+    let bodies = [
+        "",
+        "[]",
+        "{",
+        r#"{"argument": {}}"#,
+        r#"{"arguments": {"number": {"nested": 1}}}"#,
+        too_large.as_str(),
+    ];
+    for body in bodies {
+        let request = reqwest::Client::new().post(&url).body(body.to_owned());
+        let request = request.bearer_auth("example-only-trakia-taxi-2026");
+        let response = request.send().await.expect("the daemon answers");
+        let status = response.status().as_u16();
+        let refusal: Refusal = response.json().await.expect("the answer is a refusal");
+        let shown: String = body.chars().take(60).collect();
+        assert_eq!(
+            (status, refusal.code, refusal.verdict),
+            (400, RefusalCode::BadRequest, Verdict::NotRun),
+            "{shown}"
+        );
+    }
+}
