--- a/crates/cumincart-core/src/control/shares/target.rs
+++ b/crates/cumincart-core/src/control/shares/target.rs
@@ -76,22 +76,12 @@
     if share == held && is_rebased && waiting == 0 {
         return None;
     }
-    let wanted_milli = waiting * TOKEN_MILLI + ahead_milli(holding, share, waiting);
-    let tokens_milli = whole_tokens(account.reserve_milli().min(wanted_milli));
-    let unserved = waiting.saturating_sub(tokens_milli / TOKEN_MILLI);
+    let tokens_milli = whole_tokens(account.reserve_milli()).min(waiting * TOKEN_MILLI);
+    let unserved = waiting - tokens_milli / TOKEN_MILLI;
     let next_token_ms = if unserved == 0 { 0 } else { next_token_ms(account, fleet, tokens_milli, now) };
     Some(Granted { share, basis: account.limit, tokens_milli, next_token_ms, ..Granted::default() })
 }
 
-/// Tokens for the requests that will come before the next heartbeat, beyond what the share itself gives.
-fn ahead_milli(holding: &Holding, share: Share, waiting: u64) -> u64 {
-    if waiting == 0 {
-        return 0;
-    }
-    let lacking_milli_per_s = holding.demand_milli_per_s.saturating_sub(share.rate_milli_per_s);
-    (lacking_milli_per_s * HEARTBEAT_MIN_INTERVAL_MS / 1_000).min(share.burst_milli)
-}
-
 fn next_share(account: &Account, holding: &Holding, fleet: &Fleet, is_rebased: bool) -> Share {
     let target = target_of(account, holding, fleet);
     let room = account.headroom();
