--- a/crates/cumincart-core/src/entry/quota/demand.rs
+++ b/crates/cumincart-core/src/entry/quota/demand.rs
@@ -65,6 +65,6 @@
     fn has_moved(&self, interval_ms: u64) -> bool {
         let expected = self.milli_per_s * interval_ms / MILLI_PER_S;
         let deviation = self.arrivals.abs_diff(expected);
-        self.milli_per_s == 0 || deviation * deviation > 5 * (expected + 1)
+        self.milli_per_s == 0 || deviation * deviation > 9 * (expected + 1)
     }
 }
