Take a claimed request's position only from the primary's answer to its own probe

Cause: on a replicated route a claim that is there waits until a replica has the primary's present position, but the position was taken from the primary's last known state, which can be older than the claim: the verdict `ran` could come while no replica had the write. Change: only the answer to the probe sent for it counts, and replicas are asked after it.

--- a/crates/cumincart-core/src/entry/outcome.rs
+++ b/crates/cumincart-core/src/entry/outcome.rs
@@ -4,7 +4,7 @@
     super::{
         Board, Effect, Ticket, dispatch,
         pool::Owner,
-        replication::{self, Replication},
+        replication::{self, Ended, Replication},
         request::{self, Kind, Pending, Run, Stage},
         retry, routing,
         session::{self, Standing},
@@ -39,12 +39,14 @@
         return;
     };
     note_outcome(board, now, &finished.endpoint, &result);
+    let state = result.as_ref().ok().and_then(|done| done.state);
+    let ended = Ended { work, endpoint: finished.endpoint.clone(), state };
     match finished.owner {
         Owner::Pool => give_back(board, connection, &result, out),
         Owner::Request(ticket) => on_request_done(board, now, ticket, connection, work, result, out),
         Owner::Transaction(number) => transaction::on_done(board, now, number, connection, result, out),
     }
-    replication::on_state(board, now, &finished.endpoint, out);
+    replication::on_done(board, now, &ended, out);
     dispatch::pump(board, now, &finished.endpoint, out);
 }
 
@@ -262,6 +264,7 @@
         primary: run.endpoint.clone(),
         term: run.term,
         position,
+        probe: None,
         result,
     }
 }
--- a/crates/cumincart-core/src/entry/replication.rs
+++ b/crates/cumincart-core/src/entry/replication.rs
@@ -4,7 +4,7 @@
 
 use {
     super::{Board, Effect, Ticket, outcome, pool::Owner, request, session},
-    crate::work::{ConnectionId, Work},
+    crate::work::{ConnectionId, EndpointState, Work, WorkId},
     cumincart_protocol::{
         catalogue::Group,
         name::{EndpointName, ServiceName},
@@ -31,10 +31,23 @@
     pub term: Term,
     /// The position that a replica must have reached; not known before the primary was asked.
     pub position: Option<LogPosition>,
+    /// The probe that asks the primary for it.
+    pub probe: Option<WorkId>,
     /// What to answer then.
     pub result: CallerResult,
 }
 
+/// A work that has ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The work.
+    pub work: WorkId,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The state that came with its outcome.
+    pub state: Option<EndpointState>,
+}
+
 impl Keyed for Replication {
     type Key = Ticket;
 
@@ -72,14 +85,17 @@
     if is_known {
         return probe_replicas(board, now, ticket, out);
     }
-    board.pool.execute(now, connection, Owner::Pool, Work::Probe, out);
+    let probe = board.pool.execute(now, connection, Owner::Pool, Work::Probe, out);
+    if let Some(replication) = board.replications.get_mut(&ticket) {
+        replication.probe = probe;
+    }
 }
 
-/// Goes on with the answers that an endpoint's news may release, and probes again for the others.
-pub fn on_state(board: &mut Board, now: Instant, endpoint: &EndpointName, out: &mut Vec<Effect>) {
+/// Goes on with the answers that the end of a work at an endpoint may release, and probes again for the others.
+pub fn on_done(board: &mut Board, now: Instant, ended: &Ended, out: &mut Vec<Effect>) {
     for ticket in tickets(board, |_| true) {
-        learn_position(board, ticket, endpoint);
-        if is_replicated(board, ticket, endpoint) {
+        learn_position(board, ticket, ended);
+        if is_replicated(board, ticket, &ended.endpoint) {
             finish(board, now, ticket, out);
         } else {
             probe_replicas(board, now, ticket, out);
@@ -105,14 +121,14 @@
     waiting.map(|replication| replication.ticket).collect()
 }
 
-/// Takes the primary's position for an answer that waits for it.
-fn learn_position(board: &mut Board, ticket: Ticket, endpoint: &EndpointName) {
-    let observed = board.pool.endpoint(endpoint).and_then(|endpoint| endpoint.observed);
+/// Takes the primary's position for an answer that waits for it. Only the answer to its own probe will do: any other
+/// state may be older than the claim.
+fn learn_position(board: &mut Board, ticket: Ticket, ended: &Ended) {
     let Some(replication) = board.replications.get_mut(&ticket) else {
         return;
     };
-    if replication.position.is_none() && replication.primary == *endpoint {
-        replication.position = observed.map(|observed| observed.state.position);
+    if replication.position.is_none() && replication.probe == Some(ended.work) {
+        replication.position = ended.state.map(|state| state.position);
     }
 }
 
@@ -149,7 +165,7 @@
     let Some(replication) = board.replications.get(&ticket) else {
         return;
     };
-    let Some(group) = catalogue.group(&replication.service) else {
+    let Some(group) = catalogue.group(&replication.service).filter(|_| replication.position.is_some()) else {
         return;
     };
     for connection in idle_connections(board, group, &replication.primary) {
--- a/crates/cumincart-core/src/entry/transaction/operation.rs
+++ b/crates/cumincart-core/src/entry/transaction/operation.rs
@@ -291,6 +291,7 @@
             primary: transaction.endpoint,
             term: transaction.term,
             position: Some(state.position),
+            probe: None,
             result,
         };
         return replication::wait(board, now, replication, transaction.connection, out);
--- a/crates/cumincart-core/tests/entry_data_path/verdicts.rs
+++ b/crates/cumincart-core/tests/entry_data_path/verdicts.rs
@@ -178,3 +178,24 @@
     assert_eq!(refusal.verdict, Verdict::Unknown);
     assert!(refusal.session.is_some());
 }
+
+#[test]
+fn a_claim_on_a_replicated_route_waits_for_the_position_that_the_primary_has_now() {
+    let mut entry = Entry::open();
+    let ticket = entry.ask(run_once("hold", "hold-1"));
+    let sent = entry.last_sent();
+    entry.probes_answered = false;
+    entry.finish(&sent, Err(WorkError::AlreadyClaimed));
+    assert!(entry.result(ticket).is_none());
+    let probe = entry.last_sent();
+    assert_eq!((&probe.endpoint, &probe.work), (&name("pbx-1"), &Work::Probe));
+    entry.now = entry.now + std::time::Duration::from_millis(1);
+    entry.finish(&probe, done(primary(1, 300)));
+    let behind = entry.last_sent();
+    entry.finish(&behind, done(replica(1, 299, 1)));
+    assert!(entry.result(ticket).is_none(), "the replica has not the claim yet");
+    let covering = entry.last_sent();
+    entry.finish(&covering, done(replica(1, 300, 0)));
+    let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+    assert_eq!((refusal.code, refusal.verdict), (RefusalCode::AlreadyRun, Verdict::Ran));
+}
