--- a/crates/cumincart-core/src/entry/outcome.rs
+++ b/crates/cumincart-core/src/entry/outcome.rs
@@ -4,8 +4,8 @@
     super::{
         Board, Effect, Ticket, dispatch,
         pool::Owner,
-        replication,
-        request::{self, Kind, Run, Stage},
+        replication::{self, Ended, Replication},
+        request::{self, Kind, Pending, Run, Stage},
         retry, routing,
         session::{self, Standing},
         transaction,
@@ -16,9 +16,9 @@
         catalogue::Group,
         lists::Access,
         name::EndpointName,
-        number::Term,
+        number::{LogPosition, Term},
         refusal::{Refusal, RefusalCode},
-        request::{CallerAnswer, Rows},
+        request::{CallerAnswer, CallerResult, Rows},
         session::Session,
         time::Instant,
         verdict::Verdict,
@@ -39,12 +39,14 @@
         return;
     };
     note_outcome(board, now, &finished.endpoint, &result);
+    let state = result.as_ref().ok().and_then(|done| done.state);
+    let ended = Ended { work, endpoint: finished.endpoint.clone(), state };
     match finished.owner {
         Owner::Pool => give_back(board, connection, &result, out),
         Owner::Request(ticket) => on_request_done(board, now, ticket, connection, work, result, out),
         Owner::Transaction(number) => transaction::on_done(board, now, number, connection, result, out),
     }
-    replication::on_state(board, now, &finished.endpoint, out);
+    replication::on_done(board, now, &ended, out);
     dispatch::pump(board, now, &finished.endpoint, out);
 }
 
@@ -245,7 +247,26 @@
         board.counters.writes += 1;
         return request::finish(board, ticket, Ok(answer), out);
     }
-    replication::wait(board, now, ticket, run, state.position, Ok(answer), out);
+    let waiting = waiting_answer(pending, run, Some(state.position), Ok(answer));
+    replication::wait(board, now, waiting, run.connection, out);
+}
+
+fn waiting_answer(
+    pending: &Pending,
+    run: &Run,
+    position: Option<LogPosition>,
+    result: CallerResult,
+) -> Replication {
+    Replication {
+        ticket: pending.ticket,
+        deadline: pending.deadline,
+        service: pending.admitted.service.clone(),
+        primary: run.endpoint.clone(),
+        term: run.term,
+        position,
+        probe: None,
+        result,
+    }
 }
 
 /// The refusal for a write that an endpoint committed but that can't be acknowledged.
@@ -295,5 +316,6 @@
     if !pending.admitted.route.replicated {
         return request::finish(board, ticket, Err(refusal), out);
     }
-    replication::wait_from_probe(board, now, ticket, run, refusal, out);
+    let waiting = waiting_answer(pending, run, None, Err(refusal));
+    replication::wait(board, now, waiting, run.connection, out);
 }
