Play scripted scenarios in a small language

One script for each line of what fails, and some for two at once or twice: they read like the incident, run the real cores on the virtual clock, and compare what they print.

--- a/crates/cumincart-history/src/world/control.rs
+++ b/crates/cumincart-history/src/world/control.rs
@@ -221,6 +221,12 @@
         self.controls[index].held = None;
     }
 
+    pub(super) fn leads(&self, index: usize) -> bool {
+        let node = &self.controls[index];
+        let leads = node.process.as_ref().is_some_and(|process| process.board.election.is_leader());
+        leads && node.held.is_none()
+    }
+
     pub(super) fn freeze_control(&mut self, index: usize) {
         self.controls[index].held.get_or_insert_default();
     }
--- /dev/null
+++ b/crates/cumincart-history/tests/scenarios.rs
@@ -0,0 +1,240 @@
+//! Plays the scripts in `scenarios/` and compares what they print. `docs/operators/scenarios.md` tells the language.
+
+use {
+    cumincart_history::{
+        checkers::{Promise, check_all},
+        history::{Asked, Ended, History},
+        world::{Cut, Fault, World},
+    },
+    cumincart_protocol::time::Instant,
+    std::{error::Error, fmt::Write, path::Path, time::Duration},
+    test_case::test_case,
+};
+
+type Outcome<T> = Result<T, Box<dyn Error>>;
+
+/// One script's run.
+#[derive(Default)]
+struct Runner {
+    world: Option<World>,
+}
+
+impl Runner {
+    fn world(&mut self) -> Outcome<&mut World> {
+        self.world.as_mut().ok_or_else(|| "begin with `start seed=N`".into())
+    }
+
+    fn leader(&mut self) -> Outcome<usize> {
+        self.world()?.leader().ok_or_else(|| "nobody leads".into())
+    }
+
+    fn primary_changes(&mut self, service: usize) -> Outcome<String> {
+        let history = self.world()?.history();
+        let terms = history.terms.iter().filter(|term| term.service == service).count();
+        Ok(format!("{}\n", terms.saturating_sub(1)))
+    }
+
+    fn fault(&mut self, fault: Fault, ms: u64) -> Outcome<()> {
+        self.world()?.bring_about(fault, Duration::from_millis(ms));
+        Ok(())
+    }
+}
+
+/// The commands of the language. Numbers of instances, failure domains, endpoints and keys start at 0.
+#[derive(goldenscript::Command)]
+enum Command {
+    /// Starts a world without faults.
+    Start {
+        #[arg(key)]
+        seed: u64,
+    },
+    /// Lets time pass.
+    Run {
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Cuts a failure domain off.
+    CutDomain {
+        #[arg(key)]
+        domain: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Cuts one direction between two failure domains.
+    CutOneWay {
+        #[arg(key)]
+        from: usize,
+        #[arg(key)]
+        to: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Kills an entry instance.
+    KillEntry {
+        #[arg(key)]
+        entry: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Asks an entry instance for a planned stop.
+    StopEntry {
+        #[arg(key)]
+        entry: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Kills a control instance.
+    KillControl {
+        #[arg(key)]
+        control: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Kills the control leader.
+    KillLeader {
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Freezes the control leader.
+    FreezeLeader {
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Crashes a service's primary.
+    CrashPrimary {
+        #[arg(key)]
+        service: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Lets an endpoint's replication fall behind.
+    LagEndpoint {
+        #[arg(key)]
+        endpoint: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Takes a failure domain out of service.
+    TakeDomainOut {
+        #[arg(key)]
+        domain: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Withdraws a key.
+    WithdrawKey {
+        #[arg(key)]
+        key: usize,
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Has two operators apply lists on the same base.
+    RaceOperators,
+    /// Prints how often a service's primary changed.
+    PrimaryChanges {
+        #[arg(key)]
+        service: usize,
+    },
+    /// Prints whether a service's writes never paused for longer than a limit.
+    WritePause {
+        #[arg(key)]
+        service: usize,
+        #[arg(key)]
+        limit_ms: u64,
+    },
+    /// Ends the world and prints the broken promises.
+    Check,
+}
+
+impl goldenscript::Runner for Runner {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &goldenscript::Context) -> Outcome<String> {
+        match *command {
+            Command::Start { seed } => self.world = Some(World::open_calm(seed, None)),
+            Command::Run { ms } => {
+                let world = self.world()?;
+                world.run_until(world.now() + Duration::from_millis(ms));
+            }
+            Command::CutDomain { domain, ms } => self.fault(Fault::CutDomain(domain), ms)?,
+            Command::CutOneWay { from, to, ms } => self.fault(Fault::CutOneWay(Cut { from, to }), ms)?,
+            Command::KillEntry { entry, ms } => self.fault(Fault::KillEntry(entry), ms)?,
+            Command::StopEntry { entry, ms } => self.fault(Fault::StopEntry(entry), ms)?,
+            Command::KillControl { control, ms } => self.fault(Fault::KillControl(control), ms)?,
+            Command::KillLeader { ms } => {
+                let leader = self.leader()?;
+                self.fault(Fault::KillControl(leader), ms)?;
+            }
+            Command::FreezeLeader { ms } => {
+                let leader = self.leader()?;
+                self.fault(Fault::FreezeControl(leader), ms)?;
+            }
+            Command::CrashPrimary { service, ms } => {
+                let primary = self.world()?.primary_of(service).ok_or("there is no primary")?;
+                self.fault(Fault::CrashEndpoint(primary), ms)?;
+            }
+            Command::LagEndpoint { endpoint, ms } => self.fault(Fault::LagEndpoint(endpoint), ms)?,
+            Command::TakeDomainOut { domain, ms } => self.fault(Fault::TakeDomainOut(domain), ms)?,
+            Command::WithdrawKey { key, ms } => self.fault(Fault::WithdrawKey(key), ms)?,
+            Command::RaceOperators => self.world()?.race_operators(),
+            Command::PrimaryChanges { service } => return self.primary_changes(service),
+            Command::WritePause { service, limit_ms } => {
+                return Ok(write_pause(self.world()?.history(), service, limit_ms));
+            }
+            Command::Check => return self.check(),
+        }
+        Ok(String::new())
+    }
+}
+
+impl Runner {
+    fn check(&mut self) -> Outcome<String> {
+        let world = self.world.take().ok_or("begin with `start seed=N`")?;
+        let history = world.into_history();
+        let violations = check_all(&history);
+        // A scenario ends when it ends, so that the promise about the time after random faults says nothing here.
+        let broken: Vec<_> = violations.iter().filter(|one| one.promise != Promise::Liveness).collect();
+        if broken.is_empty() {
+            return Ok("every promise holds\n".to_owned());
+        }
+        let mut text = String::new();
+        for violation in broken {
+            writeln!(text, "{:?}: {}", violation.promise, violation.seen)?;
+        }
+        Ok(text)
+    }
+}
+
+/// Whether the longest time between two acknowledged writes of a service stays below a limit.
+fn write_pause(history: &History, service: usize, limit_ms: u64) -> String {
+    let acknowledged = history.requests.iter().filter(|request| {
+        let is_write = matches!(request.asked, Asked::Put { .. } | Asked::Record { .. });
+        is_write && request.service == service && matches!(request.ended, Some(Ended::Answered { .. }))
+    });
+    let mut times: Vec<Instant> = acknowledged.filter_map(|request| request.answered_at).collect();
+    times.sort_unstable();
+    let longest = times.windows(2).map(|pair| pair[1].saturating_since(pair[0])).max().unwrap_or_default();
+    if longest < Duration::from_millis(limit_ms) {
+        return format!("always less than {limit_ms} ms between two acknowledged writes\n");
+    }
+    format!("{} ms without an acknowledged write, limit {limit_ms} ms\n", longest.as_millis())
+}
+
+#[test_case("accepted-then-restarted")]
+#[test_case("control-instance-isolated-for-long")]
+#[test_case("entry-instance-dies-in-transactions")]
+#[test_case("failure-domain-cut-off-and-out")]
+#[test_case("failure-domain-out-and-in-twice")]
+#[test_case("key-withdrawn-during-a-cut")]
+#[test_case("leader-frozen-with-old-leases")]
+#[test_case("operators-race")]
+#[test_case("primary-cut-off-with-its-domain")]
+#[test_case("primary-dies")]
+#[test_case("primary-dies-twice")]
+#[test_case("replica-falls-behind")]
+#[test_case("second-loss-after-a-repair")]
+#[test_case("rolling-restart")]
+fn a_scenario_plays_as_written(name: &str) -> Outcome<()> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios").join(name);
+    Ok(goldenscript::run(&mut Runner::default(), path)?)
+}
