Give permits out again sooner after a leader change

Instances whose leases had run out in the meantime had none for that long.

`limits_permits` passes unchanged.

--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -43,6 +43,8 @@
     /// Until then, leases of an earlier leader may be live that this one does not know of.
     unknown_until: Instant,
     next_sweep_at: Instant,
+    /// Until then, instances whose earlier lease has run out may still be closing connections.
+    unknown_closing_until: Instant,
     /// Until then, permits may be kept that this leader does not know of.
     unknown_kept_until: Instant,
     holders: SortedVec<Holder>,
@@ -83,7 +85,7 @@
 
 /// Begins a leadership: what earlier leaders granted is unknown until their leases have run out.
 pub fn on_elected(ledger: &mut Ledger, now: Instant, control_term: ControlTerm) {
-    let lease_ms = grantor_lease_ms(FRESHNESS_LEASE_MS) + CLOSE_GRACE_MS;
+    let lease_ms = grantor_lease_ms(FRESHNESS_LEASE_MS);
     *ledger = Ledger {
         control_term,
         last_grant_number: first_grant_number(control_term),
@@ -194,6 +196,7 @@
 ) -> Vec<PermitGrant> {
     let demand = demand_around(ledger, holder);
     let recovering = now < ledger.unknown_until;
+    let may_be_closing = now < ledger.unknown_closing_until;
     let kept_unknown = now < ledger.unknown_kept_until;
     let mut grants = Vec::new();
     for endpoint in catalogue.groups.iter().flat_map(|group| group.endpoints.iter()) {
@@ -213,6 +216,7 @@
                     holding,
                     &demand,
                     holder.domain == endpoint.domain && !kept_unknown,
+                    may_be_closing,
                 )
             };
             if let Some(next) = next {
@@ -245,13 +249,15 @@
     holding: &Holding,
     demand: &Demand,
     may_gain_kept: bool,
+    may_be_closing: bool,
 ) -> Option<Granted> {
     let budget = target::budget(endpoint.connection_limit);
+    let leasable = if may_be_closing { budget.leased / 2 } else { budget.leased };
     let held = holding.confirmed;
     let kept_target = target::kept(&budget, demand, holding.kept(), may_gain_kept);
     let kept_room = budget.kept.saturating_sub(account.kept - holding.kept());
     let leased_target = target::leased(&budget, demand, holding.wanted, account.wanted);
-    let leased_room = budget.leased.saturating_sub(account.leased - holding.leased());
+    let leased_room = leasable.saturating_sub(account.leased - holding.leased()).max(held.leased());
     let kept = kept_target.min(kept_room);
     let leased = leased_target.min(leased_room);
     let next = Granted { permits: kept + leased, kept, ..Granted::default() };
--- a/crates/cumincart-core/src/control/permits/holder.rs
+++ b/crates/cumincart-core/src/control/permits/holder.rs
@@ -61,7 +61,8 @@
 }
 
 impl Granted {
-    fn leased(&self) -> u32 {
+    /// Those that end with the lease.
+    pub fn leased(&self) -> u32 {
         self.permits - self.kept
     }
 }
