--- a/crates/cumincart-core/src/entry/transaction.rs
+++ b/crates/cumincart-core/src/entry/transaction.rs
@@ -4,12 +4,14 @@
 //! it, and ends without a commit when that key is withdrawn, the term changes, its time runs out, a statement fails
 //! or is abandoned by its caller.
 
+mod completion;
 mod end;
 mod operation;
 
 pub use {
+    completion::on_done,
     end::{end_where_due, end_with_connection, on_caller_gone},
-    operation::{on_commit, on_done, on_rollback, on_within},
+    operation::{on_commit, on_rollback, on_within},
 };
 
 use {
--- a/crates/cumincart-core/src/entry/transaction/operation.rs
+++ b/crates/cumincart-core/src/entry/transaction/operation.rs
@@ -4,21 +4,19 @@
     super::{Current, Transaction, TransactionAction, end, forward, unknown_transaction},
     crate::{
         entry::{
-            Board, Effect, Ticket, admission, outcome,
+            Board, Effect, Ticket, admission,
             pool::Owner,
             quota::{self, QuotaDecision},
-            replication::{self, Replication},
-            request, retry, session,
+            request,
         },
-        work::{ConnectionId, Work, WorkDone, WorkError},
+        work::Work,
     },
     cumincart_protocol::{
         lists::{Access, DEFAULT_DEADLINE_MS},
         refusal::{Refusal, RefusalCode},
-        request::{Call, CallerAnswer, CallerRequest, CallerResult, Rows, TransactionId},
+        request::{Call, CallerRequest, TransactionId},
         time::Instant,
     },
-    std::time::Duration,
 };
 
 /// Takes a statement for a transaction.
@@ -175,7 +173,7 @@
     Ok(())
 }
 
-fn check_current(board: &Board, now: Instant, transaction: &Transaction) -> Result<(), Refusal> {
+pub(super) fn check_current(board: &Board, now: Instant, transaction: &Transaction) -> Result<(), Refusal> {
     let group = board.freshness.catalogue.group(&transaction.service);
     if transaction.is_current(board, now, group) {
         return Ok(());
@@ -206,147 +204,3 @@
     board.transactions.remove(&number);
     request::answer(board, ticket, Err(unknown_transaction()), out);
 }
-
-/// Takes the end of a transaction's work.
-pub fn on_done(
-    board: &mut Board,
-    now: Instant,
-    number: u64,
-    connection: ConnectionId,
-    result: Result<WorkDone, WorkError>,
-    out: &mut Vec<Effect>,
-) {
-    let current = board.transactions.get_mut(&number).and_then(|transaction| transaction.current.take());
-    let Some(current) = current else {
-        // The transaction was given up while the work ran: what it left on the connection is not known.
-        return board.pool.close(connection, out);
-    };
-    match (current.action, result) {
-        (TransactionAction::Statement, Ok(done)) => on_statement(board, now, number, current, done, out),
-        (TransactionAction::Commit, Ok(done)) => on_committed(board, now, number, current, &done, out),
-        (TransactionAction::Rollback, Ok(_)) => on_rolled_back(board, number, current, out),
-        (_, Err(error)) => on_error(board, now, number, &current, &error, out),
-    }
-}
-
-fn on_statement(
-    board: &mut Board,
-    now: Instant,
-    number: u64,
-    current: Current,
-    done: WorkDone,
-    out: &mut Vec<Effect>,
-) {
-    let moved = board.transactions.get(&number).and_then(|t| check_current(board, now, t).err());
-    if let Some(refusal) = moved {
-        answer(board, current.ticket, Err(refusal), out);
-        return end::roll_back(board, now, number, out);
-    }
-    if let Some(transaction) = board.transactions.get_mut(&number) {
-        transaction.idle_until = now + Duration::from_millis(super::TRANSACTION_IDLE_MS);
-    }
-    let answered =
-        CallerAnswer { rows: done.rows, session: current.session, transaction: None, from_replica: false };
-    answer(board, current.ticket, Ok(answered), out);
-}
-
-fn on_committed(
-    board: &mut Board,
-    now: Instant,
-    number: u64,
-    current: Current,
-    done: &WorkDone,
-    out: &mut Vec<Effect>,
-) {
-    let Some(transaction) = board.transactions.remove(&number) else {
-        return;
-    };
-    board.pool.release(transaction.connection);
-    let catalogue = board.freshness.catalogue.clone();
-    let group = catalogue.group(&transaction.service);
-    let state = done.state.filter(|state| {
-        group.is_some_and(|group| {
-            outcome::is_primary_answer(board, now, group, transaction.term, &transaction.endpoint, state)
-        })
-    });
-    let result = match state {
-        _ if transaction.read_only => Ok(current.session),
-        Some(state) => {
-            let (service, term) = (&transaction.service, transaction.term);
-            Ok(session::after_write(&current.session, service, term, state.position))
-        }
-        None => Err(outcome::term_changed()),
-    };
-    let result = result.map(|session| CallerAnswer {
-        rows: Rows::default(),
-        session,
-        transaction: None,
-        from_replica: false,
-    });
-    if let (Some(state), Some(ticket), true) = (state, current.ticket, transaction.replicated) {
-        let replication = Replication {
-            ticket,
-            deadline: current.deadline,
-            service: transaction.service,
-            primary: transaction.endpoint,
-            term: transaction.term,
-            position: Some(state.position),
-            probe: None,
-            result,
-        };
-        return replication::wait(board, now, replication, transaction.connection, out);
-    }
-    board.counters.writes += u64::from(result.is_ok() && !transaction.read_only);
-    answer(board, current.ticket, result, out);
-}
-
-fn on_rolled_back(board: &mut Board, number: u64, current: Current, out: &mut Vec<Effect>) {
-    if let Some(transaction) = board.transactions.remove(&number) {
-        board.pool.release(transaction.connection);
-    }
-    let answered = CallerAnswer {
-        rows: Rows::default(),
-        session: current.session,
-        transaction: None,
-        from_replica: false,
-    };
-    answer(board, current.ticket, Ok(answered), out);
-}
-
-fn on_error(
-    board: &mut Board,
-    now: Instant,
-    number: u64,
-    current: &Current,
-    error: &WorkError,
-    out: &mut Vec<Effect>,
-) {
-    let refusal = match (current.action, error) {
-        // A rollback that was lost is a rollback: the endpoint ends what a lost connection left open.
-        (TransactionAction::Rollback, _) => {
-            Refusal::not_run(RefusalCode::ConnectionLost, "it was rolled back")
-        }
-        (TransactionAction::Commit, WorkError::AlreadyClaimed) => already_claimed(board, now, number),
-        _ => retry::refusal(error),
-    };
-    answer(board, current.ticket, Err(refusal), out);
-    if retry::leaves_connection_clean(error) {
-        return end::roll_back(board, now, number, out);
-    }
-    if let Some(transaction) = board.transactions.remove(&number) {
-        board.pool.close(transaction.connection, out);
-    }
-}
-
-/// The claim speaks for the present history only under the present term.
-fn already_claimed(board: &Board, now: Instant, number: u64) -> Refusal {
-    let transaction = board.transactions.get(&number);
-    let moved = transaction.is_none_or(|transaction| check_current(board, now, transaction).is_err());
-    if moved { outcome::term_changed() } else { retry::refusal(&WorkError::AlreadyClaimed) }
-}
-
-fn answer(board: &mut Board, ticket: Option<Ticket>, result: CallerResult, out: &mut Vec<Effect>) {
-    if let Some(ticket) = ticket {
-        request::answer(board, ticket, result, out);
-    }
-}
