--- a/crates/cumincart-load/src/experiment/replica_reads.rs
+++ b/crates/cumincart-load/src/experiment/replica_reads.rs
@@ -60,6 +60,9 @@
         Some(Baseline { way: "all from the primary", value: 0.0 }),
         answered_reads.len() as u64,
     );
+    let misses = misses(&bench).await;
+    let share = 100.0 * misses as f64 / answered_reads.len().max(1) as f64;
+    report.measure("reads that missed at a replica first, warm-up included", "%", share, None, misses);
     report.runs.push(NamedSummary { name: "all requests".into(), summary: Summary::of(&samples) });
     for (index, organisation) in bench.organisations.iter().enumerate() {
         for (kind, is_write) in [("reads", false), ("writes", true)] {
@@ -73,6 +76,16 @@
     Ok(report)
 }
 
+/// How many reads the entry instances sent to a replica in vain.
+async fn misses(bench: &Bench) -> u64 {
+    let mut misses = 0;
+    for handle in bench.fleet.entries.iter().filter_map(|entry| entry.handle.as_ref()) {
+        let counted = handle.engine.inspect(|board, _| board.counters.replica_misses).await;
+        misses += counted.unwrap_or_default();
+    }
+    misses
+}
+
 /// How many of the reads the baseline's rule would let a replica serve.
 fn sticky_reads(traffic: &[Due], reads: &[usize]) -> usize {
     let wrote_shortly_before = |index: usize| {
