--- a/crates/cumincart-entry/src/program.rs
+++ b/crates/cumincart-entry/src/program.rs
@@ -21,9 +21,21 @@
         )
 }
 
+/// Threads that serve callers, links and connections. Entry instances are small, and each further thread adds wake-ups
+/// to every request.
+const WORKER_THREADS: usize = 2;
+
 /// Runs the program until it is asked to stop.
-#[tokio::main]
-pub async fn run() -> Result<()> {
+pub fn run() -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    runtime.block_on(serve())
+}
+
+async fn serve() -> Result<()> {
     let matches = command().get_matches();
     let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
     let settings = read_entry_settings(path)?;
