Keep one key for entry instances' runs, and show a control instance's whole state

The ledgers of leases, shares and permits each had the same type for one run of an entry instance. A control instance's dump gave its revision alone; it now shows election, log, members, groups, leases and announcements, and the metrics come from it, as on an entry instance. The lists, and with them the keys' digests, stay out.

--- a/crates/cumincart-control/src/http/operations.rs
+++ b/crates/cumincart-control/src/http/operations.rs
@@ -1,9 +1,10 @@
 //! Health checks for the platform, metrics and the dump for operators.
 
 use {
-    crate::engine::Engine,
+    crate::{engine::Engine, metrics::control_metrics},
+    cumincart_core::control::dump::{self, Dump},
     cumincart_http::operator::Operator,
-    cumincart_runtime::metrics::{self, Metric},
+    cumincart_runtime::metrics,
     rocket::{
         Route, State, get,
         http::{ContentType, Status},
@@ -14,7 +15,7 @@
 
 /// The routes of this file.
 pub(crate) fn routes() -> Vec<Route> {
-    routes![live, ready, show_metrics, dump]
+    routes![live, ready, show_metrics, show_dump]
 }
 
 #[get("/health/live")]
@@ -32,20 +33,12 @@
 
 #[get("/metrics")]
 async fn show_metrics(engine: &State<Engine>) -> Result<(ContentType, String), Status> {
-    let revision =
-        engine.inspect(|board, _| board.catalogue.revision).await.ok_or(Status::ServiceUnavailable)?;
-    let text = metrics::render(&[Metric::gauge(
-        "catalogue_revision",
-        "The catalogue revision applied here",
-        revision.0,
-    )]);
+    let dump = engine.inspect(dump::dump).await.ok_or(Status::ServiceUnavailable)?;
     let content_type = ContentType::parse_flexible(metrics::CONTENT_TYPE).unwrap_or(ContentType::Plain);
-    Ok((content_type, text))
+    Ok((content_type, metrics::render(&control_metrics(&dump))))
 }
 
 #[get("/v1/dump")]
-async fn dump(_operator: Operator, engine: &State<Engine>) -> Result<Json<u64>, Status> {
-    let revision =
-        engine.inspect(|board, _| board.catalogue.revision).await.ok_or(Status::ServiceUnavailable)?;
-    Ok(Json(revision.0))
+async fn show_dump(_operator: Operator, engine: &State<Engine>) -> Result<Json<Dump>, Status> {
+    engine.inspect(dump::dump).await.map(Json).ok_or(Status::ServiceUnavailable)
 }
--- a/crates/cumincart-control/src/lib.rs
+++ b/crates/cumincart-control/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod daemon;
 pub mod engine;
 pub mod http;
+pub mod metrics;
 pub mod options;
 pub mod program;
--- /dev/null
+++ b/crates/cumincart-control/src/metrics.rs
@@ -0,0 +1,31 @@
+//! A control instance's metrics, from its dump.
+
+use {
+    cumincart_core::control::dump::Dump,
+    cumincart_runtime::metrics::{Label, Metric},
+};
+
+/// The metrics to publish.
+pub fn control_metrics(dump: &Dump) -> Vec<Metric> {
+    let live = dump.holders.iter().filter(|holder| holder.lease_left_ms > 0).count();
+    let mut metrics = vec![
+        Metric::gauge("leads", "Whether this control instance leads", u64::from(dump.leads)),
+        Metric::gauge("election_term", "The greatest election term seen", dump.ballot.term.0),
+        Metric::gauge("log_last_index", "The index of the last log record", dump.last_index.0),
+        Metric::gauge("log_applied_index", "The index of the last log record applied", dump.applied.0),
+        Metric::gauge("catalogue_revision", "The catalogue revision applied here", dump.revision.0),
+        Metric::gauge("lists_revision", "The revision of the lists", dump.lists_revision.0),
+        Metric::gauge(
+            "leases_live",
+            "Entry instances that hold a lease",
+            u64::try_from(live).unwrap_or(u64::MAX),
+        ),
+    ];
+    for group in &dump.groups {
+        let label = || Label::new("service", group.service.as_str());
+        metrics.push(Metric::gauge("group_term", "The term of a database group", group.term.0).with(label()));
+        let writable = u64::from(group.writable);
+        metrics.push(Metric::gauge("group_writable", "Whether a group takes writes", writable).with(label()));
+    }
+    metrics
+}
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -4,11 +4,11 @@
 //! counts it from when it asked, which was earlier. So the leader's end is never before the holder's.
 
 use {
-    super::{Board, Effect, Ticket, permits, shares},
+    super::{Board, Effect, Ticket, holder_key::HolderKey, permits, shares},
     crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
     cumincart_protocol::{
         heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
-        name::{DomainName, InstanceName},
+        name::DomainName,
         number::{Incarnation, Revision},
         peer::PeerBody,
         sorted::{Keyed, SortedVec},
@@ -23,15 +23,6 @@
 /// How long an instance is still listed after its lease has run out, in milliseconds.
 pub const LISTED_AFTER_END_MS: u64 = 60_000;
 
-/// One run of an entry instance.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HolderKey {
-    /// Its name.
-    pub instance: InstanceName,
-    /// The run.
-    pub incarnation: Incarnation,
-}
-
 /// One run of an entry instance that holds a lease.
 #[derive(Debug, Clone)]
 pub struct Holder {
@@ -193,7 +184,7 @@
 }
 
 fn release(board: &mut Board, now: Instant, ticket: Ticket, heartbeat: &Heartbeat, out: &mut Vec<Effect>) {
-    let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
+    let key = HolderKey::of(heartbeat);
     end(board, now, &key);
     permits::on_left(&mut board.permits, &key.instance, key.incarnation);
     board.leases.holders.remove(&key);
@@ -217,7 +208,7 @@
 
 /// Renews a lease; tells whether its holder is new.
 fn renew(leases: &mut Leases, now: Instant, heartbeat: &Heartbeat, parked: Parked) -> bool {
-    let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
+    let key = HolderKey::of(heartbeat);
     let is_new = leases.holders.get(&key).is_none_or(|holder| holder.is_ended);
     let holder = leases.holders.get_or_insert_with(&key, || Holder {
         key: key.clone(),
--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -11,6 +11,7 @@
 mod target;
 
 use {
+    super::holder_key::HolderKey,
     crate::{
         entry::{maintenance::SURPLUS_WORK_MS, permits::KEPT_PERMIT_LEASE_MS},
         timing::{FRESHNESS_LEASE_MS, grantor_lease_ms},
@@ -23,7 +24,7 @@
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
-    holder::{Granted, Holder, HolderKey, Holding},
+    holder::{Granted, Holder, Holding},
     std::time::Duration,
     target::Demand,
 };
@@ -111,7 +112,7 @@
     heartbeat: &Heartbeat,
 ) -> Vec<PermitGrant> {
     drop_expired(ledger, now);
-    let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
+    let key = HolderKey::of(heartbeat);
     let none = || Holder::new(key.clone(), heartbeat.domain.clone(), now);
     let mut holder = std::mem::replace(ledger.holders.get_or_insert_with(&key, none), none());
     if holder.last_asked_at.is_some_and(|last| heartbeat.asked_at <= last) {
--- a/crates/cumincart-core/src/control/permits/holder.rs
+++ b/crates/cumincart-core/src/control/permits/holder.rs
@@ -1,22 +1,16 @@
 //! What the ledger knows of one entry instance's permits.
 
-use cumincart_protocol::{
-    heartbeat::{PermitGrant, PermitReport, grant_term},
-    name::{DomainName, EndpointName, InstanceName},
-    number::{ControlTerm, Incarnation},
-    sorted::{Keyed, SortedVec},
-    time::Instant,
+use {
+    crate::control::holder_key::HolderKey,
+    cumincart_protocol::{
+        heartbeat::{PermitGrant, PermitReport, grant_term},
+        name::{DomainName, EndpointName},
+        number::ControlTerm,
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
 };
 
-/// One run of an entry instance.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct HolderKey {
-    /// Its name.
-    pub instance: InstanceName,
-    /// Its run.
-    pub incarnation: Incarnation,
-}
-
 /// One run of an entry instance and what it holds.
 #[derive(Debug)]
 pub struct Holder {
--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -12,6 +12,7 @@
 mod target;
 
 use {
+    super::holder_key::HolderKey,
     crate::timing::{FRESHNESS_LEASE_MS, grantor_lease_ms},
     account::Account,
     cumincart_protocol::{
@@ -23,7 +24,7 @@
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
-    holder::{DomainCount, Granted, Holder, HolderKey, Holding},
+    holder::{DomainCount, Granted, Holder, Holding},
     std::{sync::Arc, time::Duration},
     target::Fleet,
 };
@@ -97,7 +98,7 @@
 ) -> Vec<ShareGrant> {
     drop_expired(ledger, now);
     adopt_lists(ledger, now, catalogue);
-    let key = HolderKey { instance: heartbeat.instance.clone(), incarnation: heartbeat.incarnation };
+    let key = HolderKey::of(heartbeat);
     let mut holder = take_holder(ledger, &key, &heartbeat.domain);
     if holder.last_asked_at.is_some_and(|last| heartbeat.asked_at <= last) {
         ledger.holders.insert(holder);
