--- a/crates/cumincart-core/src/entry/pool/history.rs
+++ b/crates/cumincart-core/src/entry/pool/history.rs
@@ -68,12 +68,6 @@
         self.samples.back().is_none_or(|last| now.saturating_since(last.at) >= interval)
     }
 
-    /// Whether the primary has reached this position without this instance having seen it: a session has come from
-    /// another one, and nothing is known of how long ago that was.
-    pub fn is_beyond(&self, position: LogPosition) -> bool {
-        self.samples.back().is_none_or(|last| position > last.position)
-    }
-
     /// The position that a replica on this timeline with this lag has reached at least by now.
     pub fn replica_position(&self, now: Instant, lag: Duration) -> Option<LogPosition> {
         let known_before = now - lag;
--- a/crates/cumincart-core/src/entry/routing.rs
+++ b/crates/cumincart-core/src/entry/routing.rs
@@ -181,21 +181,8 @@
     if age_ms(board, now, observed.state.lag_ms) > question.route.max_staleness_ms {
         return false;
     }
-    observed.state.position >= needed || may_have_reached(board, now, question.group, &observed.state, needed)
-}
-
-/// Whether a replica can have reached a position by now. Where this instance can't tell, the replica is asked: it
-/// confirms its position in the same round trip.
-fn may_have_reached(
-    board: &Board,
-    now: Instant,
-    group: &Group,
-    replica: &EndpointState,
-    needed: LogPosition,
-) -> bool {
-    let primary = group.primary.as_ref().and_then(|primary| board.pool.endpoint(primary));
-    primary.is_some_and(|primary| primary.history.is_beyond(needed))
-        || predicted_position(board, now, group, replica) >= needed
+    observed.state.position >= needed
+        || predicted_position(board, now, question.group, &observed.state) >= needed
 }
 
 /// The position that a replica is expected to have reached by now, from its lag and the primary's past positions.
