--- a/crates/cumincart-core/src/entry/dispatch.rs
+++ b/crates/cumincart-core/src/entry/dispatch.rs
@@ -4,7 +4,7 @@
     super::{
         Board, Effect, Ticket, admission,
         fairness::Turn,
-        pool::{Owner, Pool},
+        pool::Owner,
         request::{self, Kind, Pending, Run, Stage},
         routing::{self, Destination, Question},
         session, transaction,
@@ -35,7 +35,6 @@
     let Some(group) = catalogue.group(&pending.admitted.service) else {
         return park_for_a_round(board, now, ticket);
     };
-    learn_from_session(&mut board.pool, now, group, &pending.request.session);
     let question = Question {
         group,
         route: &pending.admitted.route,
@@ -55,19 +54,6 @@
     }
 }
 
-/// A session that comes from another instance may have seen the primary further on than this one has.
-fn learn_from_session(pool: &mut Pool, now: Instant, group: &Group, session: &Session) {
-    let seen = session::seen(session, &group.service);
-    let newest = seen.write.max(seen.read);
-    let Some(start) = session::current_start(group).filter(|_| newest.term == group.term) else {
-        return;
-    };
-    let primary = group.primary.as_ref().and_then(|primary| pool.endpoints.get_mut(primary));
-    if let Some(primary) = primary {
-        primary.history.note_seen(now, start.timeline, newest.position);
-    }
-}
-
 /// Tells a session that something that it has seen is lost, and gives it a token to go on with.
 pub fn write_lost(session: &Session, group: &Group) -> Refusal {
     let refreshed = session::without_lost_points(session, group);
--- a/crates/cumincart-core/src/entry/pool/history.rs
+++ b/crates/cumincart-core/src/entry/pool/history.rs
@@ -38,31 +38,13 @@
             self.timeline = state.timeline;
         }
         if state.role == Role::Primary && self.is_due(now) {
-            let least = self.samples.back().map_or(state.position, |last| last.position);
-            self.samples.push_back(Sample { at: now, position: state.position.max(least) });
+            self.samples.push_back(Sample { at: now, position: state.position });
         }
         if self.samples.len() > SAMPLES_MAX {
             self.samples.pop_front();
         }
     }
 
-    /// Takes in that a session has seen the primary at a position: it had reached it by now at the latest.
-    pub fn note_seen(&mut self, now: Instant, timeline: Timeline, position: LogPosition) {
-        let is_due = self.is_due(now);
-        let Some(last) = self.samples.back_mut().filter(|_| self.timeline == timeline) else {
-            return;
-        };
-        if position <= last.position {
-            return;
-        }
-        if is_due {
-            self.samples.push_back(Sample { at: now, position });
-        } else {
-            // Too early by less than a sample's interval: the endpoint itself confirms the position.
-            last.position = position;
-        }
-    }
-
     fn is_due(&self, now: Instant) -> bool {
         let interval = Duration::from_millis(SAMPLE_INTERVAL_MS);
         self.samples.back().is_none_or(|last| now.saturating_since(last.at) >= interval)
