--- /dev/null
+++ b/crates/cumincart-protocol/tests/decoders.rs
@@ -0,0 +1,89 @@
+//! Decoders of bytes that come from outside: a session token from a caller, an announcement from an endpoint. Whatever
+//! comes, they give a value or an error, and a value comes back as it went.
+
+use {
+    cumincart_protocol::{
+        announcement::Announcement,
+        number::{LogPosition, Term},
+        session::{Point, SESSION_MAX_BYTES, SESSION_VERSION, Seen, Session, SessionError},
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+    test_case::test_case,
+};
+
+const SEED: u64 = 20_261_204;
+
+fn config() -> ProptestConfig {
+    println!("proptest seed {SEED}");
+    ProptestConfig { rng_seed: RngSeed::Fixed(SEED), ..ProptestConfig::with_cases(2_000) }
+}
+
+fn point() -> impl Strategy<Value = Point> {
+    (any::<u64>(), any::<u64>())
+        .prop_map(|(term, position)| Point { term: Term(term), position: LogPosition(position) })
+}
+
+fn session() -> impl Strategy<Value = Session> {
+    let seen = ("[a-z][a-z0-9-]{0,20}", point(), point()).prop_map(|(service, write, read)| Seen {
+        service: service.into(),
+        write,
+        read,
+    });
+    proptest::collection::vec(seen, 0..8).prop_map(|seen| Session { seen: seen.into_iter().collect() })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_session_comes_back_as_it_went(session in session()) {
+        prop_assert_eq!(Session::decode(&session.encode()), Ok(session));
+    }
+
+    #[test]
+    fn a_token_with_another_letter_is_never_another_session(
+        session in session(),
+        at in any::<prop::sample::Index>(),
+        letter in "[A-Za-z0-9_-]",
+    ) {
+        let mut damaged = session.encode();
+        let index = at.index(damaged.len());
+        damaged.replace_range(index..=index, &letter);
+        if let Ok(decoded) = Session::decode(&damaged) {
+            prop_assert_eq!(decoded, session);
+        }
+    }
+
+    #[test]
+    fn no_text_makes_the_token_decoder_panic(text in any::<String>()) {
+        let _ = Session::decode(&text);
+    }
+
+    #[test]
+    fn no_letters_of_a_token_make_the_decoder_panic(text in "[A-Za-z0-9_-]{0,400}") {
+        let _ = Session::decode(&text);
+    }
+
+    #[test]
+    fn no_bytes_make_the_announcement_decoder_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = serde_json::from_slice::<Announcement>(&bytes);
+    }
+}
+
+#[test_case(&"A".repeat(SESSION_MAX_BYTES + 1), SessionError::TooLong; "too long")]
+#[test_case("", SessionError::Malformed; "empty")]
+#[test_case("not base64!", SessionError::Malformed; "not base64")]
+#[test_case("AgAAAAA", SessionError::Version(SESSION_VERSION + 1); "another version")]
+#[test_case("AQ", SessionError::Malformed; "too short for a checksum")]
+#[test_case("AQAAAAH_", SessionError::Checksum; "a wrong checksum")]
+fn a_bad_token_is_told_apart(token: &str, error: SessionError) {
+    assert_eq!(Session::decode(token), Err(error));
+}
+
+#[test]
+fn an_announcement_with_an_unknown_field_is_refused() {
+    let text = r#"{"endpoint": "pbx-1", "service": "pbx", "address": "127.0.0.1:5432", "domain": "sofia-a",
+        "role": "primary", "timeline": 1, "position": 1, "slots": 5, "connection_limit": 30, "rank": 1}"#;
+    let error = serde_json::from_str::<Announcement>(text).expect_err("`rank` is not a field");
+    assert!(error.to_string().contains("unknown field `rank`"), "{error}");
+}
