--- a/crates/cumincart-cli/src/demo/checks.rs
+++ b/crates/cumincart-cli/src/demo/checks.rs
@@ -24,6 +24,8 @@
 pub enum Breakage {
     /// The caller's session token is dropped between a write and its read.
     Sessions,
+    /// The key that should be wrong is a right one.
+    WrongKey,
     /// The key that was withdrawn stays in the list.
     Keys,
     /// The plan in force allows ten times the rate that was promised.
@@ -36,8 +38,9 @@
 
 impl Breakage {
     /// All breakages with their names on the command line.
-    pub const ALL: [(&'static str, Self); 5] = [
+    pub const ALL: [(&'static str, Self); 6] = [
         ("sessions", Self::Sessions),
+        ("wrong-key", Self::WrongKey),
         ("keys", Self::Keys),
         ("rate", Self::Rate),
         ("failover", Self::Failover),
--- a/crates/cumincart-cli/src/demo/checks/keys.rs
+++ b/crates/cumincart-cli/src/demo/checks/keys.rs
@@ -20,7 +20,8 @@
 
 /// Calls every instance with a key that no list has.
 pub(super) async fn check_wrong(scene: &Scene) -> CheckOutcome {
-    let mut caller = Caller::new(Some("a key that no list has"));
+    let key = if scene.breaks(Breakage::WrongKey) { KEPT_KEY } else { "a key that no list has" };
+    let mut caller = Caller::new(Some(key));
     let mut refused = 0;
     for number in 0..scene.fleet.entries.len() {
         refused += usize::from(is_refused(&mut caller, &scene.url(number)).await);
