--- a/crates/cumincart-history/src/world/faults.rs
+++ b/crates/cumincart-history/src/world/faults.rs
@@ -57,7 +57,6 @@
 pub struct Faults {
     domain_out: bool,
     key_withdrawn: bool,
-    controls_down: usize,
 }
 
 const KINDS: usize = 11;
@@ -190,7 +189,6 @@
         if self.controls[index].run().is_none() {
             return;
         }
-        self.faults.controls_down += 1;
         self.note_fault(&format!("control {index} is killed for {} ms", span.as_millis()));
         self.end_control(index);
         self.after(span, Event::Mend(Mend::StartControl(index)));
--- a/crates/cumincart-runtime/src/pending.rs
+++ b/crates/cumincart-runtime/src/pending.rs
@@ -54,19 +54,4 @@
     pub fn forget_closed(&mut self) {
         self.waiting.retain(|waiting| !waiting.answer.is_closed());
     }
-
-    /// Drops all requests; each sees its channel closed.
-    pub fn clear(&mut self) {
-        self.waiting.clear();
-    }
-
-    /// The number of waiting requests.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Whether no request waits.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
 }
