--- a/crates/cumincart-config/src/lists.rs
+++ b/crates/cumincart-config/src/lists.rs
@@ -36,7 +36,7 @@
     refuse_if_any(problems)?;
     let organisations = organisation_list.unwrap_or_default();
     let plans = plan_list.map(|read| read.list).unwrap_or_default();
-    Ok(Lists { organisations, plans })
+    Ok(Lists { organisations, plans, ..Lists::default() })
 }
 
 /// The names of one kind of thing, as far as they could be read.
--- a/crates/cumincart-control/src/daemon.rs
+++ b/crates/cumincart-control/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        engine::{Engine, EngineOptions},
+        engine::{EndpointOperations, Engine, EngineOptions},
         http,
     },
     cumincart_core::control::Settings,
@@ -13,6 +13,7 @@
     cumincart_protocol::{
         name::{DomainName, InstanceName},
         replication::{DiskId, Member, Members},
+        sorted::SortedVec,
     },
     cumincart_runtime::{
         clock,
@@ -131,7 +132,8 @@
         EngineOptions {
             core,
             fleet_secret: options.fleet_secret,
-            endpoint_login: options.endpoint_login,
+            seeds: SortedVec::new(),
+            endpoints: EndpointOperations::postgresql(options.endpoint_login),
             logger: options.logger,
         },
         folder,
--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -4,11 +4,14 @@
 
 use {
     cumincart_core::{
-        control::{self, Board, ControlRefusal, Effect, Input, Promotion, Settings, Status, Stored, Ticket},
+        control::{
+            self, Board, ControlRefusal, Effect, Input, Persist, PromotedState, Promotion, PromotionError,
+            Settings, Status, Stored, Survey, Ticket, detection,
+        },
         timing::TICK_INTERVAL_MS,
     },
     cumincart_protocol::{
-        announcement::Announcement,
+        announcement::{Announcement, LogState, Presence},
         change::{Change, Outcome},
         name::InstanceName,
         peer::PeerBody,
@@ -29,7 +32,7 @@
         pending::Pending,
     },
     slog::{Logger, crit, info},
-    std::{sync::Arc, thread, time::Duration},
+    std::{future::Future, pin::Pin, sync::Arc, thread, time::Duration},
     tokio::{
         runtime::Handle,
         sync::{mpsc, oneshot, watch},
@@ -44,12 +47,49 @@
     pub core: Settings,
     /// The fleet secret.
     pub fleet_secret: FleetSecret,
-    /// How to log in to endpoints, for promotions.
-    pub endpoint_login: EndpointLogin,
+    /// Control instances to ask for membership where the data folder's own list may be outdated.
+    pub seeds: SortedVec<Member>,
+    /// What is asked of endpoints.
+    pub endpoints: EndpointOperations,
     /// Where log lines go.
     pub logger: Logger,
 }
 
+/// A future that runs on any thread.
+pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Asks an endpoint to become the primary, and waits until it is.
+pub type PromoteFn = dyn Fn(Promotion) -> BoxFuture<Result<PromotedState, PromotionError>> + Send + Sync;
+
+/// Asks an endpoint for the state of its log; none where it does not answer.
+pub type SurveyFn = dyn Fn(Survey) -> BoxFuture<Option<LogState>> + Send + Sync;
+
+/// What a control instance asks of endpoints.
+#[derive(Clone)]
+pub struct EndpointOperations {
+    /// Promotes an endpoint.
+    pub promote: Arc<PromoteFn>,
+    /// Asks for the state of an endpoint's log; none where endpoints announce it themselves.
+    pub survey: Option<Arc<SurveyFn>>,
+}
+
+impl std::fmt::Debug for EndpointOperations {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EndpointOperations").field("surveys", &self.survey.is_some()).finish_non_exhaustive()
+    }
+}
+
+impl EndpointOperations {
+    /// Operations on PostgreSQL endpoints, which announce the state of their logs.
+    pub fn postgresql(login: EndpointLogin) -> Self {
+        let promote = move |promotion: Promotion| -> BoxFuture<_> {
+            let login = login.clone();
+            Box::pin(async move { endpoint::promote(&promotion.address, &login).await })
+        };
+        Self { promote: Arc::new(promote), survey: None }
+    }
+}
+
 /// The answer to an operator's change.
 pub type ChangeResult = Result<Outcome, ControlRefusal>;
 
@@ -133,6 +173,11 @@
         answered.await.ok()
     }
 
+    /// Passes on that an endpoint is there.
+    pub fn present(&self, presence: Presence) {
+        let _ = self.messages.send(Message::Input(Input::Present(presence)));
+    }
+
     /// Ends the engine. What was acknowledged is on the disk.
     pub fn stop(&self) {
         let _ = self.messages.send(Message::Stop);
@@ -199,6 +244,8 @@
 
 struct EngineState {
     board: Board,
+    /// Whether the data folder holds no snapshot yet.
+    is_new: bool,
     folder: DataFolder,
     clock: Clock,
     runtime: Handle,
@@ -211,7 +258,7 @@
     links: Vec<MemberLink>,
     me: InstanceName,
     fleet_secret: FleetSecret,
-    endpoint_login: EndpointLogin,
+    endpoints: EndpointOperations,
     logger: Logger,
 }
 
@@ -223,8 +270,16 @@
         messages: mpsc::WeakUnboundedSender<Message>,
     ) -> Self {
         let me = options.core.member.instance.clone();
+        let is_new = stored.snapshot.is_none();
+        let mut board = Board::open(options.core, stored, clock::random());
+        board.seeds = options.seeds;
+        board.surveys.is_enabled = options.endpoints.survey.is_some();
+        if board.surveys.is_enabled {
+            board.failover.policy.is_dead = detection::survey_finds_dead;
+        }
         Self {
-            board: Board::open(options.core, stored, clock::random()),
+            board,
+            is_new,
             folder,
             clock: Clock::start(),
             runtime: Handle::current(),
@@ -237,12 +292,25 @@
             links: Vec::new(),
             me,
             fleet_secret: options.fleet_secret,
-            endpoint_login: options.endpoint_login,
+            endpoints: options.endpoints,
             logger: options.logger,
         }
     }
 
+    /// Writes the first members down, so that a restart before the first commit still knows them.
+    fn write_first_members(&mut self) -> Result<(), DataFolderError> {
+        if !self.is_new || self.board.settings.first_members.voters.is_empty() || !self.board.log.is_empty() {
+            return Ok(());
+        }
+        let snapshot = control::snapshot::current(&self.board);
+        self.folder.persist(&Persist::Snapshot(Box::new(snapshot)))
+    }
+
     fn run(mut self, mut queue: mpsc::UnboundedReceiver<Message>) {
+        if let Err(error) = self.write_first_members() {
+            crit!(self.logger, "the data folder failed, so this instance ends"; "error" => %error);
+            return;
+        }
         while let Some(message) = queue.blocking_recv() {
             let result = match message {
                 Message::Input(input) => self.step(input),
@@ -305,6 +373,7 @@
                 self.statuses.answer(ticket.0, result);
             }
             Effect::Promote(promotion) => self.promote(promotion),
+            Effect::Survey(survey) => self.survey(survey),
             Effect::Note(note) => info!(self.logger, "{}", note),
         }
         Ok(())
@@ -353,12 +422,24 @@
 
     fn promote(&self, promotion: Promotion) {
         let messages = self.messages.clone();
-        let login = self.endpoint_login.clone();
+        let answer = (self.endpoints.promote)(promotion.clone());
         self.runtime.spawn(async move {
-            let result = endpoint::promote(&promotion.address, &login).await;
+            let result = answer.await;
             if let Some(messages) = messages.upgrade() {
                 let _ = messages.send(Message::Input(Input::Promoted(promotion, result)));
             }
         });
     }
+
+    fn survey(&self, survey: Survey) {
+        let Some(ask) = &self.endpoints.survey else { return };
+        let messages = self.messages.clone();
+        let answer = ask(survey.clone());
+        self.runtime.spawn(async move {
+            let state = answer.await;
+            if let Some(messages) = messages.upgrade() {
+                let _ = messages.send(Message::Input(Input::Surveyed(survey, state)));
+            }
+        });
+    }
 }
--- a/crates/cumincart-core/examples/data_measures/cost.rs
+++ b/crates/cumincart-core/examples/data_measures/cost.rs
@@ -146,6 +146,7 @@
             shares: if first { self.deployment.shares() } else { Vec::new() },
             permits: if first { self.deployment.permits() } else { Vec::new() },
             instances: None,
+            control_addresses: None,
         };
         self.input(Input::HeartbeatAnswer(Box::new(answer)));
     }
--- a/crates/cumincart-core/examples/data_measures/deployment.rs
+++ b/crates/cumincart-core/examples/data_measures/deployment.rs
@@ -135,6 +135,7 @@
         let lists = Lists {
             organisations: OrganisationList { organisations },
             plans: PlanList { services, plans: vec![plan, limited] },
+            ..Lists::default()
         };
         let groups = (0..self.groups).map(|group| self.group(group)).collect();
         Catalogue { revision: Revision(1), lists: Arc::new(lists), groups, ..Catalogue::default() }
--- a/crates/cumincart-core/examples/data_measures/fleet.rs
+++ b/crates/cumincart-core/examples/data_measures/fleet.rs
@@ -290,6 +290,7 @@
             shares: if first { self.deployment.shares() } else { Vec::new() },
             permits: if first { self.deployment.permits() } else { Vec::new() },
             instances: None,
+            control_addresses: None,
         };
         let at = self.now + CONTROL_ROUND_TRIP_MICROS;
         self.push(at, Happening::Input(instance, Box::new(Input::HeartbeatAnswer(Box::new(answer)))));
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod operators;
 pub mod permits;
+pub mod presence;
 pub mod promotion;
 pub mod read_index;
 pub mod replicate;
@@ -21,18 +22,20 @@
 pub mod shares;
 pub mod snapshot;
 pub mod status;
+pub mod survey;
 pub mod voting;
 
 pub use {
     promotion::{PromotedState, Promotion, PromotionError},
     status::{EndpointStatus, InstanceStatus, Status},
+    survey::Survey,
 };
 
 use {
     cumincart_protocol::{
-        announcement::Announcement,
+        announcement::{Announcement, LogState, Presence},
         catalogue::Catalogue,
-        change::{Change, Outcome},
+        change::{Change, Outcome, VersionedDocument},
         heartbeat::Heartbeat,
         name::InstanceName,
         number::{ControlTerm, Incarnation, LogIndex},
@@ -40,6 +43,7 @@
         replication::{
             Ballot, DiskId, Member, Members, Record, ReplicationBody, ReplicationMessage, Snapshot,
         },
+        sorted::SortedVec,
         time::Instant,
     },
     rand_chacha::ChaCha20Rng,
@@ -89,6 +93,10 @@
     Status(Ticket),
     /// An endpoint announced itself here.
     Announced(Announcement),
+    /// An endpoint that does not tell its log's state said here that it is there.
+    Present(Presence),
+    /// A survey ended; none where the endpoint did not answer.
+    Surveyed(Survey, Option<LogState>),
     /// A promotion that was ordered ended.
     Promoted(Promotion, Result<PromotedState, PromotionError>),
 }
@@ -110,6 +118,8 @@
     AnswerStatus(Ticket, Result<Box<Status>, ControlRefusal>),
     /// Promote an endpoint, and report with `Input::Promoted`.
     Promote(Promotion),
+    /// Ask an endpoint for its log's state, and report with `Input::Surveyed`.
+    Survey(Survey),
     /// A change of state worth a log line.
     Note(Arc<str>),
 }
@@ -155,6 +165,14 @@
     pub replication: replicate::Replication,
     /// The outcomes of operators' changes; replicated.
     pub outcomes: operators::Outcomes,
+    /// The document of the configuration in force; replicated.
+    pub document: Option<VersionedDocument>,
+    /// Control instances to ask where this one's own list may be outdated, by their usual names.
+    pub seeds: SortedVec<Member>,
+    /// What endpoints that are surveyed said of themselves; kept by the leader.
+    pub presences: presence::Presences,
+    /// The surveys of endpoints; kept by the leader.
+    pub surveys: survey::Surveys,
     /// Operators who wait for a commit.
     pub pending: operators::Pending,
     /// Questions that wait for a confirmation of the leadership.
@@ -187,6 +205,10 @@
             election: election::Election::open(stored.ballot),
             replication: replicate::Replication::default(),
             outcomes: operators::Outcomes::open(snapshot.outcomes),
+            document: snapshot.document,
+            seeds: SortedVec::new(),
+            presences: presence::Presences::default(),
+            surveys: survey::Surveys::default(),
             pending: operators::Pending::default(),
             reads: read_index::Reads::default(),
             recent: catalogue::Recent::default(),
@@ -217,6 +239,8 @@
         Input::Operator(ticket, change) => operators::on_change(board, now, ticket, change, out),
         Input::Status(ticket) => read_index::ask(board, now, ticket, read_index::Question::Status, out),
         Input::Announced(announcement) => announcements::on_announced(board, now, announcement, out),
+        Input::Present(presence) => presence::on_present(board, now, presence, out),
+        Input::Surveyed(survey, answer) => survey::on_surveyed(board, now, &survey, answer, out),
         Input::Promoted(promotion, result) => promotion::on_promoted(board, now, &promotion, &result, out),
     }
     commit::advance(board, now, out);
@@ -234,6 +258,8 @@
     replicate::on_tick(board, now, out);
     leases::on_tick(board, now, out);
     announcements::on_tick(board, now, out);
+    presence::on_tick(board, now, out);
+    survey::on_tick(board, now, out);
     commit::advance(board, now, out);
     failover::on_tick(board, now, out);
 }
@@ -252,6 +278,7 @@
         ReplicationBody::Vote(ask) => voting::on_vote(board, now, &sender, &ask, out),
         ReplicationBody::Join(member) => members::on_join(board, now, &member, out),
         ReplicationBody::Announcements(list) => announcements::on_passed_on(board, now, list, out),
+        ReplicationBody::Presences(list) => presence::on_passed_on(board, now, list, out),
         ReplicationBody::Append(append) if is_old => {
             replicate::refuse_old_leader(board, &sender, &append, out);
         }
@@ -292,5 +319,6 @@
         members: settings.first_members.clone(),
         catalogue: Arc::default(),
         outcomes: Vec::new(),
+        document: None,
     }
 }
--- a/crates/cumincart-core/src/control/announcements.rs
+++ b/crates/cumincart-core/src/control/announcements.rs
@@ -115,7 +115,8 @@
     }
 }
 
-fn take(board: &mut Board, now: Instant, announcement: Announcement, out: &mut Vec<Effect>) {
+/// Takes an announcement that speaks of the instant `now`.
+pub(super) fn take(board: &mut Board, now: Instant, announcement: Announcement, out: &mut Vec<Effect>) {
     let last = board.announcements.get(&announcement.endpoint);
     let proposed = last.map(|last| last.proposed).unwrap_or_default();
     let role_since = match last {
--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -4,7 +4,7 @@
     super::operators::Outcomes,
     cumincart_protocol::{
         catalogue::{Catalogue, EndpointEntry, Group, TermStart},
-        change::{Action, Change, Outcome},
+        change::{Action, Change, Configuration, Outcome, VersionedDocument},
         heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate},
         name::{EndpointName, ServiceName},
         number::{ListsRevision, LogIndex, Revision, Term},
@@ -87,13 +87,14 @@
 pub fn apply(
     catalogue: &mut Catalogue,
     outcomes: &mut Outcomes,
+    document: &mut Option<VersionedDocument>,
     record: &Record,
 ) -> (CatalogueChange, Option<Outcome>) {
     catalogue.revision = revision_of(record.index);
     match &record.command {
         Command::Open | Command::Members(_) => (CatalogueChange::Nothing, None),
         Command::Operator(change) => {
-            let (delta, outcome) = apply_change(catalogue, outcomes, change);
+            let (delta, outcome) = apply_change(catalogue, outcomes, document, change);
             (delta, Some(outcome))
         }
         Command::PutEndpoint(service, entry) => (put_endpoint(catalogue, service, entry), None),
@@ -116,17 +117,22 @@
 fn apply_change(
     catalogue: &mut Catalogue,
     outcomes: &mut Outcomes,
+    document: &mut Option<VersionedDocument>,
     change: &Change,
 ) -> (CatalogueChange, Outcome) {
     if let Some(outcome) = outcomes.get(&change.id) {
         return (CatalogueChange::Nothing, outcome.clone());
     }
-    let (delta, outcome) = decide(catalogue, &change.action);
+    let (delta, outcome) = decide(catalogue, document, &change.action);
     outcomes.remember(change.id.clone(), outcome.clone());
     (delta, outcome)
 }
 
-fn decide(catalogue: &mut Catalogue, action: &Action) -> (CatalogueChange, Outcome) {
+fn decide(
+    catalogue: &mut Catalogue,
+    document: &mut Option<VersionedDocument>,
+    action: &Action,
+) -> (CatalogueChange, Outcome) {
     let change = match action {
         Action::Apply { base, .. } if *base != catalogue.lists_revision => {
             let outcome = Outcome::Conflict { base: *base, current: catalogue.lists_revision };
@@ -137,6 +143,7 @@
             catalogue.lists = Arc::clone(lists);
             CatalogueChange::Lists(catalogue.lists_revision, Arc::clone(lists))
         }
+        Action::Replace(configuration) => replace(catalogue, document, configuration),
         Action::SetDomain { domain, out } => {
             set_member(&mut catalogue.domains_out, domain, *out);
             CatalogueChange::DomainsOut(catalogue.domains_out.clone())
@@ -151,6 +158,24 @@
     (change, outcome)
 }
 
+/// Puts a configuration in force whose version is higher than the one in force; an older one changes nothing.
+fn replace(
+    catalogue: &mut Catalogue,
+    document: &mut Option<VersionedDocument>,
+    configuration: &Configuration,
+) -> CatalogueChange {
+    if document.as_ref().is_some_and(|current| current.version >= configuration.version) {
+        return CatalogueChange::Nothing;
+    }
+    *document = Some(VersionedDocument {
+        version: configuration.version,
+        document: Arc::clone(&configuration.document),
+    });
+    catalogue.lists_revision = catalogue.lists_revision.next();
+    catalogue.lists = Arc::clone(&configuration.lists);
+    CatalogueChange::Lists(catalogue.lists_revision, Arc::clone(&configuration.lists))
+}
+
 fn set_member<T: Keyed<Key = T> + Clone>(set: &mut SortedVec<T>, item: &T, present: bool) {
     if present {
         set.insert(item.clone());
--- a/crates/cumincart-core/src/control/choice.rs
+++ b/crates/cumincart-core/src/control/choice.rs
@@ -16,6 +16,9 @@
 /// How long endpoints that were heard lately are waited for beyond a majority, in milliseconds.
 pub const STRAGGLER_WAIT_MS: u64 = 2 * ANNOUNCEMENT_INTERVAL_MS + 50;
 
+/// How long a majority of an asynchronously replicated group is waited for after the fence, in milliseconds.
+pub const MAJORITY_WAIT_MS: u64 = 2_000;
+
 /// How long a planned move holds writes for a replica to catch up, in milliseconds.
 pub const MOVE_TIMEOUT_MS: u64 = 2_000;
 
@@ -91,7 +94,8 @@
     answers: &[&Announcement],
     fenced_at: Instant,
 ) -> Choice {
-    if answers.len() < group.endpoints.len() / 2 + 1 {
+    let has_majority = answers.len() > group.endpoints.len() / 2;
+    if !has_majority && !may_choose_from_few(board, now, group, fenced_at) {
         return Choice::Wait("less than a majority of the group has announced itself");
     }
     if awaits_stragglers(board, now, group, answers, fenced_at) {
@@ -107,6 +111,14 @@
     Choice::Endpoint(in_service.unwrap_or(best).endpoint.clone())
 }
 
+/// Whether less than a majority is enough: where replication is asynchronous, waiting longer for endpoints that don't
+/// answer finds no acknowledged write for sure, and costs service.
+fn may_choose_from_few(board: &Board, now: Instant, group: &Group, fenced_at: Instant) -> bool {
+    let limits = board.catalogue.lists.interactive.services.get(&group.service);
+    limits.is_some_and(|limits| limits.synchronous_replicas == 0)
+        && now.saturating_since(fenced_at) >= Duration::from_millis(MAJORITY_WAIT_MS)
+}
+
 fn best_in_service<'a>(
     board: &Board,
     group: &Group,
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -17,6 +17,7 @@
     snapshot::take_if_due(board, out);
     if board.election.is_leader() {
         members::promote_learners(board, now, out);
+        members::retire_silent(board, now, out);
         read_index::serve(board, now, out);
     }
 }
@@ -66,7 +67,7 @@
     let Some(record) = board.log.get(index) else { return };
     let from = board.catalogue.revision;
     let catalogue = Arc::make_mut(&mut board.catalogue);
-    let (change, outcome) = catalogue::apply(catalogue, &mut board.outcomes, record);
+    let (change, outcome) = catalogue::apply(catalogue, &mut board.outcomes, &mut board.document, record);
     let to = board.catalogue.revision;
     board.recent.push(CatalogueDelta { from, to, change });
     board.log.applied = index;
--- a/crates/cumincart-core/src/control/detection.rs
+++ b/crates/cumincart-core/src/control/detection.rs
@@ -66,6 +66,17 @@
     evidence.not_reaching >= needed || evidence.silent_ms >= SILENT_ALONE_MS
 }
 
+/// The silence after which a surveyed endpoint counts as dead where nobody reports that it was reached, in milliseconds:
+/// two surveys that had their whole time and failed.
+pub const SURVEY_SILENT_MS: u64 = 1_500;
+
+/// Whether an endpoint that the leader asks itself is dead: its own attempts fail, and entry instances either agree or
+/// have nothing to say for it.
+pub fn survey_finds_dead(evidence: &Evidence) -> bool {
+    let is_unheard = evidence.silent_ms >= SURVEY_SILENT_MS && evidence.reaching == 0;
+    agrees_dead(evidence) || is_unheard
+}
+
 /// The last report of each entry instance on each endpoint.
 #[derive(Debug, Default)]
 pub struct Reports {
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        Board, Effect, announcements::Announcements, failover, leases, members, operators, permits,
-        read_index, replicate, shares,
+        Board, Effect, announcements::Announcements, failover, leases, members, operators, permits, presence,
+        read_index, replicate, shares, survey,
     },
     cumincart_protocol::{
         name::InstanceName,
@@ -69,6 +69,11 @@
         self.leader.as_ref()
     }
 
+    /// How long no leader was heard; the whole run where none was.
+    pub fn leaderless_for(&self, now: Instant) -> Duration {
+        now.saturating_since(self.heard_at.unwrap_or_default())
+    }
+
     /// Whether a leader was heard within the shortest election time-out.
     pub fn hears_leader(&self, now: Instant) -> bool {
         let limit = Duration::from_millis(ELECTION_TIMEOUT_MIN_MS);
@@ -160,11 +165,25 @@
 }
 
 /// The sender of a message as a member: its name and disk, at the address that the group knows.
+///
+/// A sender that the group does not know counts only where it asks to be taken in, or where this instance is outside
+/// and hears from the group for the first time.
 pub fn sender(board: &Board, from: &InstanceName, message: &ReplicationMessage) -> Option<Member> {
     let known = members::all(board.log.members()).find(|member| member.instance == *from);
     let first = || board.settings.first_members.voters.get(from);
-    let known = known.or_else(first)?;
-    Some(Member { disk: message.disk.clone(), ..known.clone() })
+    if let Some(known) = known.or_else(first) {
+        return Some(Member { disk: message.disk.clone(), ..known.clone() });
+    }
+    let is_greeting = match message.body {
+        ReplicationBody::Join(_) => true,
+        ReplicationBody::Append(_) | ReplicationBody::Install(_) => members::is_outside(board),
+        _ => false,
+    };
+    is_greeting.then(|| Member {
+        instance: from.clone(),
+        disk: message.disk.clone(),
+        peer_address: message.peer_address.clone(),
+    })
 }
 
 fn is_voter(board: &Board) -> bool {
@@ -220,6 +239,8 @@
     leases::on_elected(&mut board.leases, now);
     failover::on_elected(board);
     board.announcements = Announcements::default();
+    presence::on_elected(board);
+    survey::on_elected(board);
     begin_ledgers(board, now, term);
     replicate::on_elected(board, now);
     replicate::propose(board, now, Command::Open, out);
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -4,7 +4,7 @@
 //! counts it from when it asked, which was earlier. So the leader's end is never before the holder's.
 
 use {
-    super::{Board, Effect, Ticket, holder_key::HolderKey, permits, shares},
+    super::{Board, Effect, Ticket, catalogue::revision_of, holder_key::HolderKey, members, permits, shares},
     crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
     cumincart_protocol::{
         heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
@@ -14,7 +14,7 @@
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// How long the list of instances is repeated after a change, in milliseconds, so that a lost answer does no harm.
@@ -150,6 +150,8 @@
     let repeat = Duration::from_millis(INSTANCES_REPEAT_MS);
     let changed_lately = now.saturating_since(board.leases.instances_changed_at) < repeat;
     answer.instances = changed_lately.then(|| board.leases.instances());
+    let members_changed = heartbeat.revision < revision_of(board.log.members_index());
+    answer.control_addresses = (changed_lately || members_changed).then(|| control_addresses(board));
     out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
 }
 
@@ -239,6 +241,10 @@
     }
 }
 
+fn control_addresses(board: &Board) -> Vec<Arc<str>> {
+    members::all(board.log.members()).map(|member| member.peer_address.clone()).collect()
+}
+
 fn answer_base(board: &Board, incarnation: Incarnation, asked_at: Instant) -> HeartbeatAnswer {
     HeartbeatAnswer {
         asked_at,
@@ -251,5 +257,6 @@
         shares: Vec::new(),
         permits: Vec::new(),
         instances: None,
+        control_addresses: None,
     }
 }
--- a/crates/cumincart-core/src/control/log.rs
+++ b/crates/cumincart-core/src/control/log.rs
@@ -1,6 +1,7 @@
 //! The replicated log as this instance holds it: a snapshot's end, the records after it, commit and apply marks.
 
 use cumincart_protocol::{
+    change::{Action, Change},
     number::{ControlTerm, LogIndex},
     replication::{Command, Members, Record},
 };
@@ -14,6 +15,8 @@
     records: Vec<Record>,
     members: Members,
     members_index: LogIndex,
+    /// The size of the configurations among the kept records.
+    configuration_bytes: usize,
     /// The last index known to be on a majority.
     pub commit: LogIndex,
     /// The last index applied to the catalogue.
@@ -30,13 +33,20 @@
             records,
             members,
             members_index: index,
+            configuration_bytes: 0,
             commit: index,
             applied: index,
         };
         log.find_members();
+        log.measure();
         log
     }
 
+    /// The size of the configurations among the kept records, in bytes.
+    pub fn configuration_bytes(&self) -> usize {
+        self.configuration_bytes
+    }
+
     /// The index of the last record; the snapshot's where there is none.
     pub fn last_index(&self) -> LogIndex {
         self.records.last().map_or(self.base_index, |record| record.index)
@@ -98,6 +108,7 @@
             self.members = members.clone();
             self.members_index = record.index;
         }
+        self.configuration_bytes += configuration_bytes(&record.command);
         self.records.push(record);
     }
 
@@ -106,6 +117,7 @@
         let keep = index.0.saturating_sub(self.base_index.0 + 1);
         self.records.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
         self.find_members();
+        self.measure();
     }
 
     /// Drops the records up to an index that a snapshot now covers.
@@ -117,6 +129,12 @@
         self.base_index = index;
         self.base_term = term;
         self.find_members();
+        self.measure();
+    }
+
+    fn measure(&mut self) {
+        self.configuration_bytes =
+            self.records.iter().map(|record| configuration_bytes(&record.command)).sum();
     }
 
     /// How many records are kept.
@@ -141,6 +159,16 @@
     }
 }
 
+/// The size of a record's configuration; its lists are about as large as its document.
+fn configuration_bytes(command: &Command) -> usize {
+    match command {
+        Command::Operator(Change { action: Action::Replace(configuration), .. }) => {
+            2 * configuration.document.len()
+        }
+        _ => 0,
+    }
+}
+
 fn members_of(command: &Command) -> Option<&Members> {
     match command {
         Command::Members(members) => Some(members),
--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -4,7 +4,7 @@
 //! its disks, a quorum is all of its members; so an instance whose disk was wiped can never take its old place.
 
 use {
-    super::{Board, Effect, replicate},
+    super::{Board, Effect, election, replicate},
     cumincart_protocol::{
         name::InstanceName,
         replication::{Command, DiskId, Member, Members, ReplicationBody},
@@ -24,6 +24,20 @@
 /// The most control instances in the group.
 pub const MEMBERS_MAX: usize = 8;
 
+/// How long a member hears no leader before it asks whether it still is one, in milliseconds: several election
+/// timeouts, so that an ordinary change of leader asks nothing.
+pub const LEADERLESS_JOIN_MS: u64 = 2_000;
+
+/// The fewest voters that retiring silent ones leaves: fewer would not survive a loss.
+pub const VOTERS_MIN: usize = 3;
+
+/// How long a voter of an even group must be silent before it is retired, in milliseconds. An even group survives no
+/// more losses than the odd group below it, so that retiring costs nothing.
+pub const RETIRE_EVEN_MS: u64 = 2_500;
+
+/// How long a voter of an odd group must be silent before it is retired, in milliseconds.
+pub const RETIRE_ODD_MS: u64 = 10_000;
+
 /// Whether these instances are a quorum of the voters.
 pub fn is_quorum(members: &Members, granted: impl Fn(&Member) -> bool) -> bool {
     let voters = members.voters.len();
@@ -53,23 +67,40 @@
     members.voters.iter().chain(members.learners.iter())
 }
 
-/// Asks to be taken in as a learner, as long as this instance's disk is not written down as a member's.
+/// Whether this instance's disk is not written down as a member's.
+pub fn is_outside(board: &Board) -> bool {
+    let own = &board.settings.member;
+    let members = board.log.members();
+    !is_bound(members) || member(members, &own.instance, &own.disk).is_none()
+}
+
+/// Asks to be taken in as a learner, as long as this instance is outside or hears no leader: it may have been retired
+/// while it was cut off.
 pub fn join_if_outside(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     let own = board.settings.member.clone();
-    let members = board.log.members();
-    let inside = is_bound(members) && member(members, &own.instance, &own.disk).is_some();
-    if inside || now < board.next_join_at {
+    let is_leaderless = !board.election.is_leader()
+        && board.election.leaderless_for(now) >= Duration::from_millis(LEADERLESS_JOIN_MS);
+    let asks = is_outside(board) || is_leaderless;
+    if !asks || now < board.next_join_at {
         return;
     }
     board.next_join_at = now + Duration::from_millis(JOIN_INTERVAL_MS);
-    let known: SortedVec<Member> = all(&board.settings.first_members).chain(all(members)).cloned().collect();
+    let members = board.log.members();
+    let first = all(&board.settings.first_members);
+    let known: SortedVec<Member> = board.seeds.iter().chain(first).chain(all(members)).cloned().collect();
     for other in known.iter().filter(|other| other.instance != own.instance) {
         replicate::send(board, other, ReplicationBody::Join(own.clone()), out);
     }
 }
 
 /// Takes a request to join in: first removes the instance's old disk, then adds the new one as a learner.
+///
+/// A follower passes the request on, since the asking instance may know only followers.
 pub fn on_join(board: &mut Board, now: Instant, asking: &Member, out: &mut Vec<Effect>) {
+    if !board.election.is_leader() {
+        pass_on(board, asking, out);
+        return;
+    }
     if !may_change(board) || asking.instance == board.settings.member.instance || !asking.disk.is_bound() {
         return;
     }
@@ -94,6 +125,36 @@
     replicate::propose(board, now, Command::Members(changed), out);
 }
 
+fn pass_on(board: &Board, asking: &Member, out: &mut Vec<Effect>) {
+    let Some(leader) = election::leader_hint(board) else { return };
+    let is_own = leader.instance == board.settings.member.instance || leader.instance == asking.instance;
+    let known = all(board.log.members()).find(|member| member.instance == leader.instance);
+    if let Some(leader) = known.filter(|_| !is_own) {
+        replicate::send(board, leader, ReplicationBody::Join(asking.clone()), out);
+    }
+}
+
+/// Retires a voter that has been silent for long, so that a group whose member was replaced by another does not go on
+/// counting the dead one.
+pub fn retire_silent(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let members = board.log.members();
+    if members.voters.len() <= VOTERS_MIN || !may_change(board) {
+        return;
+    }
+    let is_even = members.voters.len().is_multiple_of(2);
+    let limit = Duration::from_millis(if is_even { RETIRE_EVEN_MS } else { RETIRE_ODD_MS });
+    let own = &board.settings.member.instance;
+    let silent = members.voters.iter().find(|voter| {
+        let silence = now.saturating_since(board.replication.heard_at(&voter.instance));
+        voter.instance != *own && silence >= limit
+    });
+    let Some(silent) = silent.map(|voter| voter.instance.clone()) else { return };
+    let mut changed = members.clone();
+    changed.voters.remove(&silent);
+    out.push(Effect::Note(format!("control instance {silent} is silent and no longer votes").into()));
+    replicate::propose(board, now, Command::Members(changed), out);
+}
+
 /// Makes a learner that has the whole log a voter.
 pub fn promote_learners(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     if board.log.members().learners.is_empty() || !may_change(board) {
--- /dev/null
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -0,0 +1,206 @@
+//! Endpoints that say only that they are there: the leader keeps the last presence of each and the groups' entries.
+
+use {
+    super::{Board, Effect, election, failover, members, replicate},
+    cumincart_protocol::{
+        announcement::Presence,
+        catalogue::{Catalogue, EndpointEntry},
+        name::{EndpointName, ServiceName},
+        number::LogIndex,
+        replication::{Command, ReplicationBody},
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::time::Duration,
+};
+
+/// How long an endpoint must be silent before it is removed from its group, in milliseconds: several of the longest
+/// usual intervals between presences.
+pub const EXPIRE_AFTER_MS: u64 = 15_000;
+
+/// Connections of each endpoint that are kept for the control instances' surveys.
+pub const SURVEY_CONNECTIONS: u32 = 2;
+
+/// The last presence of an endpoint.
+#[derive(Debug, Clone)]
+struct HeardPresence {
+    presence: Presence,
+    at: Instant,
+    /// The record that last changed the endpoint's entry.
+    proposed: LogIndex,
+}
+
+impl Keyed for HeardPresence {
+    type Key = EndpointName;
+
+    fn key(&self) -> &EndpointName {
+        &self.presence.endpoint
+    }
+}
+
+/// The last presence of every endpoint, as the leader heard them.
+#[derive(Debug, Default)]
+pub struct Presences {
+    heard: SortedVec<HeardPresence>,
+}
+
+impl Presences {
+    /// The last presence of an endpoint.
+    pub fn get(&self, endpoint: &EndpointName) -> Option<&Presence> {
+        self.heard.get(endpoint).map(|heard| &heard.presence)
+    }
+}
+
+/// Forgets what an earlier leadership heard.
+pub fn on_elected(board: &mut Board) {
+    board.presences = Presences::default();
+}
+
+/// Takes a presence; a follower passes it on to the leader.
+pub fn on_present(board: &mut Board, now: Instant, presence: Presence, out: &mut Vec<Effect>) {
+    if board.election.is_leader() {
+        take(board, now, presence, out);
+        return;
+    }
+    let Some(leader) = election::leader_hint(board) else { return };
+    let known = members::all(board.log.members()).find(|member| member.instance == leader.instance);
+    let Some(leader) = known.cloned() else { return };
+    replicate::send(board, &leader, ReplicationBody::Presences(vec![presence]), out);
+}
+
+/// Takes what a follower has passed on.
+pub fn on_passed_on(board: &mut Board, now: Instant, presences: Vec<Presence>, out: &mut Vec<Effect>) {
+    if !board.election.is_leader() {
+        return;
+    }
+    for presence in presences {
+        take(board, now, presence, out);
+    }
+}
+
+/// Puts the entries of what was heard in order, and removes endpoints that have been silent for long.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if !failover::is_in_charge(board) {
+        return;
+    }
+    let heard: Vec<EndpointName> =
+        board.presences.heard.iter().map(|heard| heard.presence.endpoint.clone()).collect();
+    for endpoint in heard {
+        enter(board, now, &endpoint, out);
+    }
+    if board.surveys.is_enabled {
+        remove_expired(board, now, out);
+    }
+}
+
+/// Whether a presence is older than the one that is known, or speaks for an address that a later run has taken.
+fn is_outdated(presences: &Presences, presence: &Presence) -> bool {
+    let order = |presence: &Presence| (presence.born_ms, presence.sequence);
+    let last = presences.heard.get(&presence.endpoint);
+    if last.is_some_and(|last| order(&last.presence) >= order(presence)) {
+        return true;
+    }
+    presences.heard.iter().any(|other| {
+        other.presence.address == presence.address
+            && other.presence.endpoint != presence.endpoint
+            && !other.presence.ended
+            && other.presence.born_ms > presence.born_ms
+    })
+}
+
+fn take(board: &mut Board, now: Instant, presence: Presence, out: &mut Vec<Effect>) {
+    if is_outdated(&board.presences, &presence) {
+        return;
+    }
+    let endpoint = presence.endpoint.clone();
+    let proposed = board.presences.heard.get(&endpoint).map(|last| last.proposed).unwrap_or_default();
+    board.presences.heard.insert(HeardPresence { presence, at: now, proposed });
+    if failover::is_in_charge(board) {
+        enter(board, now, &endpoint, out);
+    }
+}
+
+/// Brings the endpoint's entry in line with its last presence.
+fn enter(board: &mut Board, now: Instant, endpoint: &EndpointName, out: &mut Vec<Effect>) {
+    let Some(heard) = board.presences.heard.get(endpoint) else { return };
+    if board.log.applied < heard.proposed {
+        return;
+    }
+    let presence = &heard.presence;
+    let Some(limits) = board.catalogue.lists.interactive.services.get(&presence.service) else { return };
+    let entry = entry(presence, limits.connection_limit.saturating_sub(SURVEY_CONNECTIONS).max(1));
+    let known = known_entry(&board.catalogue, &presence.service, endpoint);
+    let command = if presence.ended {
+        if known.is_none() || is_primary(&board.catalogue, &presence.service, endpoint) {
+            return;
+        }
+        Command::RemoveEndpoint(presence.service.clone(), endpoint.clone())
+    } else if known == Some(&entry) {
+        return;
+    } else {
+        Command::PutEndpoint(presence.service.clone(), entry)
+    };
+    out.push(Effect::Note(describe(&command)));
+    let index = replicate::propose(board, now, command, out);
+    if let Some(heard) = board.presences.heard.get_mut(endpoint) {
+        heard.proposed = index;
+    }
+}
+
+fn describe(command: &Command) -> std::sync::Arc<str> {
+    match command {
+        Command::PutEndpoint(service, entry) => format!(
+            "{service}: endpoint {} at {} in {}, leaving: {}",
+            entry.name, entry.address, entry.domain, entry.leaving
+        ),
+        Command::RemoveEndpoint(service, endpoint) => format!("{service}: endpoint {endpoint} is removed"),
+        _ => String::new(),
+    }
+    .into()
+}
+
+fn remove_expired(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    let limit = Duration::from_millis(EXPIRE_AFTER_MS);
+    let elected_at = board.replication.elected_at();
+    let silent_since = |endpoint: &EndpointName| {
+        let present = board.presences.heard.get(endpoint).map_or(elected_at, |heard| heard.at);
+        let answered = board.announcements.get(endpoint).map_or(elected_at, |heard| heard.at);
+        present.max(answered).max(elected_at)
+    };
+    let mut expired: Vec<(ServiceName, EndpointName)> = Vec::new();
+    for group in &board.catalogue.groups {
+        let silent = group.endpoints.iter().filter(|entry| {
+            group.primary.as_ref() != Some(&entry.name)
+                && now.saturating_since(silent_since(&entry.name)) >= limit
+        });
+        expired.extend(silent.map(|entry| (group.service.clone(), entry.name.clone())));
+    }
+    for (service, endpoint) in expired {
+        out.push(Effect::Note(format!("{service}: endpoint {endpoint} is silent and removed").into()));
+        board.presences.heard.remove(&endpoint);
+        replicate::propose(board, now, Command::RemoveEndpoint(service, endpoint), out);
+    }
+}
+
+fn entry(presence: &Presence, connection_limit: u32) -> EndpointEntry {
+    EndpointEntry {
+        name: presence.endpoint.clone(),
+        address: presence.address.clone(),
+        domain: presence.domain.clone(),
+        slots: presence.slots,
+        connection_limit,
+        leaving: presence.leaving,
+    }
+}
+
+fn known_entry<'a>(
+    catalogue: &'a Catalogue,
+    service: &ServiceName,
+    endpoint: &EndpointName,
+) -> Option<&'a EndpointEntry> {
+    catalogue.group(service)?.endpoints.get(endpoint)
+}
+
+fn is_primary(catalogue: &Catalogue, service: &ServiceName, endpoint: &EndpointName) -> bool {
+    catalogue.group(service).is_some_and(|group| group.primary.as_ref() == Some(endpoint))
+}
--- a/crates/cumincart-core/src/control/promotion.rs
+++ b/crates/cumincart-core/src/control/promotion.rs
@@ -5,7 +5,7 @@
     cumincart_protocol::{
         catalogue::Group,
         name::{EndpointName, ServiceName},
-        number::{LogPosition, Term, Timeline},
+        number::{ControlTerm, LogPosition, Term, Timeline},
         replication::Command,
         time::Instant,
     },
@@ -32,6 +32,18 @@
     pub endpoint: EndpointName,
     /// Its address, as `ip:port`.
     pub address: Arc<str>,
+    /// The election term of the leader that orders it.
+    pub control_term: ControlTerm,
+}
+
+/// The bits of a fencing token below the leader's election term.
+const FENCE_TERM_BITS: u32 = 24;
+
+impl Promotion {
+    /// The fencing token: no two leaders use the same one, and it grows with every leader and every term of the group.
+    pub fn fencing_token(&self) -> u64 {
+        (self.control_term.0 << FENCE_TERM_BITS) + self.term.0
+    }
 }
 
 /// The state of an endpoint just promoted.
@@ -106,6 +118,7 @@
         term: group.term,
         endpoint: primary.clone(),
         address: Arc::clone(&entry.address),
+        control_term: board.election.ballot.term,
     };
     let order = &mut failover::change_of(board, now, &group.service).order;
     if order.term != group.term {
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -103,6 +103,7 @@
 pub fn send(board: &Board, to: &Member, body: ReplicationBody, out: &mut Vec<Effect>) {
     let message = ReplicationMessage {
         disk: board.settings.member.disk.clone(),
+        peer_address: board.settings.member.peer_address.clone(),
         incarnation: board.settings.incarnation,
         term: board.election.ballot.term,
         body,
--- a/crates/cumincart-core/src/control/snapshot.rs
+++ b/crates/cumincart-core/src/control/snapshot.rs
@@ -13,6 +13,10 @@
 /// A snapshot is taken when this many applied records are kept.
 pub const SNAPSHOT_AFTER_RECORDS: u64 = 1_024;
 
+/// A snapshot is taken when the kept records' configurations are this large, in bytes: a fraction of the smallest disk
+/// that a control instance is given, which holds the state twice while it is written anew.
+pub const SNAPSHOT_AFTER_BYTES: usize = 4 * 1024 * 1024;
+
 /// How many applied records are kept behind a snapshot, for followers that are a little behind.
 pub const RECORDS_KEPT: u64 = 256;
 
@@ -25,17 +29,20 @@
         members: board.log.members_at(index),
         catalogue: Arc::clone(&board.catalogue),
         outcomes: board.outcomes.to_vec(),
+        document: board.document.clone(),
     }
 }
 
 /// Takes a snapshot when the log has grown long.
 pub fn take_if_due(board: &mut Board, out: &mut Vec<Effect>) {
     let kept = board.log.applied.0.saturating_sub(board.log.base_index().0);
-    if kept < SNAPSHOT_AFTER_RECORDS {
+    let is_large = board.log.configuration_bytes() >= SNAPSHOT_AFTER_BYTES;
+    if kept == 0 || (kept < SNAPSHOT_AFTER_RECORDS && !is_large) {
         return;
     }
     out.push(Effect::Persist(Persist::Snapshot(Box::new(current(board)))));
-    board.log.compact(LogIndex(board.log.applied.0 - RECORDS_KEPT));
+    let kept_after = if is_large { 0 } else { RECORDS_KEPT };
+    board.log.compact(LogIndex(board.log.applied.0 - kept_after));
 }
 
 /// Takes a leader's snapshot in.
@@ -56,5 +63,6 @@
     board.log = Log::open(snapshot.index, snapshot.term, snapshot.members, kept);
     board.catalogue = snapshot.catalogue;
     board.outcomes = Outcomes::open(snapshot.outcomes);
+    board.document = snapshot.document;
     board.recent.clear();
 }
--- a/crates/cumincart-core/src/control/status.rs
+++ b/crates/cumincart-core/src/control/status.rs
@@ -5,6 +5,7 @@
     cumincart_protocol::{
         announcement::Announcement,
         catalogue::Catalogue,
+        change::VersionedDocument,
         name::InstanceName,
         number::{ControlTerm, Incarnation, Revision},
         replication::Members,
@@ -22,6 +23,8 @@
     pub term: ControlTerm,
     /// The catalogue.
     pub catalogue: Arc<Catalogue>,
+    /// The document of the configuration in force.
+    pub document: Option<VersionedDocument>,
     /// The control group.
     pub members: Members,
     /// The entry instances that hold a lease or held one lately.
@@ -60,6 +63,7 @@
         leader: board.settings.member.instance.clone(),
         term: board.election.ballot.term,
         catalogue: Arc::clone(&board.catalogue),
+        document: board.document.clone(),
         members: board.log.members().clone(),
         instances: board.leases.holders().iter().map(|holder| instance_status(holder, now)).collect(),
         earlier_leases_left_ms: whole_ms(board.leases.earlier_until().saturating_since(now)),
--- /dev/null
+++ b/crates/cumincart-core/src/control/survey.rs
@@ -0,0 +1,158 @@
+//! Surveys: the leader asks endpoints for the state of their logs, where they don't announce it themselves.
+
+use {
+    super::{Board, Effect, announcements, failover},
+    cumincart_protocol::{
+        announcement::{Announcement, LogState},
+        catalogue::{EndpointEntry, Group},
+        name::{EndpointName, ServiceName},
+        sorted::{Keyed, SortedVec},
+        time::Instant,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two surveys of an endpoint of a group that takes writes, in milliseconds.
+pub const SURVEY_INTERVAL_MS: u64 = 500;
+
+/// Time between two surveys while the group has no primary that takes writes, or the last one failed, in milliseconds.
+pub const SURVEY_URGENT_INTERVAL_MS: u64 = 100;
+
+/// How long an endpoint may take for its answer, in milliseconds: a round trip between regions and its queue.
+pub const SURVEY_TIMEOUT_MS: u64 = 600;
+
+/// A question for the state of an endpoint's log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Survey {
+    /// The service.
+    pub service: ServiceName,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Its address, as `ip:port`.
+    pub address: Arc<str>,
+    /// When it was asked; the answer speaks of a later moment.
+    pub asked_at: Instant,
+}
+
+#[derive(Debug)]
+struct Surveyed {
+    endpoint: EndpointName,
+    asked_at: Instant,
+    is_waiting: bool,
+    has_failed: bool,
+}
+
+impl Keyed for Surveyed {
+    type Key = EndpointName;
+
+    fn key(&self) -> &EndpointName {
+        &self.endpoint
+    }
+}
+
+/// The surveys of this leadership.
+#[derive(Debug, Default)]
+pub struct Surveys {
+    /// Whether endpoints are surveyed at all.
+    pub is_enabled: bool,
+    asked: SortedVec<Surveyed>,
+}
+
+/// Forgets what an earlier leadership asked.
+pub fn on_elected(board: &mut Board) {
+    board.surveys.asked = SortedVec::new();
+}
+
+/// Asks the endpoints whose survey is due.
+pub fn on_tick(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
+    if !board.surveys.is_enabled || !failover::is_in_charge(board) {
+        return;
+    }
+    let catalogue = Arc::clone(&board.catalogue);
+    for group in &catalogue.groups {
+        for entry in &group.endpoints {
+            ask_when_due(&mut board.surveys, now, group, entry, out);
+        }
+    }
+}
+
+fn ask_when_due(
+    surveys: &mut Surveys,
+    now: Instant,
+    group: &Group,
+    entry: &EndpointEntry,
+    out: &mut Vec<Effect>,
+) {
+    let known = surveys.asked.get(&entry.name);
+    let is_urgent = !group.writable || known.is_some_and(|known| known.has_failed);
+    let interval_ms = if is_urgent { SURVEY_URGENT_INTERVAL_MS } else { SURVEY_INTERVAL_MS };
+    let is_due = known.is_none_or(|known| {
+        let wait_ms = if known.is_waiting { 2 * SURVEY_TIMEOUT_MS } else { interval_ms };
+        now.saturating_since(known.asked_at) >= Duration::from_millis(wait_ms)
+    });
+    if !is_due {
+        return;
+    }
+    let has_failed = known.is_some_and(|known| known.has_failed);
+    surveys.asked.insert(Surveyed {
+        endpoint: entry.name.clone(),
+        asked_at: now,
+        is_waiting: true,
+        has_failed,
+    });
+    out.push(Effect::Survey(Survey {
+        service: group.service.clone(),
+        endpoint: entry.name.clone(),
+        address: Arc::clone(&entry.address),
+        asked_at: now,
+    }));
+}
+
+/// Takes an answer as the endpoint's announcement, as of when it was asked.
+pub fn on_surveyed(
+    board: &mut Board,
+    now: Instant,
+    survey: &Survey,
+    answer: Option<LogState>,
+    out: &mut Vec<Effect>,
+) {
+    if !board.election.is_leader() || survey.asked_at < board.replication.elected_at() {
+        return;
+    }
+    let Some(asked) = board.surveys.asked.get_mut(&survey.endpoint) else { return };
+    if asked.asked_at != survey.asked_at {
+        return;
+    }
+    asked.is_waiting = false;
+    let had_failed = std::mem::replace(&mut asked.has_failed, answer.is_none());
+    if had_failed != answer.is_none() {
+        let what = if answer.is_some() { "answers again" } else { "does not answer" };
+        let waited_ms = now.saturating_since(survey.asked_at).as_millis();
+        let note = format!("{}: endpoint {} {what} ({waited_ms} ms)", survey.service, survey.endpoint);
+        out.push(Effect::Note(note.into()));
+    }
+    let Some(state) = answer else { return };
+    let group = board.catalogue.group(&survey.service);
+    let Some(entry) = group.and_then(|group| group.endpoints.get(&survey.endpoint)) else { return };
+    if entry.address != survey.address {
+        return;
+    }
+    let announcement = announcement(&survey.service, entry, state);
+    announcements::take(board, survey.asked_at, announcement, out);
+}
+
+fn announcement(service: &ServiceName, entry: &EndpointEntry, state: LogState) -> Announcement {
+    Announcement {
+        endpoint: entry.name.clone(),
+        service: service.clone(),
+        address: entry.address.clone(),
+        domain: entry.domain.clone(),
+        role: state.role,
+        timeline: state.timeline,
+        position: state.position,
+        lag_ms: state.lag_ms,
+        slots: entry.slots,
+        connection_limit: entry.connection_limit,
+        leaving: entry.leaving,
+    }
+}
--- /dev/null
+++ b/crates/cumincart-core/src/interactive/positions.rs
@@ -0,0 +1,91 @@
+//! How far a group's log was, and when: what a replica must have before it may serve a read that accepts an age.
+//!
+//! An answer of the primary, asked for under a term lease, names a point that covers every commit acknowledged before it
+//! was asked for. So a replica that has this point may serve reads whose bound reaches back to that moment.
+
+use {
+    cumincart_protocol::{
+        catalogue::TermStart,
+        number::{LogPosition, Timeline},
+        time::Instant,
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::VecDeque, fmt, time::Duration},
+};
+
+/// The shortest time between two samples that are kept, in milliseconds.
+pub const SAMPLE_INTERVAL_MS: u64 = 25;
+
+/// How long samples are kept, in milliseconds: longer than any age that reads usually accept.
+pub const SAMPLE_KEPT_MS: u64 = 5_000;
+
+/// A point of a group's log: a later timeline goes before a greater position.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LogPoint {
+    /// The timeline.
+    pub timeline: Timeline,
+    /// The position.
+    pub position: LogPosition,
+}
+
+impl fmt::Display for LogPoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.timeline, self.position)
+    }
+}
+
+impl LogPoint {
+    /// The point with what promotions have rolled back taken off, so that some endpoint can have it.
+    #[must_use]
+    pub fn without_lost(self, starts: &[TermStart]) -> Self {
+        let next = starts.iter().find(|start| start.timeline > self.timeline);
+        match next {
+            Some(next) if self.position > next.position => Self { position: next.position, ..self },
+            _ => self,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    asked_at: Instant,
+    point: LogPoint,
+}
+
+/// The primary's last points, oldest first.
+#[derive(Debug, Default)]
+pub struct Positions {
+    samples: VecDeque<Sample>,
+}
+
+impl Positions {
+    /// Takes a point that the primary answered to a question of `asked_at`.
+    pub fn learn(&mut self, asked_at: Instant, point: LogPoint) {
+        if let Some(last) = self.samples.back()
+            && asked_at.saturating_since(last.asked_at) < Duration::from_millis(SAMPLE_INTERVAL_MS)
+        {
+            return;
+        }
+        self.samples.push_back(Sample { asked_at, point });
+        let kept = Duration::from_millis(SAMPLE_KEPT_MS);
+        while self.samples.front().is_some_and(|first| asked_at.saturating_since(first.asked_at) > kept) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// The earliest known point that covers every commit acknowledged before `since`: the one that a replica is most
+    /// likely to have.
+    pub fn covering(&self, since: Instant) -> Option<LogPoint> {
+        self.samples.iter().find(|sample| sample.asked_at >= since).map(|sample| sample.point)
+    }
+
+    /// When the last sample was asked for.
+    pub fn last_asked_at(&self) -> Option<Instant> {
+        self.samples.back().map(|sample| sample.asked_at)
+    }
+
+    /// Forgets all samples, when another primary takes over.
+    pub fn clear(&mut self) {
+        self.samples.clear();
+    }
+}
--- a/crates/cumincart-core/src/lib.rs
+++ b/crates/cumincart-core/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod control;
 pub mod entry;
+pub mod interactive;
 pub mod timing;
 pub mod work;
--- a/crates/cumincart-core/tests/control_push.rs
+++ b/crates/cumincart-core/tests/control_push.rs
@@ -37,6 +37,7 @@
         shares: Vec::new(),
         permits: Vec::new(),
         instances: None,
+        control_addresses: None,
     }))
 }
 
--- a/crates/cumincart-core/tests/control_rules.rs
+++ b/crates/cumincart-core/tests/control_rules.rs
@@ -78,7 +78,13 @@
     fn receive(&mut self, from: u8, term: u64, body: ReplicationBody) -> Vec<Effect> {
         let sender = member(from);
         let term = ControlTerm(term);
-        let message = ReplicationMessage { disk: sender.disk, incarnation: Incarnation(1), term, body };
+        let message = ReplicationMessage {
+            disk: sender.disk,
+            peer_address: sender.peer_address,
+            incarnation: Incarnation(1),
+            term,
+            body,
+        };
         self.step(Input::Replication(sender.instance, message))
     }
 
@@ -152,6 +158,7 @@
     let answer = AppendAnswer { sent_at: Instant::ZERO, success: true, matched: LogIndex(2) };
     let message = ReplicationMessage {
         disk: DiskId("another disk".into()),
+        peer_address: member(2).peer_address,
         incarnation: Incarnation(2),
         term: node.board.election.ballot.term,
         body: ReplicationBody::AppendAnswer(answer),
--- a/crates/cumincart-core/tests/entry_confirms.rs
+++ b/crates/cumincart-core/tests/entry_confirms.rs
@@ -69,6 +69,7 @@
             shares: Vec::new(),
             permits: Vec::new(),
             instances: None,
+            control_addresses: None,
         };
         self.input(Input::HeartbeatAnswer(Box::new(answer)));
     }
--- a/crates/cumincart-core/tests/entry_data_path/fixture.rs
+++ b/crates/cumincart-core/tests/entry_data_path/fixture.rs
@@ -205,6 +205,7 @@
             shares: if first { shares() } else { Vec::new() },
             permits: if first { permits(&self.catalogue) } else { Vec::new() },
             instances: Some(vec![other_instance()]),
+            control_addresses: None,
         };
         self.input(Input::HeartbeatAnswer(Box::new(answer)));
     }
@@ -351,6 +352,7 @@
             organisations: vec![organisation("clinic", KEY), organisation("taxi", OTHER_KEY)],
         },
         plans: PlanList { services: vec![Service { name: SERVICE.into(), routes }], plans: vec![plan] },
+        ..Lists::default()
     };
     let group = Group {
         service: SERVICE.into(),
--- a/crates/cumincart-core/tests/limits_keys.rs
+++ b/crates/cumincart-core/tests/limits_keys.rs
@@ -120,6 +120,7 @@
         shares: Vec::new(),
         permits: Vec::new(),
         instances: None,
+        control_addresses: None,
     }
 }
 
--- a/crates/cumincart-core/tests/limits_support/fleet.rs
+++ b/crates/cumincart-core/tests/limits_support/fleet.rs
@@ -428,6 +428,7 @@
             shares,
             permits,
             instances: None,
+            control_addresses: None,
         };
         self.bytes_from_leader += encoded_bytes(&answer);
         let until = heartbeat.asked_at + Duration::from_millis(FRESHNESS_LEASE_MS);
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -623,6 +623,8 @@
     fn carry_out(&mut self, control: usize, effect: Effect) {
         let from = self.controls[control].name.clone();
         match effect {
+            // The fleet's endpoints announce their logs' states themselves.
+            Effect::Survey(_) => {}
             Effect::Persist(persist) => persist_to(&mut self.controls[control].stored, persist),
             Effect::Send(to, message) => {
                 let Some(index) = self.controls.iter().position(|c| *c.name == *to.instance.as_str()) else {
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -2,11 +2,7 @@
 
 use {
     cumincart_core::entry::Input,
-    cumincart_protocol::{
-        heartbeat::Heartbeat,
-        name::InstanceName,
-        peer::{Leader, PeerBody},
-    },
+    cumincart_protocol::{heartbeat::Heartbeat, name::InstanceName, peer::PeerBody},
     cumincart_runtime::link::{LinkError, client::PeerLink, handshake::FleetSecret},
     slog::{Logger, info},
     std::{sync::Arc, time::Duration},
@@ -42,13 +38,14 @@
         logger: Logger,
     ) -> Self {
         let (unasked, pushed) = mpsc::unbounded_channel();
-        let links = addresses
-            .iter()
-            .map(|address| ControlLink {
-                address: address.clone(),
-                link: PeerLink::spawn_with(address.clone(), me.clone(), secret.clone(), unasked.clone()),
-            })
-            .collect();
+        let (me, secret) = (me.clone(), secret.clone());
+        let links = Links {
+            named: addresses.to_vec(),
+            links: Vec::new(),
+            open: Box::new(move |address| {
+                PeerLink::spawn_with(address.clone(), me.clone(), secret.clone(), unasked.clone())
+            }),
+        };
         tokio::spawn(take_pushed(pushed, inputs.clone()));
         let (heartbeats, queue) = mpsc::unbounded_channel();
         tokio::spawn(carry_heartbeats(links, queue, inputs, logger));
@@ -71,34 +68,84 @@
     }
 }
 
-async fn carry_heartbeats(
+/// What an attempt learned about the control instances.
+#[derive(Debug)]
+enum Learned {
+    /// This one answered, or is the next to try.
+    Target(Arc<str>),
+    /// This one is said to lead, and there is no link to it yet.
+    UnknownLeader(Arc<str>),
+    /// These form the group.
+    Members(Vec<Arc<str>>),
+}
+
+/// The links to the control instances: to those that settings name, and to those that answers name.
+struct Links {
+    named: Vec<Arc<str>>,
     links: Vec<ControlLink>,
+    open: Box<dyn Fn(&Arc<str>) -> PeerLink + Send>,
+}
+
+impl Links {
+    fn add(&mut self, address: &Arc<str>) {
+        if !self.links.iter().any(|link| link.address == *address) {
+            self.links.push(ControlLink { address: address.clone(), link: (self.open)(address) });
+        }
+    }
+
+    /// Keeps links to the group's members and to the named addresses only.
+    fn set_members(&mut self, members: &[Arc<str>]) {
+        let named = &self.named;
+        self.links.retain(|link| members.contains(&link.address) || named.contains(&link.address));
+        for address in members {
+            self.add(address);
+        }
+    }
+}
+
+async fn carry_heartbeats(
+    mut links: Links,
     mut queue: mpsc::UnboundedReceiver<Box<Heartbeat>>,
     inputs: mpsc::UnboundedSender<Input>,
     logger: Logger,
 ) {
-    if links.is_empty() {
-        return;
+    let named = links.named.clone();
+    let Some(mut target) = named.first().cloned() else { return };
+    for address in &named {
+        links.add(address);
     }
-    let (targets, mut found) = mpsc::unbounded_channel();
-    let mut target = 0;
+    let (learned_sender, mut learned) = mpsc::unbounded_channel();
+    let mut last: Option<Box<Heartbeat>> = None;
+    let start = |links: &Links, target: &Arc<str>, heartbeat: Box<Heartbeat>| {
+        let attempt = Attempt {
+            links: links.links.clone(),
+            first: target.clone(),
+            inputs: inputs.clone(),
+            learned: learned_sender.clone(),
+        };
+        tokio::spawn(attempt.run(heartbeat));
+    };
     loop {
         tokio::select! {
             heartbeat = queue.recv() => {
                 let Some(heartbeat) = heartbeat else { return };
-                let attempt = Attempt {
-                    links: links.clone(),
-                    first: target,
-                    inputs: inputs.clone(),
-                    targets: targets.clone(),
-                };
-                tokio::spawn(attempt.run(heartbeat));
+                last = Some(heartbeat.clone());
+                start(&links, &target, heartbeat);
             }
-            Some(next) = found.recv() => {
-                if next != target {
+            Some(learned) = learned.recv() => match learned {
+                Learned::Target(next) if next == target => {}
+                Learned::Target(next) => {
+                    info!(logger, "heartbeats go to another control instance"; "address" => &*next);
                     target = next;
-                    info!(logger, "heartbeats go to another control instance"; "address" => &*links[target].address);
                 }
+                Learned::UnknownLeader(address) => {
+                    links.add(&address);
+                    target = address;
+                    if let Some(heartbeat) = last.take() {
+                        start(&links, &target, heartbeat);
+                    }
+                }
+                Learned::Members(members) => links.set_members(&members),
             }
         }
     }
@@ -107,37 +154,48 @@
 /// One heartbeat on its way to the leader.
 struct Attempt {
     links: Vec<ControlLink>,
-    first: usize,
+    first: Arc<str>,
     inputs: mpsc::UnboundedSender<Input>,
-    targets: mpsc::UnboundedSender<usize>,
+    learned: mpsc::UnboundedSender<Learned>,
 }
 
 impl Attempt {
     async fn run(self, heartbeat: Box<Heartbeat>) {
-        let mut target = self.first;
+        let mut target = self.position(&self.first).unwrap_or_default();
         for _ in 0..ATTEMPTS {
             let body = PeerBody::Heartbeat(heartbeat.clone());
             match self.links[target].link.ask(body, ANSWER_TIMEOUT).await {
                 Ok(PeerBody::HeartbeatAnswer(answer)) => {
-                    let _ = self.targets.send(target);
+                    self.learn(Learned::Target(self.links[target].address.clone()));
+                    if let Some(members) = &answer.control_addresses {
+                        self.learn(Learned::Members(members.clone()));
+                    }
                     let _ = self.inputs.send(Input::HeartbeatAnswer(answer));
                     return;
                 }
-                Ok(PeerBody::NotLeader(Some(leader))) => target = self.leader_or_next(&leader, target),
+                Ok(PeerBody::NotLeader(Some(leader))) => match self.position(&leader.peer_address) {
+                    Some(known) if known != target => target = known,
+                    Some(_) => target = self.next(target),
+                    None => return self.learn(Learned::UnknownLeader(leader.peer_address)),
+                },
                 Ok(_) | Err(LinkError::Down) => target = self.next(target),
                 Err(_) => {
                     // The answer may only be late: the next heartbeat tries elsewhere.
-                    let _ = self.targets.send(self.next(target));
-                    return;
+                    let next = self.next(target);
+                    return self.learn(Learned::Target(self.links[next].address.clone()));
                 }
             }
         }
-        let _ = self.targets.send(target);
+        self.learn(Learned::Target(self.links[target].address.clone()));
+    }
+
+    /// An error says that the links have been closed.
+    fn learn(&self, learned: Learned) {
+        let _ = self.learned.send(learned);
     }
 
-    fn leader_or_next(&self, leader: &Leader, target: usize) -> usize {
-        let known = self.links.iter().position(|link| link.address == leader.peer_address);
-        known.filter(|known| *known != target).unwrap_or_else(|| self.next(target))
+    fn position(&self, address: &Arc<str>) -> Option<usize> {
+        self.links.iter().position(|link| link.address == *address)
     }
 
     fn next(&self, target: usize) -> usize {
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -107,6 +107,7 @@
     let lists = Lists {
         organisations: cumincart_protocol::lists::OrganisationList { organisations: organisations.collect() },
         plans: base.plans,
+        ..Lists::default()
     };
     Catalogue {
         revision: Revision(1),
--- a/crates/cumincart-history/src/world/lists.rs
+++ b/crates/cumincart-history/src/world/lists.rs
@@ -46,7 +46,7 @@
 
 /// Both lists, without the keys that are withdrawn.
 pub fn lists(withdrawn: &[usize]) -> Lists {
-    Lists { organisations: organisations(withdrawn), plans: plans() }
+    Lists { organisations: organisations(withdrawn), plans: plans(), ..Lists::default() }
 }
 
 fn organisations(withdrawn: &[usize]) -> OrganisationList {
--- a/crates/cumincart-protocol/src/change.rs
+++ b/crates/cumincart-protocol/src/change.rs
@@ -35,6 +35,8 @@
         /// The new lists, already checked.
         lists: Arc<Lists>,
     },
+    /// Replace the whole configuration, unless one of the same or a higher version is in force.
+    Replace(Configuration),
     /// Take a failure domain out of service, or bring it back.
     SetDomain {
         /// The failure domain.
@@ -51,6 +53,26 @@
     },
 }
 
+/// A whole configuration under one version; the highest version is in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Its version, as its author counts them.
+    pub version: u64,
+    /// What it says, already checked.
+    pub lists: Arc<Lists>,
+    /// The document that it was read from, to be given back unchanged.
+    pub document: Arc<str>,
+}
+
+/// The document of the configuration in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedDocument {
+    /// The configuration's version.
+    pub version: u64,
+    /// The document.
+    pub document: Arc<str>,
+}
+
 /// What became of a change. There is exactly one for each change id.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -234,6 +234,9 @@
     /// Other entry instances, where the list changed.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     pub instances: Option<Vec<InstanceEntry>>,
+    /// The control instances' peer addresses, as `ip:port`, where the list changed.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub control_addresses: Option<Vec<Arc<str>>>,
 }
 
 /// An entry instance that holds a lease.
--- a/crates/cumincart-protocol/src/lists.rs
+++ b/crates/cumincart-protocol/src/lists.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         name::{KeyId, OrganisationName, PlanName, RouteName, ServiceName},
-        sorted::Keyed,
+        sorted::{Keyed, SortedVec},
     },
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
@@ -18,6 +18,87 @@
     pub organisations: OrganisationList,
     /// What each plan may use.
     pub plans: PlanList,
+    /// The databases that interactive clients connect to.
+    #[serde(default)]
+    pub interactive: InteractiveList,
+}
+
+/// The databases that interactive clients connect to, and what bounds the services behind them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InteractiveList {
+    /// The databases; names are unique.
+    pub databases: SortedVec<Database>,
+    /// The services' limits.
+    pub services: SortedVec<ServiceLimits>,
+    /// How long a transaction may rest between two statements, in milliseconds; 0 where it is not bounded.
+    pub idle_transaction_ms: u64,
+}
+
+/// A database as interactive clients name it when they connect.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Database {
+    /// The name that clients connect to.
+    pub name: Arc<str>,
+    /// The service whose group serves it.
+    pub service: ServiceName,
+    /// What its reads must see.
+    pub consistency: Consistency,
+    /// How long one statement may take, in milliseconds.
+    pub statement_timeout_ms: u64,
+    /// The latency that an operation aims at, in milliseconds.
+    pub objective_ms: u64,
+    /// The order among databases when an endpoint is busy; 0 goes first.
+    pub priority: u32,
+    /// Open to all: needs no key.
+    pub open: bool,
+}
+
+impl Keyed for Database {
+    type Key = Arc<str>;
+
+    fn key(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+/// What a read of an interactive database must see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Consistency {
+    /// Every commit that was acknowledged before.
+    Linearizable,
+    /// Every commit that was acknowledged longer ago than the bound.
+    BoundedStaleness {
+        /// The bound, in milliseconds.
+        max_staleness_ms: u64,
+    },
+    /// The same, and every commit of its own session.
+    ReadYourWrites {
+        /// The bound, in milliseconds.
+        max_staleness_ms: u64,
+    },
+}
+
+/// What bounds the use of a service's endpoints.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceLimits {
+    /// The service.
+    pub service: ServiceName,
+    /// How many connections each of its endpoints accepts, from all callers together.
+    pub connection_limit: u32,
+    /// How many replicas must have a commit before an endpoint acknowledges it.
+    pub synchronous_replicas: u32,
+}
+
+impl Keyed for ServiceLimits {
+    type Key = ServiceName;
+
+    fn key(&self) -> &ServiceName {
+        &self.service
+    }
 }
 
 /// The list of organisations.
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        announcement::Announcement,
+        announcement::{Announcement, Presence},
         catalogue::EndpointEntry,
-        change::{Change, ChangeId, Outcome},
+        change::{Change, ChangeId, Outcome, VersionedDocument},
         name::{EndpointName, InstanceName, ServiceName},
         number::{ControlTerm, Incarnation, LogIndex, LogPosition, Term, Timeline},
         sorted::{Keyed, SortedVec},
@@ -129,6 +129,9 @@
     pub catalogue: Arc<crate::catalogue::Catalogue>,
     /// The outcomes of operators' changes, for resends.
     pub outcomes: Vec<RememberedOutcome>,
+    /// The document of the configuration in force, where one was put in force by version.
+    #[serde(default)]
+    pub document: Option<VersionedDocument>,
 }
 
 /// The outcome of a change, kept for resends.
@@ -153,6 +156,8 @@
 pub struct ReplicationMessage {
     /// The sender's disk; votes and acknowledgements of a disk that is not a member's don't count.
     pub disk: DiskId,
+    /// The address at which other instances reach the sender, as `ip:port`.
+    pub peer_address: Arc<str>,
     /// The sender's run.
     pub incarnation: Incarnation,
     /// The sender's election term.
@@ -180,6 +185,8 @@
     Install(Box<Snapshot>),
     /// Passes announcements of endpoints on to the leader.
     Announcements(Vec<Announcement>),
+    /// Passes presences of endpoints on to the leader.
+    Presences(Vec<Presence>),
     /// Asks the leader to take the sender in as a learner.
     Join(Member),
 }
--- a/crates/cumincart-runtime/src/clock.rs
+++ b/crates/cumincart-runtime/src/clock.rs
@@ -4,25 +4,28 @@
     cumincart_protocol::{number::Incarnation, time::Instant},
     rand::{SeedableRng, rngs::SysRng},
     rand_chacha::ChaCha20Rng,
+    rustix::time::{ClockId, Timespec, clock_gettime},
     std::time::{SystemTime, UNIX_EPOCH},
 };
 
-/// A monotonic clock that starts when it is made.
+/// A monotonic clock that starts when it is made. It counts the time for which the machine was suspended, since leases
+/// run out meanwhile.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: std::time::Instant,
+    start: Timespec,
 }
 
 impl Clock {
     /// Starts a clock.
     pub fn start() -> Self {
-        Self { start: std::time::Instant::now() }
+        Self { start: clock_gettime(ClockId::Boottime) }
     }
 
     /// Time since the start, as the cores count it.
     pub fn now(&self) -> Instant {
-        let micros = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
-        Instant::from_micros(micros)
+        let now = clock_gettime(ClockId::Boottime);
+        let nanos = (now.tv_sec - self.start.tv_sec) * 1_000_000_000 + (now.tv_nsec - self.start.tv_nsec);
+        Instant::from_micros(u64::try_from(nanos / 1_000).unwrap_or_default())
     }
 }
 
--- a/crates/cumincart-runtime/src/logging.rs
+++ b/crates/cumincart-runtime/src/logging.rs
@@ -22,6 +22,14 @@
     Logger::root(LevelFilter::new(drain.fuse(), level(settings.level)).fuse(), o!())
 }
 
+/// A logger that writes JSON to standard output from a thread of its own; lines that the reader is too slow for are
+/// dropped and counted.
+pub fn open_stdout(settings: LogSettings) -> Logger {
+    let drain = Mutex::new(slog_json::Json::default(std::io::stdout())).fuse();
+    let drain = slog_async::Async::new(drain).build();
+    Logger::root(LevelFilter::new(drain.fuse(), level(settings.level)).fuse(), o!())
+}
+
 /// A logger that writes nothing.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/cumincart-runtime/src/signal.rs
+++ b/crates/cumincart-runtime/src/signal.rs
@@ -1,6 +1,11 @@
 //! The signals that ask a process for a planned stop.
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The signals that say that the settings have changed.
+pub fn reloads() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
 
 /// Waits for an interrupt or a termination signal.
 pub async fn stop_asked() -> std::io::Result<()> {
--- a/crates/cumincart-runtime/tests/data_folder.rs
+++ b/crates/cumincart-runtime/tests/data_folder.rs
@@ -36,6 +36,7 @@
         members: Members::default(),
         catalogue: Arc::default(),
         outcomes: Vec::new(),
+        document: None,
     }))
 }
 
--- /dev/null
+++ b/crates/cumincart-session/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and latency histograms of interactive sessions.
+
+use {
+    prometheus_client::{
+        encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
+        metrics::{
+            counter::Counter,
+            family::Family,
+            histogram::{Histogram, exponential_buckets},
+        },
+        registry::Registry,
+    },
+    std::sync::Arc,
+};
+
+/// The labels of a finished statement.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StatementLabels {
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// What became of a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Outcome {
+    /// It succeeded.
+    Success,
+    /// It was refused or failed, and nothing is kept.
+    NotKept,
+    /// It failed.
+    Failed,
+    /// It may or may not have run.
+    Unknown,
+}
+
+/// The labels of an opened connection.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OpenedLabels {
+    /// Whether it was opened.
+    pub opened: Opened,
+}
+
+/// Whether a connection to an endpoint was opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Opened {
+    /// It was.
+    Yes,
+    /// The endpoint refused it.
+    Refused,
+    /// The endpoint was not reached.
+    Unreachable,
+}
+
+/// The metrics of one engine.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Finished statements.
+    pub statements: Family<StatementLabels, Counter>,
+    /// Attempts to open connections to endpoints.
+    pub opened: Family<OpenedLabels, Counter>,
+    /// Reads served by the primary although they accept an age.
+    pub reads_on_primary: Counter,
+    /// Reads served by replicas.
+    pub reads_on_replica: Counter,
+    /// Reads that a replica refused because its log lacked the point.
+    pub lagging: Counter,
+    /// Time from a statement's arrival to its answer, in seconds.
+    pub latency: Histogram,
+}
+
+/// The shortest latency that has a bucket of its own, in seconds.
+const FIRST_BUCKET_S: f64 = 0.001;
+
+/// The number of latency buckets, each twice the one before: up to 16 s.
+const BUCKETS: u16 = 15;
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("cumincart_session");
+        let statements = Family::default();
+        let opened = Family::default();
+        let reads_on_primary = Counter::default();
+        let reads_on_replica = Counter::default();
+        let lagging = Counter::default();
+        let latency = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+        registry.register("statements", "Finished statements", statements.clone());
+        registry.register("connections_opened", "Attempts to open connections", opened.clone());
+        registry.register("reads_on_primary", "Stale-tolerant reads on primaries", reads_on_primary.clone());
+        registry.register("reads_on_replica", "Reads on replicas", reads_on_replica.clone());
+        registry.register("lagging", "Reads that a replica was too far behind for", lagging.clone());
+        registry.register("latency_seconds", "Time from arrival to answer", latency.clone());
+        Self { registry, statements, opened, reads_on_primary, reads_on_replica, lagging, latency }
+    }
+}
+
+impl Metrics {
+    /// All metrics as OpenMetrics text.
+    pub fn text(self: &Arc<Self>) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string can't fail");
+        text
+    }
+}
--- /dev/null
+++ b/crates/cumincart-session/src/place.rs
@@ -0,0 +1,318 @@
+//! A place at an endpoint, with the connection that is borrowed for it. Dropping a place gives both back.
+
+use {
+    crate::{
+        driver::{Connection, Destination, Exchange, OpenFailure},
+        engine::Engine,
+        metrics::{Opened, OpenedLabels},
+        state::IdleConnection,
+    },
+    cumincart_core::interactive::{
+        command::{Command, EndpointErrorKind, Reply},
+        pool::{self, Borrow, Idle},
+        routing::LAGGING_PAUSE_MS,
+        session::{ConnectionState, Prepared, SessionState},
+        statement::TransactionState,
+        verdict::LinkFailure,
+    },
+    cumincart_protocol::{
+        name::{EndpointName, OrganisationName, ServiceName},
+        time::Instant,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::{timeout, timeout_at},
+    },
+};
+
+/// How long opening a connection may take: a round trip between regions, the endpoint's own time and a lost packet.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
+
+#[derive(Debug)]
+struct Borrowed {
+    connection: Connection,
+    organisation: OrganisationName,
+    state: ConnectionState,
+}
+
+/// Why a place could not get a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectFailure {
+    /// The endpoint refused or was not reached.
+    Open(OpenFailure),
+    /// The connection could not be brought in line with the session.
+    Link(LinkFailure),
+}
+
+/// A place at an endpoint.
+#[derive(Debug)]
+pub(crate) struct Place {
+    engine: Engine,
+    pub(crate) service: ServiceName,
+    pub(crate) endpoint: EndpointName,
+    pub(crate) address: Arc<str>,
+    /// Whether the endpoint is the primary of the term that this instance holds a lease on.
+    pub(crate) is_primary: bool,
+    taken_at: Instant,
+    busy: Duration,
+    borrowed: Option<Borrowed>,
+    is_clean: bool,
+}
+
+impl Place {
+    pub(crate) fn new(
+        engine: Engine,
+        service: ServiceName,
+        endpoint: EndpointName,
+        address: Arc<str>,
+        is_primary: bool,
+    ) -> Self {
+        let taken_at = engine.now();
+        let busy = Duration::ZERO;
+        Self {
+            engine,
+            service,
+            endpoint,
+            address,
+            is_primary,
+            taken_at,
+            busy,
+            borrowed: None,
+            is_clean: true,
+        }
+    }
+
+    /// Borrows a connection and brings it in line with the session.
+    pub(crate) async fn connect(
+        &mut self,
+        organisation: &OrganisationName,
+        session: &SessionState,
+        deadline: tokio::time::Instant,
+    ) -> Result<(), ConnectFailure> {
+        if !self.borrow_idle(organisation, session) {
+            self.open(organisation, deadline).await.map_err(ConnectFailure::Open)?;
+        }
+        self.adopt(session, deadline).await.map_err(ConnectFailure::Link)
+    }
+
+    /// Brings the connection in line with the session's values. After a failure it is closed.
+    pub(crate) async fn adopt(
+        &mut self,
+        session: &SessionState,
+        deadline: tokio::time::Instant,
+    ) -> Result<(), LinkFailure> {
+        let commands = self.borrowed.as_mut().map(|borrowed| borrowed.state.adopt(session));
+        let commands = commands.unwrap_or_default();
+        if commands.is_empty() {
+            return Ok(());
+        }
+        let replies = self.exchange(commands, deadline).await?;
+        if replies.iter().all(|reply| reply.result.is_ok()) {
+            return Ok(());
+        }
+        self.close();
+        Err(LinkFailure::NotSent)
+    }
+
+    /// Takes an idle connection, or reserves a new one. Tells whether it took one.
+    fn borrow_idle(&mut self, organisation: &OrganisationName, session: &SessionState) -> bool {
+        let mut state = self.engine.lock();
+        let now = self.engine.now();
+        let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) else { return false };
+        let before = endpoint.idle.len();
+        endpoint.idle.retain(|idle| !idle.connection.is_lost());
+        endpoint.open -= u32::try_from(before - endpoint.idle.len()).unwrap_or_default();
+        let limit = endpoint.gate.limit();
+        let idle = endpoint.idle.iter().map(|idle| &idle.idle);
+        match pool::choose(idle, organisation, session, endpoint.open, limit) {
+            Borrow::Take(position) => {
+                let taken = endpoint.idle.remove(position);
+                self.borrowed = Some(Borrowed {
+                    connection: taken.connection,
+                    organisation: taken.idle.organisation,
+                    state: taken.idle.state,
+                });
+                self.taken_at = now;
+                true
+            }
+            Borrow::Open => {
+                endpoint.open += 1;
+                false
+            }
+            Borrow::Replace(position) => {
+                endpoint.idle.remove(position);
+                false
+            }
+        }
+    }
+
+    async fn open(
+        &mut self,
+        organisation: &OrganisationName,
+        deadline: tokio::time::Instant,
+    ) -> Result<(), OpenFailure> {
+        let destination = Destination {
+            service: self.service.clone(),
+            endpoint: self.endpoint.clone(),
+            address: self.address.clone(),
+            organisation: organisation.clone(),
+        };
+        let limit = deadline.min(tokio::time::Instant::now() + OPEN_TIMEOUT);
+        let opened = timeout_at(limit, (self.engine.driver().open)(destination)).await;
+        let opened = opened.unwrap_or(Err(OpenFailure::Unreachable));
+        let now = self.engine.now();
+        let label = match &opened {
+            Ok(_) => Opened::Yes,
+            Err(OpenFailure::Refused(_)) => Opened::Refused,
+            Err(OpenFailure::Unreachable) => Opened::Unreachable,
+        };
+        self.engine.metrics().opened.get_or_create(&OpenedLabels { opened: label }).inc();
+        match opened {
+            Ok(connection) => {
+                self.note_contact(true);
+                self.borrowed = Some(Borrowed {
+                    connection,
+                    organisation: organisation.clone(),
+                    state: ConnectionState::default(),
+                });
+                self.taken_at = now;
+                Ok(())
+            }
+            Err(failure) => {
+                self.forget_connection();
+                self.note_contact(failure != OpenFailure::Unreachable);
+                Err(failure)
+            }
+        }
+    }
+
+    /// The command that makes the connection hold a prepared statement, where it lacks it.
+    pub(crate) fn prepare(&mut self, prepared: &Prepared) -> Option<Command> {
+        self.borrowed.as_mut()?.state.prepare(prepared)
+    }
+
+    /// Sends commands and waits for their replies. After a failure the connection is closed.
+    pub(crate) async fn exchange(
+        &mut self,
+        commands: Vec<Command>,
+        deadline: tokio::time::Instant,
+    ) -> Result<Vec<Reply>, LinkFailure> {
+        let Some(borrowed) = &self.borrowed else { return Err(LinkFailure::NotSent) };
+        let asked_at = self.engine.now();
+        let holds_lease =
+            self.is_primary && self.engine.holds_primary(&self.service, &self.endpoint, asked_at);
+        let (replies, answered) = oneshot::channel();
+        let expected = commands.len();
+        if borrowed.connection.exchanges.send(Exchange { commands, replies }).is_err() {
+            self.close();
+            return Err(LinkFailure::NotSent);
+        }
+        self.is_clean = false;
+        let result = match timeout_at(deadline, answered).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(LinkFailure::Broken),
+            Err(_) => Err(LinkFailure::TimedOut),
+        };
+        self.busy += self.engine.now().saturating_since(asked_at);
+        match result {
+            Ok(replies) if replies.len() == expected => {
+                self.take_replies(&replies, holds_lease.then_some(asked_at));
+                Ok(replies)
+            }
+            Ok(_) => {
+                self.close();
+                Err(LinkFailure::Broken)
+            }
+            Err(failure) => {
+                self.close();
+                if failure != LinkFailure::NotSent {
+                    self.note_contact(false);
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    /// Learns from replies how far the endpoint's log is.
+    fn take_replies(&mut self, replies: &[Reply], lease_held_at: Option<Instant>) {
+        self.is_clean = replies.last().is_some_and(|reply| reply.state == TransactionState::Idle);
+        let point = replies.iter().filter_map(|reply| reply.point).max();
+        let is_lagging = replies
+            .iter()
+            .any(|reply| reply.result.as_ref().is_err_and(|error| error.kind == EndpointErrorKind::Lagging));
+        let now = self.engine.now();
+        let mut state = self.engine.lock();
+        if let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) {
+            endpoint.point = endpoint.point.max(point);
+            if is_lagging {
+                endpoint.lagging_until = now + Duration::from_millis(LAGGING_PAUSE_MS);
+            }
+            if endpoint.note_contact(now, true) {
+                state.has_news = true;
+            }
+        }
+        if let (Some(asked_at), Some(point)) = (lease_held_at, point) {
+            state.positions(&self.service).positions.learn(asked_at, point);
+        }
+    }
+
+    fn note_contact(&self, is_reachable: bool) {
+        let now = self.engine.now();
+        let mut state = self.engine.lock();
+        let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) else { return };
+        if endpoint.note_contact(now, is_reachable) {
+            state.has_news = true;
+        }
+    }
+
+    /// Closes the connection.
+    pub(crate) fn close(&mut self) {
+        if self.borrowed.take().is_some() {
+            self.forget_connection();
+        }
+    }
+
+    fn forget_connection(&self) {
+        let mut state = self.engine.lock();
+        if let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) {
+            endpoint.open = endpoint.open.saturating_sub(1);
+        }
+    }
+
+    /// Rolls an open transaction back before the place is given back. A connection that can't is closed.
+    pub(crate) async fn roll_back(mut self) {
+        if self.is_clean || self.borrowed.is_none() {
+            return;
+        }
+        let result = timeout(OPEN_TIMEOUT, async {
+            let deadline = tokio::time::Instant::now() + OPEN_TIMEOUT;
+            self.exchange(vec![Command::Rollback], deadline).await
+        });
+        if !matches!(result.await, Ok(Ok(_))) {
+            self.close();
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.engine.now();
+        let mut state = self.engine.lock();
+        let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) else { return };
+        let service = (self.busy > Duration::ZERO).then_some(self.busy);
+        endpoint.gate.release(service);
+        if let Some(borrowed) = self.borrowed.take() {
+            let is_surplus = endpoint.open > endpoint.gate.limit();
+            if self.is_clean && !is_surplus && !borrowed.connection.is_lost() {
+                endpoint.idle.push(IdleConnection {
+                    idle: Idle { organisation: borrowed.organisation, state: borrowed.state, since: now },
+                    connection: borrowed.connection,
+                });
+            } else {
+                endpoint.open = endpoint.open.saturating_sub(1);
+            }
+        }
+        state.pump(now, &self.endpoint);
+    }
+}
