Refuse new sessions and operations late in a planned stop

Ruled out: a transaction that outlasted its time; it was a single statement on a new connection. Change: from the closing phase on new sessions are refused as not run, from the ending phase on new operations too.

--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -166,6 +166,16 @@
         knows_databases && freshness.is_fresh(now) && *self.shared.phase.borrow() == StopPhase::Serving
     }
 
+    /// Whether a planned stop has got so far that new sessions could not be served to their end.
+    pub(crate) fn refuses_sessions(&self) -> bool {
+        *self.shared.phase.borrow() >= StopPhase::Closing
+    }
+
+    /// Whether a planned stop has got so far that a new operation could be cut.
+    pub(crate) fn refuses_operations(&self) -> bool {
+        *self.shared.phase.borrow() >= StopPhase::Ending
+    }
+
     /// How far a planned stop has got.
     pub fn phase(&self) -> watch::Receiver<StopPhase> {
         self.shared.phase.subscribe()
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -27,7 +27,7 @@
     sha2::{Digest, Sha256},
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::time::timeout,
 };
 
 /// The part of a statement's timeout within which it must have a place, in thousandths: what is left is for the endpoint
@@ -104,7 +104,11 @@
             phase: Phase::None,
         };
         engine.count_session(true);
-        let found = session.identify(engine.now());
+        let found = if engine.refuses_sessions() {
+            Err(Failure::new(FailureCode::Busy, "this instance is stopping"))
+        } else {
+            session.identify(engine.now()).map(|_| ())
+        };
         if let Err(failure) = found {
             info!(engine.logger(), "session refused"; "database" => database, "why" => &*failure.text);
             return Err(failure);
@@ -114,8 +118,13 @@
 
     /// The database and the organisation as the lists in force have them.
     fn identify(&self, now: Instant) -> Result<Operation, Failure> {
+        // Read before the lock: the phase is not part of the state.
+        let is_stopping = self.engine.refuses_operations();
         let state = self.engine.lock();
         let freshness = &state.fleet.freshness;
+        if is_stopping {
+            return Err(Failure::new(FailureCode::Busy, "this instance is stopping"));
+        }
         if !freshness.is_fresh(now) {
             return Err(Failure::new(FailureCode::Busy, "this instance has no lease on the lists"));
         }
@@ -405,7 +414,9 @@
         let _ = phase.wait_for(|phase| *phase >= from).await;
         if spread > Duration::ZERO {
             let pause_ms = rand::rng().random_range(0..u64::try_from(spread.as_millis()).unwrap_or(1));
-            sleep(Duration::from_millis(pause_ms)).await;
+            let pause = Duration::from_millis(pause_ms);
+            // A timeout says that this session's turn has come before the end of all sessions at rest.
+            let _ = timeout(pause, phase.wait_for(|phase| *phase >= StopPhase::Ending)).await;
         }
     }
 
