Let an edit of the configuration cost its own size, and resend records once for a backlog of refusals

Change: the log and the catalogue's deltas carry what differs from the version before; refusals of messages that were sent before the last resend are dropped; messages between control instances have short field names and a heartbeat every 100 ms. Open databases ask for no key and no token; an operation waits for a token for a quarter of its objective.

--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -4,6 +4,7 @@
 pub mod catalogue;
 pub mod choice;
 pub mod commit;
+mod configuration;
 pub mod detection;
 pub mod dump;
 pub mod election;
--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -1,10 +1,10 @@
 //! Applies committed records to the catalogue, and keeps the last changes for instances that are a little behind.
 
 use {
-    super::operators::Outcomes,
+    super::{configuration, operators::Outcomes},
     cumincart_protocol::{
         catalogue::{Catalogue, EndpointEntry, Group, TermStart},
-        change::{Action, Change, Configuration, Outcome, VersionedDocument},
+        change::{Action, Change, Outcome, VersionedDocument},
         heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate},
         name::{EndpointName, ServiceName},
         number::{ListsRevision, LogIndex, Revision, Term},
@@ -59,7 +59,7 @@
 
 fn is_superseded(older: &CatalogueChange, newer: &CatalogueChange) -> bool {
     match (older, newer) {
-        (CatalogueChange::Lists(..), CatalogueChange::Lists(..))
+        (CatalogueChange::Lists(..) | CatalogueChange::ListsPatch(..), CatalogueChange::Lists(..))
         | (CatalogueChange::DomainsOut(_), CatalogueChange::DomainsOut(_))
         | (CatalogueChange::InstancesOut(_), CatalogueChange::InstancesOut(_)) => true,
         (CatalogueChange::Group(older), CatalogueChange::Group(newer)) => older.service == newer.service,
@@ -143,7 +143,7 @@
             catalogue.lists = Arc::clone(lists);
             CatalogueChange::Lists(catalogue.lists_revision, Arc::clone(lists))
         }
-        Action::Replace(configuration) => replace(catalogue, document, configuration),
+        Action::Replace(new) => configuration::replace(catalogue, document, new),
         Action::SetDomain { domain, out } => {
             set_member(&mut catalogue.domains_out, domain, *out);
             CatalogueChange::DomainsOut(catalogue.domains_out.clone())
@@ -158,24 +158,6 @@
     (change, outcome)
 }
 
-/// Puts a configuration in force whose version is higher than the one in force; an older one changes nothing.
-fn replace(
-    catalogue: &mut Catalogue,
-    document: &mut Option<VersionedDocument>,
-    configuration: &Configuration,
-) -> CatalogueChange {
-    if document.as_ref().is_some_and(|current| current.version >= configuration.version) {
-        return CatalogueChange::Nothing;
-    }
-    *document = Some(VersionedDocument {
-        version: configuration.version,
-        document: Arc::clone(&configuration.document),
-    });
-    catalogue.lists_revision = catalogue.lists_revision.next();
-    catalogue.lists = Arc::clone(&configuration.lists);
-    CatalogueChange::Lists(catalogue.lists_revision, Arc::clone(&configuration.lists))
-}
-
 fn set_member<T: Keyed<Key = T> + Clone>(set: &mut SortedVec<T>, item: &T, present: bool) {
     if present {
         set.insert(item.clone());
--- /dev/null
+++ b/crates/cumincart-core/src/control/configuration.rs
@@ -0,0 +1,100 @@
+//! Configurations by version: the highest is in force, and the log carries what differs from the one before.
+
+use {
+    super::Board,
+    cumincart_protocol::{
+        catalogue::Catalogue,
+        change::{Action, Change, Configuration, ConfigurationContent, VersionedDocument},
+        heartbeat::CatalogueChange,
+        lists::Lists,
+        patch::{ListsPatch, TextPatch},
+        replication::Command,
+    },
+    std::sync::Arc,
+};
+
+/// A configuration as it is after a record of the log, committed or not.
+#[derive(Debug, Clone)]
+struct Whole {
+    version: u64,
+    lists: Arc<Lists>,
+    document: Arc<str>,
+}
+
+/// Reduces an operator's configuration to what differs from the newest in the log.
+pub(super) fn reduce(board: &Board, change: Change) -> Change {
+    let Action::Replace(Configuration { version, content: ConfigurationContent::Whole { lists, document } }) =
+        &change.action
+    else {
+        return change;
+    };
+    let Some(newest) = newest(board) else { return change };
+    let content = if newest.version >= *version {
+        ConfigurationContent::Outdated
+    } else {
+        let lists_patch = ListsPatch::between(&newest.lists, lists);
+        let document = TextPatch::between(&newest.document, document);
+        ConfigurationContent::Patch { base: newest.version, lists: Arc::new(lists_patch), document }
+    };
+    let action = Action::Replace(Configuration { version: *version, content });
+    Change { action, ..change }
+}
+
+/// Puts a configuration in force whose version is higher than the one in force; an older one changes nothing.
+pub(super) fn replace(
+    catalogue: &mut Catalogue,
+    document: &mut Option<VersionedDocument>,
+    configuration: &Configuration,
+) -> CatalogueChange {
+    let current = document.as_ref().map(|current| Whole {
+        version: current.version,
+        lists: Arc::clone(&catalogue.lists),
+        document: Arc::clone(&current.document),
+    });
+    let Some(next) = next(current.as_ref(), configuration) else { return CatalogueChange::Nothing };
+    catalogue.lists_revision = catalogue.lists_revision.next();
+    catalogue.lists = Arc::clone(&next.lists);
+    *document = Some(VersionedDocument { version: next.version, document: next.document });
+    match &configuration.content {
+        ConfigurationContent::Patch { lists, .. } => {
+            CatalogueChange::ListsPatch(catalogue.lists_revision, Arc::clone(lists))
+        }
+        _ => CatalogueChange::Lists(catalogue.lists_revision, next.lists),
+    }
+}
+
+/// The configuration after a change; none where the change leaves it as it is.
+fn next(current: Option<&Whole>, configuration: &Configuration) -> Option<Whole> {
+    let version = configuration.version;
+    if current.is_some_and(|current| current.version >= version) {
+        return None;
+    }
+    match &configuration.content {
+        ConfigurationContent::Outdated => None,
+        ConfigurationContent::Whole { lists, document } => {
+            Some(Whole { version, lists: Arc::clone(lists), document: Arc::clone(document) })
+        }
+        ConfigurationContent::Patch { base, lists, document } => {
+            let current = current.filter(|current| current.version == *base)?;
+            let document = document.apply(&current.document)?;
+            Some(Whole { version, lists: Arc::new(lists.apply(&current.lists)), document })
+        }
+    }
+}
+
+/// The newest configuration in the log, committed or not.
+fn newest(board: &Board) -> Option<Whole> {
+    let mut newest = board.document.as_ref().map(|document| Whole {
+        version: document.version,
+        lists: Arc::clone(&board.catalogue.lists),
+        document: Arc::clone(&document.document),
+    });
+    for record in board.log.after(board.log.applied, usize::MAX) {
+        if let Command::Operator(Change { action: Action::Replace(configuration), .. }) = &record.command
+            && let Some(next) = next(newest.as_ref(), configuration)
+        {
+            newest = Some(next);
+        }
+    }
+    newest
+}
--- a/crates/cumincart-core/src/control/log.rs
+++ b/crates/cumincart-core/src/control/log.rs
@@ -159,11 +159,11 @@
     }
 }
 
-/// The size of a record's configuration; its lists are about as large as its document.
+/// The size of a record's configuration.
 fn configuration_bytes(command: &Command) -> usize {
     match command {
         Command::Operator(Change { action: Action::Replace(configuration), .. }) => {
-            2 * configuration.document.len()
+            configuration.content.size()
         }
         _ => 0,
     }
--- a/crates/cumincart-core/src/control/operators.rs
+++ b/crates/cumincart-core/src/control/operators.rs
@@ -1,7 +1,7 @@
 //! Operators' changes: one outcome for each change id, also for a resend after a lost answer.
 
 use {
-    super::{Board, ControlRefusal, Effect, Ticket, election, replicate},
+    super::{Board, ControlRefusal, Effect, Ticket, configuration, election, replicate},
     cumincart_protocol::{
         change::{Change, ChangeId, Outcome},
         number::LogIndex,
@@ -67,6 +67,7 @@
         out.push(Effect::AnswerOperator(ticket, Ok(outcome.clone())));
         return;
     }
+    let change = configuration::reduce(board, change);
     let index = replicate::propose(board, now, Command::Operator(change), out);
     board.pending.waiting.push(WaitingChange { index, ticket });
 }
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time between two messages of the leader to a follower when there is nothing to send, in milliseconds.
-pub const LEADER_HEARTBEAT_MS: u64 = 50;
+pub const LEADER_HEARTBEAT_MS: u64 = 100;
 
 /// The most records in one message.
 pub const RECORDS_PER_MESSAGE: usize = 256;
@@ -43,6 +43,8 @@
     /// The greatest stamp of ours that it has answered.
     confirmed: Instant,
     heard_at: Instant,
+    /// The stamp of the last message that followed a refusal; refusals of earlier messages are answered by it.
+    retried: Instant,
     installed_at: Option<Instant>,
 }
 
@@ -175,14 +177,22 @@
         peer.installed_at = None;
         peer.matched = peer.matched.max(answer.matched);
         peer.next = peer.next.max(peer.matched.next());
+    } else if answer.sent_at < peer.retried {
+        return;
     } else {
         peer.next = answer.matched.max(peer.matched).next().min(last.next());
     }
     let behind = peer.next <= last;
-    if behind {
-        let stamp = board.replication.last_stamp;
-        send_records(board, now, from, stamp, out);
+    if !behind {
+        return;
+    }
+    let stamp = if answer.success { board.replication.last_stamp } else { board.replication.stamp(now) };
+    if !answer.success
+        && let Some(peer) = board.replication.peers.get_mut(&from.instance)
+    {
+        peer.retried = stamp;
     }
+    send_records(board, now, from, stamp, out);
 }
 
 fn followers(board: &Board) -> Vec<Member> {
@@ -212,6 +222,7 @@
         matched: LogIndex::default(),
         confirmed: Instant::ZERO,
         heard_at: board.replication.elected_at,
+        retried: Instant::ZERO,
         installed_at: None,
     };
     let peer = board.replication.peers.get_or_insert_with(&to.instance, || fresh.clone());
--- a/crates/cumincart-core/src/entry/freshness.rs
+++ b/crates/cumincart-core/src/entry/freshness.rs
@@ -168,6 +168,10 @@
             catalogue.lists_revision = *revision;
             catalogue.lists = lists.clone();
         }
+        CatalogueChange::ListsPatch(revision, patch) => {
+            catalogue.lists_revision = *revision;
+            catalogue.lists = Arc::new(patch.apply(&catalogue.lists));
+        }
         CatalogueChange::DomainsOut(domains) => catalogue.domains_out = domains.clone(),
         CatalogueChange::InstancesOut(instances) => catalogue.instances_out = instances.clone(),
         CatalogueChange::Group(group) => {
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -962,6 +962,10 @@
             catalogue.lists_revision = revision;
             catalogue.lists = lists;
         }
+        CatalogueChange::ListsPatch(revision, patch) => {
+            catalogue.lists_revision = revision;
+            catalogue.lists = Arc::new(patch.apply(&catalogue.lists));
+        }
         CatalogueChange::DomainsOut(domains) => catalogue.domains_out = domains,
         CatalogueChange::InstancesOut(instances) => catalogue.instances_out = instances,
         CatalogueChange::Group(group) => {
--- a/crates/cumincart-protocol/src/change.rs
+++ b/crates/cumincart-protocol/src/change.rs
@@ -5,6 +5,7 @@
         lists::Lists,
         name::{DomainName, InstanceName},
         number::{ListsRevision, Revision},
+        patch::{ListsPatch, TextPatch},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -58,10 +59,42 @@
 pub struct Configuration {
     /// Its version, as its author counts them.
     pub version: u64,
-    /// What it says, already checked.
-    pub lists: Arc<Lists>,
-    /// The document that it was read from, to be given back unchanged.
-    pub document: Arc<str>,
+    /// What it says.
+    pub content: ConfigurationContent,
+}
+
+/// What a configuration says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ConfigurationContent {
+    /// All of it.
+    Whole {
+        /// The lists, already checked.
+        lists: Arc<Lists>,
+        /// The document that they were read from, to be given back unchanged.
+        document: Arc<str>,
+    },
+    /// What differs from an earlier version; the leader makes it before it writes the change to the log.
+    Patch {
+        /// The earlier version.
+        base: u64,
+        /// What differs in the lists.
+        lists: Arc<ListsPatch>,
+        /// What differs in the document.
+        document: TextPatch,
+    },
+    /// Nothing new: the log holds a configuration of the same or a higher version.
+    Outdated,
+}
+
+impl ConfigurationContent {
+    /// About how many bytes it takes in the log; lists are about as large as their document.
+    pub fn size(&self) -> usize {
+        match self {
+            Self::Whole { document, .. } => 2 * document.len(),
+            Self::Patch { document, .. } => 2 * document.middle.len(),
+            Self::Outdated => 0,
+        }
+    }
 }
 
 /// The document of the configuration in force.
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -10,6 +10,7 @@
         lists::{Lists, Plan},
         name::{DomainName, EndpointName, InstanceName, OrganisationName},
         number::{ControlTerm, Incarnation, ListsRevision, Revision},
+        patch::ListsPatch,
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
@@ -289,6 +290,8 @@
     Nothing,
     /// Both lists.
     Lists(ListsRevision, Arc<Lists>),
+    /// What differs in the lists since the revision before.
+    ListsPatch(ListsRevision, Arc<ListsPatch>),
     /// Which failure domains are out.
     DomainsOut(SortedVec<DomainName>),
     /// Which instances are out.
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod name;
 pub mod number;
 pub mod operator_api;
+pub mod patch;
 pub mod peer;
 pub mod refusal;
 pub mod replication;
--- /dev/null
+++ b/crates/cumincart-protocol/src/patch.rs
@@ -0,0 +1,153 @@
+//! What differs between two configurations, so that an edit costs its own size and not the whole configuration's.
+
+use {
+    crate::{
+        lists::{Database, Lists, Organisation, Plan, Service, ServiceLimits},
+        name::{OrganisationName, PlanName, ServiceName},
+        sorted::{Keyed, SortedVec},
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// The middle of a text that differs from another's, between what both begin and end with.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextPatch {
+    /// Bytes that both begin with.
+    #[serde(rename = "b")]
+    pub begin: usize,
+    /// Bytes that both end with.
+    #[serde(rename = "e")]
+    pub end: usize,
+    /// What stands between.
+    #[serde(rename = "m")]
+    pub middle: Arc<str>,
+}
+
+impl TextPatch {
+    /// What turns `old` into `new`.
+    pub fn between(old: &str, new: &str) -> Self {
+        let shorter = old.len().min(new.len());
+        let mut begin = common(old.bytes().zip(new.bytes()));
+        while !(old.is_char_boundary(begin) && new.is_char_boundary(begin)) {
+            begin -= 1;
+        }
+        let mut end = common(old.bytes().rev().zip(new.bytes().rev())).min(shorter - begin);
+        while !(old.is_char_boundary(old.len() - end) && new.is_char_boundary(new.len() - end)) {
+            end -= 1;
+        }
+        Self { begin, end, middle: new[begin..new.len() - end].into() }
+    }
+
+    /// The patched text; none where the patch does not fit.
+    pub fn apply(&self, old: &str) -> Option<Arc<str>> {
+        let end_at = old.len().checked_sub(self.end).filter(|end_at| *end_at >= self.begin)?;
+        let begin = old.get(..self.begin)?;
+        let end = old.get(end_at..)?;
+        Some([begin, &self.middle, end].concat().into())
+    }
+}
+
+fn common(pairs: impl Iterator<Item = (u8, u8)>) -> usize {
+    pairs.take_while(|(a, b)| a == b).count()
+}
+
+/// Elements that are new or changed, and keys of those that are gone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ItemsPatch<T, K> {
+    /// New or changed elements.
+    #[serde(rename = "p")]
+    pub put: Vec<T>,
+    /// Keys of removed elements.
+    #[serde(rename = "r")]
+    pub removed: Vec<K>,
+}
+
+impl<T: Keyed + Clone + PartialEq> ItemsPatch<T, T::Key>
+where
+    T::Key: Clone,
+{
+    fn between<'a>(old: impl Iterator<Item = &'a T>, new: impl Iterator<Item = &'a T>) -> Self
+    where
+        T: 'a,
+    {
+        let old: SortedVec<T> = old.cloned().collect();
+        let new: SortedVec<T> = new.cloned().collect();
+        let put = new.iter().filter(|item| old.get(item.key()) != Some(item)).cloned().collect();
+        let removed = old.iter().map(Keyed::key).filter(|key| !new.contains(key)).cloned().collect();
+        Self { put, removed }
+    }
+
+    fn apply(&self, items: &mut SortedVec<T>) {
+        for key in &self.removed {
+            items.remove(key);
+        }
+        for item in &self.put {
+            items.insert(item.clone());
+        }
+    }
+
+    /// The same for elements that are not sorted; the others keep their order.
+    fn apply_to_vec(&self, items: &mut Vec<T>) {
+        items.retain(|item| !self.removed.contains(item.key()));
+        for item in &self.put {
+            match items.iter_mut().find(|known| known.key() == item.key()) {
+                Some(known) => known.clone_from(item),
+                None => items.push(item.clone()),
+            }
+        }
+    }
+}
+
+/// What differs between two revisions of the lists.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListsPatch {
+    /// Organisations.
+    #[serde(rename = "o")]
+    pub organisations: ItemsPatch<Organisation, OrganisationName>,
+    /// Plans.
+    #[serde(rename = "p")]
+    pub plans: ItemsPatch<Plan, PlanName>,
+    /// Services with their routes.
+    #[serde(rename = "s")]
+    pub services: ItemsPatch<Service, ServiceName>,
+    /// Interactive databases.
+    #[serde(rename = "d")]
+    pub databases: ItemsPatch<Database, Arc<str>>,
+    /// Services' limits.
+    #[serde(rename = "l")]
+    pub limits: ItemsPatch<ServiceLimits, ServiceName>,
+    /// How long a transaction may rest, in milliseconds.
+    #[serde(rename = "i")]
+    pub idle_transaction_ms: u64,
+}
+
+impl ListsPatch {
+    /// What turns `old` into `new`, but for the order of organisations, plans and services.
+    pub fn between(old: &Lists, new: &Lists) -> Self {
+        let organisations = |lists: &'_ Lists| lists.organisations.organisations.clone();
+        Self {
+            organisations: ItemsPatch::between(organisations(old).iter(), organisations(new).iter()),
+            plans: ItemsPatch::between(old.plans.plans.iter(), new.plans.plans.iter()),
+            services: ItemsPatch::between(old.plans.services.iter(), new.plans.services.iter()),
+            databases: ItemsPatch::between(
+                old.interactive.databases.iter(),
+                new.interactive.databases.iter(),
+            ),
+            limits: ItemsPatch::between(old.interactive.services.iter(), new.interactive.services.iter()),
+            idle_transaction_ms: new.interactive.idle_transaction_ms,
+        }
+    }
+
+    /// The patched lists.
+    pub fn apply(&self, old: &Lists) -> Lists {
+        let mut lists = old.clone();
+        self.organisations.apply_to_vec(&mut lists.organisations.organisations);
+        self.plans.apply_to_vec(&mut lists.plans.plans);
+        self.services.apply_to_vec(&mut lists.plans.services);
+        self.databases.apply(&mut lists.interactive.databases);
+        self.limits.apply(&mut lists.interactive.services);
+        lists.interactive.idle_transaction_ms = self.idle_transaction_ms;
+        lists
+    }
+}
--- a/crates/cumincart-protocol/src/peer.rs
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -13,7 +13,7 @@
 };
 
 /// The version of the envelope and all that it carries.
-pub const PEER_VERSION: u16 = 1;
+pub const PEER_VERSION: u16 = 2;
 
 /// The longest encoded envelope that is read, in bytes.
 pub const PEER_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -22,12 +22,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
     /// The layout's version.
+    #[serde(rename = "v")]
     pub version: u16,
     /// The sender's name.
+    #[serde(rename = "f")]
     pub from: InstanceName,
     /// The number that an answer carries back; each link counts its own.
+    #[serde(rename = "r")]
     pub request: u64,
     /// The content.
+    #[serde(rename = "b")]
     pub body: PeerBody,
 }
 
@@ -35,10 +39,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerBody {
     /// Between control instances. Carries its own matching; no answer is awaited.
+    #[serde(rename = "r")]
     Replication(ReplicationMessage),
     /// An entry instance's heartbeat to a control instance.
+    #[serde(rename = "h")]
     Heartbeat(Box<Heartbeat>),
     /// The leader's answer to a heartbeat.
+    #[serde(rename = "a")]
     HeartbeatAnswer(Box<HeartbeatAnswer>),
     /// The answer of a control instance that does not lead.
     NotLeader(Option<Leader>),
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -155,14 +155,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReplicationMessage {
     /// The sender's disk; votes and acknowledgements of a disk that is not a member's don't count.
+    #[serde(rename = "d")]
     pub disk: DiskId,
     /// The address at which other instances reach the sender, as `ip:port`.
+    #[serde(rename = "a")]
     pub peer_address: Arc<str>,
     /// The sender's run.
+    #[serde(rename = "n")]
     pub incarnation: Incarnation,
     /// The sender's election term.
+    #[serde(rename = "t")]
     pub term: ControlTerm,
     /// The content.
+    #[serde(rename = "b")]
     pub body: ReplicationBody,
 }
 
@@ -178,8 +183,10 @@
     /// Answers `Vote`.
     VoteAnswer(VoteAnswer),
     /// Sends records, or none as a heartbeat.
+    #[serde(rename = "A")]
     Append(Append),
     /// Answers `Append`.
+    #[serde(rename = "a")]
     AppendAnswer(AppendAnswer),
     /// Sends a snapshot to an instance that is too far behind.
     Install(Box<Snapshot>),
@@ -215,14 +222,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Append {
     /// The index of the record before the first one sent.
+    #[serde(rename = "p")]
     pub previous_index: LogIndex,
     /// That record's term.
+    #[serde(rename = "q")]
     pub previous_term: ControlTerm,
     /// The records.
+    #[serde(rename = "r")]
     pub records: Vec<Record>,
     /// The leader's commit index.
+    #[serde(rename = "c")]
     pub commit: LogIndex,
     /// The leader's clock when it sent this; comes back in the answer and confirms its leadership.
+    #[serde(rename = "s")]
     pub sent_at: Instant,
 }
 
@@ -230,9 +242,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AppendAnswer {
     /// The leader's clock from the message that this answers.
+    #[serde(rename = "s")]
     pub sent_at: Instant,
     /// Whether the records matched; then `matched` is the last index known to be the same.
+    #[serde(rename = "o")]
     pub success: bool,
     /// The last matching index, or a hint where to try next.
+    #[serde(rename = "m")]
     pub matched: LogIndex,
 }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -34,14 +34,19 @@
 /// to run it.
 const START_BY_PER_MILLE: u32 = 600;
 
+/// The part of the latency objective for which an operation waits for a token of its organisation's rate, in thousandths.
+/// A share can move here meanwhile; where the whole rate is used up, waiting longer only makes all of the organisation's
+/// operations late.
+const TOKEN_WAIT_PER_MILLE: u32 = 250;
+
 /// How many endpoints a read is tried on.
 const READ_ATTEMPTS: usize = 3;
 
 /// How many times a write that was not sent is tried.
 const WRITE_ATTEMPTS: usize = 2;
 
-/// The organisation that endpoints are told where a database is open to all and no key came.
-const NO_ORGANISATION: &str = "public";
+/// The organisation that endpoints are told where a database is open to all.
+const NO_ORGANISATION: &str = "-";
 
 /// What a client gets for a statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -131,11 +136,13 @@
         let Some(database) = freshness.catalogue.lists.interactive.databases.get(&self.database) else {
             return Err(Failure::new(FailureCode::UnknownDatabase, "no database has this name"));
         };
-        let known = self.key_digest.as_ref().and_then(|digest| freshness.index.organisation_by_key(digest));
-        let organisation = match known {
-            Some(known) => known.name.clone(),
-            None if database.open => NO_ORGANISATION.into(),
-            None => return Err(Failure::new(FailureCode::Unauthorised, "the key is not known")),
+        let organisation = if database.open {
+            NO_ORGANISATION.into()
+        } else {
+            let digest = self.key_digest.as_ref();
+            let known = digest.and_then(|digest| freshness.index.organisation_by_key(digest));
+            let refused = || Failure::new(FailureCode::Unauthorised, "the key is not known");
+            known.ok_or_else(refused)?.name.clone()
         };
         Ok(Operation { database: database.clone(), organisation, arrived_at: now })
     }
@@ -143,14 +150,15 @@
     /// Begins an operation: whose it is, and whether its organisation's rate allows it.
     async fn begin_operation(&self, arrived_at: Instant) -> Result<Operation, Failure> {
         let operation = Operation { arrived_at, ..self.identify(self.engine.now())? };
-        if self.key_digest.is_none() {
+        if operation.database.open {
             return Ok(operation);
         }
-        let start_by = start_by(&operation, arrived_at);
-        if self.engine.take_token(&operation.organisation, start_by).await {
+        let wait = Duration::from_millis(operation.database.objective_ms) * TOKEN_WAIT_PER_MILLE / 1_000;
+        if self.engine.take_token(&operation.organisation, arrived_at + wait).await {
             return Ok(operation);
         }
-        Err(Failure::new(FailureCode::Busy, "the organisation's rate is used up"))
+        let text = format!("the rate of {} is used up here", operation.organisation);
+        Err(Failure::new(FailureCode::Busy, text))
     }
 
     /// Runs a statement.
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -26,6 +26,12 @@
 /// How long an idle connection is kept, in milliseconds: well under the time after which endpoints close idle ones.
 const IDLE_KEPT_MS: u64 = 45_000;
 
+/// How many of those who wait count as a wish for more connections.
+const WAITING_COUNTED: usize = 4;
+
+/// How long after its last use a connection counts as wanted, in milliseconds: an organisation's usual pause.
+const USED_LATELY_MS: u64 = 3_000;
+
 /// Whether an endpoint was reached last, and since when that has been so.
 #[derive(Debug, Clone, Copy)]
 struct Contact {
@@ -104,6 +110,14 @@
         changed
     }
 
+    /// Connections that would be of use: what runs and waits, and what was used lately and will be again.
+    fn wanted(&self, now: Instant) -> u32 {
+        let lately = Duration::from_millis(USED_LATELY_MS);
+        let used = self.idle.iter().filter(|idle| now.saturating_since(idle.idle.since) < lately).count();
+        let waiting = self.gate.waiting().min(WAITING_COUNTED);
+        self.gate.running() + u32::try_from(used + waiting).unwrap_or(u32::MAX)
+    }
+
     fn report(&mut self, now: Instant) -> Option<EndpointReport> {
         let contact = self.contact.as_mut()?;
         let again = Duration::from_millis(REPORT_AGAIN_MS);
@@ -301,14 +315,9 @@
             .map(|endpoint| ConnectionUse {
                 endpoint: endpoint.name.clone(),
                 open: endpoint.open,
-                wanted: endpoint.gate.running()
-                    + u32::try_from(endpoint.gate.waiting()).unwrap_or(u32::MAX).min(WAITING_COUNTED)
-                    + 1,
+                wanted: endpoint.wanted(now),
             })
             .collect();
         (reports, uses)
     }
 }
-
-/// How many of those who wait count as a wish for more connections.
-const WAITING_COUNTED: u32 = 4;
