Write entry instances' runs down, so that a new leader need not wait for unknown leases

Change: a run is a record of the log before its first lease; a leader that has heard each run tell all, or a later run in its place, ends the wait. The first election comes 50 to 200 ms after a start; heartbeats go out every 100 ms without a lease; an answer that comes keeps its leader. Permits set nothing aside for open routes where sessions are interactive.

--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -19,6 +19,7 @@
 pub mod promotion;
 pub mod read_index;
 pub mod replicate;
+pub mod runs;
 pub mod service_state;
 pub mod shares;
 pub mod snapshot;
@@ -174,6 +175,8 @@
     pub presences: presence::Presences,
     /// The surveys of endpoints; kept by the leader.
     pub surveys: survey::Surveys,
+    /// The runs of entry instances that may hold leases.
+    pub runs: runs::Runs,
     /// Operators who wait for a commit.
     pub pending: operators::Pending,
     /// Questions that wait for a confirmation of the leadership.
@@ -207,6 +210,7 @@
             replication: replicate::Replication::default(),
             outcomes: operators::Outcomes::open(snapshot.outcomes),
             document: snapshot.document,
+            runs: runs::Runs::open(snapshot.runs),
             seeds: SortedVec::new(),
             presences: presence::Presences::default(),
             surveys: survey::Surveys::default(),
@@ -321,5 +325,6 @@
         catalogue: Arc::default(),
         outcomes: Vec::new(),
         document: None,
+        runs: SortedVec::new(),
     }
 }
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -1,8 +1,10 @@
 //! Commits what a majority of the members has, and applies it.
 
 use {
-    super::{Board, Effect, catalogue, members, operators, read_index, snapshot},
-    cumincart_protocol::{heartbeat::CatalogueDelta, name::InstanceName, number::LogIndex, time::Instant},
+    super::{Board, Effect, catalogue, members, operators, read_index, runs, snapshot},
+    cumincart_protocol::{
+        heartbeat::CatalogueDelta, name::InstanceName, number::LogIndex, replication::Command, time::Instant,
+    },
     std::sync::Arc,
 };
 
@@ -12,7 +14,7 @@
         commit_by_majority(board);
     }
     while board.log.applied < board.log.commit {
-        apply_next(board, out);
+        apply_next(board, now, out);
     }
     snapshot::take_if_due(board, out);
     if board.election.is_leader() {
@@ -62,15 +64,21 @@
     }
 }
 
-fn apply_next(board: &mut Board, out: &mut Vec<Effect>) {
+fn apply_next(board: &mut Board, now: Instant, out: &mut Vec<Effect>) {
     let index = board.log.applied.next();
     let Some(record) = board.log.get(index) else { return };
     let from = board.catalogue.revision;
     let catalogue = Arc::make_mut(&mut board.catalogue);
     let (change, outcome) = catalogue::apply(catalogue, &mut board.outcomes, &mut board.document, record);
+    let command = record.command.clone();
     let to = board.catalogue.revision;
     board.recent.push(CatalogueDelta { from, to, change });
     board.log.applied = index;
+    match &command {
+        Command::PutRun(run) => runs::on_put(board, now, run, out),
+        Command::RemoveRun(run) => runs::on_removed(board, run),
+        _ => {}
+    }
     if let Some(outcome) = outcome {
         operators::on_applied(board, index, &outcome, out);
     }
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Board, Effect, announcements::Announcements, failover, leases, members, operators, permits, presence,
-        read_index, replicate, shares, survey,
+        read_index, replicate, replicate::LEADER_HEARTBEAT_MS, runs, shares, survey,
     },
     cumincart_protocol::{
         name::InstanceName,
@@ -25,6 +25,10 @@
 /// The longest such time, in milliseconds.
 pub const ELECTION_TIMEOUT_MAX_MS: u64 = 600;
 
+/// The longest time after a start before the first stand for election, in milliseconds. A leader that lives is heard by
+/// then, and others refuse the pre-vote; where all instances start at once, nobody waits for a whole timeout.
+pub const FIRST_ELECTION_MAX_MS: u64 = 200;
+
 /// How long a leader goes on without hearing from a quorum, in milliseconds.
 pub const CHECK_QUORUM_MS: u64 = 600;
 
@@ -99,7 +103,10 @@
         return;
     }
     match board.election.due_at {
-        None => reset_timeout(board, now),
+        None => {
+            let timeout_ms = board.random.random_range(LEADER_HEARTBEAT_MS / 2..=FIRST_ELECTION_MAX_MS);
+            board.election.due_at = Some(now + Duration::from_millis(timeout_ms));
+        }
         Some(due) if due <= now => {
             reset_timeout(board, now);
             stand(board, now, out);
@@ -240,6 +247,7 @@
     failover::on_elected(board);
     board.announcements = Announcements::default();
     presence::on_elected(board);
+    runs::on_elected(&mut board.runs);
     survey::on_elected(board);
     begin_ledgers(board, now, term);
     replicate::on_elected(board, now);
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -4,13 +4,16 @@
 //! counts it from when it asked, which was earlier. So the leader's end is never before the holder's.
 
 use {
-    super::{Board, Effect, Ticket, catalogue::revision_of, holder_key::HolderKey, members, permits, shares},
+    super::{
+        Board, Effect, Ticket, catalogue::revision_of, holder_key::HolderKey, members, permits, runs, shares,
+    },
     crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
     cumincart_protocol::{
         heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
         name::DomainName,
         number::{Incarnation, Revision},
         peer::PeerBody,
+        replication::Run,
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
@@ -129,6 +132,22 @@
     leases.instances_changed_at = now;
 }
 
+/// Ends the wait for earlier leaders' leases. Tells whether there was one.
+pub fn end_wait(leases: &mut Leases, now: Instant) -> bool {
+    let waited = leases.earlier_until > now;
+    leases.earlier_terms_until = leases.earlier_terms_until.min(now);
+    leases.earlier_until = leases.earlier_until.min(now);
+    waited
+}
+
+/// Ends the lease of a run that a later run of the same instance has replaced: its process is gone.
+pub(super) fn on_run_replaced(board: &mut Board, now: Instant, run: &Run) {
+    let key = HolderKey { instance: run.instance.clone(), incarnation: run.incarnation };
+    end(board, now, &key);
+    permits::on_left(&mut board.permits, &key.instance, key.incarnation);
+    board.leases.holders.remove(&key);
+}
+
 /// Answers a heartbeat with a lease, after a quorum has confirmed the leadership.
 pub fn grant(board: &mut Board, now: Instant, ticket: Ticket, heartbeat: &Heartbeat, out: &mut Vec<Effect>) {
     if heartbeat.leaving {
@@ -138,6 +157,7 @@
     let told = board.catalogue.revision;
     let shares = shares::on_heartbeat(&mut board.shares, now, &board.catalogue, heartbeat);
     let permits = permits::on_heartbeat(&mut board.permits, now, &board.catalogue, heartbeat);
+    runs::on_heartbeat(board, now, heartbeat, out);
     let parked = Parked { ticket, asked_at: heartbeat.asked_at, told };
     let is_new = renew(&mut board.leases, now, heartbeat, parked);
     if is_new {
@@ -180,6 +200,7 @@
     for key in ended {
         out.push(Effect::Note(format!("the lease of {} has run out", key.instance).into()));
         end(board, now, &key);
+        runs::forget(board, now, Run { instance: key.instance, incarnation: key.incarnation }, out);
     }
     let listed = Duration::from_millis(LISTED_AFTER_END_MS);
     board.leases.holders.retain(|holder| now.saturating_since(holder.fresh_until) < listed);
@@ -191,6 +212,7 @@
     permits::on_left(&mut board.permits, &key.instance, key.incarnation);
     board.leases.holders.remove(&key);
     out.push(Effect::Note(format!("{} gave its leases back", key.instance).into()));
+    runs::forget(board, now, Run { instance: key.instance, incarnation: key.incarnation }, out);
     let mut answer = answer_base(board, heartbeat.incarnation, heartbeat.asked_at);
     answer.term_lease_ms = 0;
     answer.freshness_lease_ms = 0;
--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -103,6 +103,12 @@
         Ledger { control_term, last_grant_number: first_grant_number(control_term), ..Ledger::default() };
 }
 
+/// Ends the wait for earlier leaders' leases: all that they granted is reported or gone.
+pub fn end_wait(ledger: &mut Ledger, now: Instant) {
+    ledger.unknown_until = ledger.unknown_until.min(now);
+    ledger.unknown_kept_until = ledger.unknown_kept_until.min(now);
+}
+
 /// Takes a heartbeat's reports in and gives the grants to answer with. A heartbeat that another one of the same run
 /// has overtaken brings and gets nothing.
 pub fn on_heartbeat(
@@ -199,6 +205,8 @@
     let recovering = now < ledger.unknown_until;
     let may_be_closing = now < ledger.unknown_closing_until;
     let kept_unknown = now < ledger.unknown_kept_until;
+    // Interactive sessions need a lease even on open databases.
+    let sets_aside = catalogue.lists.interactive.databases.is_empty();
     let mut grants = Vec::new();
     for endpoint in catalogue.groups.iter().flat_map(|group| group.endpoints.iter()) {
         let holding =
@@ -218,6 +226,7 @@
                     &demand,
                     holder.domain == endpoint.domain && !kept_unknown,
                     may_be_closing,
+                    sets_aside,
                 )
             };
             if let Some(next) = next {
@@ -251,8 +260,9 @@
     demand: &Demand,
     may_gain_kept: bool,
     may_be_closing: bool,
+    sets_aside: bool,
 ) -> Option<Granted> {
-    let budget = target::budget(endpoint.connection_limit);
+    let budget = target::budget(endpoint.connection_limit, sets_aside);
     let leasable = if may_be_closing { budget.leased / 2 } else { budget.leased };
     let held = holding.confirmed;
     let kept_target = target::kept(&budget, demand, holding.kept(), may_gain_kept);
--- a/crates/cumincart-core/src/control/permits/target.rs
+++ b/crates/cumincart-core/src/control/permits/target.rs
@@ -24,9 +24,10 @@
     pub active: bool,
 }
 
-/// Divides an endpoint's limit.
-pub fn budget(connection_limit: u32) -> Budget {
-    let kept = connection_limit * KEPT_PER_MILLE / 1_000;
+/// Divides an endpoint's limit. Nothing is set aside where no route could be served without a lease.
+pub fn budget(connection_limit: u32, sets_aside: bool) -> Budget {
+    let per_mille = if sets_aside { KEPT_PER_MILLE } else { 0 };
+    let kept = connection_limit * per_mille / 1_000;
     Budget { kept, leased: connection_limit - kept }
 }
 
--- a/crates/cumincart-core/src/control/read_index.rs
+++ b/crates/cumincart-core/src/control/read_index.rs
@@ -3,7 +3,7 @@
 //! All questions that wait are served by one round of messages; a new round starts when the one before is confirmed.
 
 use {
-    super::{Board, ControlRefusal, Effect, Ticket, commit, election, leases, replicate, status},
+    super::{Board, ControlRefusal, Effect, Ticket, commit, election, leases, replicate, runs, status},
     cumincart_protocol::{heartbeat::Heartbeat, peer::PeerBody, time::Instant},
 };
 
@@ -72,7 +72,16 @@
 
 fn answer(board: &mut Board, now: Instant, read: WaitingRead, out: &mut Vec<Effect>) {
     match read.question {
-        Question::Heartbeat(heartbeat) => leases::grant(board, now, read.ticket, &heartbeat, out),
+        Question::Heartbeat(heartbeat) => {
+            if heartbeat.leaving || runs::is_admitted(board, now, &heartbeat, out) {
+                leases::grant(board, now, read.ticket, &heartbeat, out);
+                return;
+            }
+            // Asked again with the next round: by then the run is usually written down.
+            let stamp = board.replication.next_stamp();
+            let question = Question::Heartbeat(heartbeat);
+            board.reads.waiting.push(WaitingRead { stamp, ticket: read.ticket, question });
+        }
         Question::Status => {
             let status = status::current(board, now);
             out.push(Effect::AnswerStatus(read.ticket, Ok(Box::new(status))));
--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -88,6 +88,11 @@
         Ledger { control_term, last_grant_number: first_grant_number(control_term), ..Ledger::default() };
 }
 
+/// Ends the wait for earlier leaders' leases: all that they granted is reported or gone.
+pub fn end_wait(ledger: &mut Ledger, now: Instant) {
+    ledger.unknown_until = ledger.unknown_until.min(now);
+}
+
 /// Takes a heartbeat's reports in and gives the grants to answer with. A heartbeat that another one of the same run
 /// has overtaken brings and gets nothing.
 pub fn on_heartbeat(
--- a/crates/cumincart-core/src/control/snapshot.rs
+++ b/crates/cumincart-core/src/control/snapshot.rs
@@ -1,7 +1,7 @@
 //! Snapshots: they bound the log, and bring a control instance that is far behind up to date.
 
 use {
-    super::{Board, Effect, Persist, election, log::Log, operators::Outcomes, replicate},
+    super::{Board, Effect, Persist, election, log::Log, operators::Outcomes, replicate, runs::Runs},
     cumincart_protocol::{
         number::LogIndex,
         replication::{AppendAnswer, Member, ReplicationBody, Snapshot},
@@ -30,6 +30,7 @@
         catalogue: Arc::clone(&board.catalogue),
         outcomes: board.outcomes.to_vec(),
         document: board.document.clone(),
+        runs: board.runs.known.clone(),
     }
 }
 
@@ -64,5 +65,6 @@
     board.catalogue = snapshot.catalogue;
     board.outcomes = Outcomes::open(snapshot.outcomes);
     board.document = snapshot.document;
+    board.runs = Runs::open(snapshot.runs);
     board.recent.clear();
 }
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -54,6 +54,9 @@
         return true;
     }
     let short = since < Duration::from_millis(HEARTBEAT_MIN_INTERVAL_MS);
+    if !short && !board.freshness.holds_term_lease(now) {
+        return true;
+    }
     if board.membership.must_tell_all && !short {
         return true;
     }
@@ -95,6 +98,7 @@
         asked_at: now,
         revision: board.freshness.revision(),
         leaving: board.membership.leaving,
+        complete: told.is_none(),
         endpoints,
         shares: quota::report(&mut board.quota, now, told),
         permits: permits::report(&mut board.permits, now, told, uses),
--- /dev/null
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -0,0 +1,404 @@
+//! A control group that meets endpoints by presences and surveys, takes configurations by version, and grows and shrinks.
+
+use {
+    cumincart_core::control::{
+        Board, Effect, Input, Persist, Settings, Stored, Survey, Ticket,
+        detection::{Evidence, survey_finds_dead},
+        members::{LEADERLESS_JOIN_MS, RETIRE_EVEN_MS},
+        presence::{EXPIRE_AFTER_MS, SURVEY_CONNECTIONS},
+        step,
+        survey::SURVEY_INTERVAL_MS,
+    },
+    cumincart_protocol::{
+        announcement::{LogState, Presence, Role},
+        change::{Action, Change, ChangeId, Configuration, ConfigurationContent},
+        lists::{InteractiveList, Lists, ServiceLimits},
+        number::{ControlTerm, Incarnation, LogIndex, LogPosition, Timeline},
+        replication::{
+            Append, AppendAnswer, Ballot, Command, DiskId, Member, Members, Record, ReplicationBody,
+            ReplicationMessage, VoteAnswer,
+        },
+        time::Instant,
+    },
+    rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
+    std::sync::Arc,
+    test_case::test_case,
+};
+
+const SEED: u64 = 47;
+
+fn member(number: u8) -> Member {
+    let name = format!("control-{number}");
+    Member {
+        instance: name.as_str().into(),
+        disk: DiskId(format!("disk-{number}").into()),
+        peer_address: name.into(),
+    }
+}
+
+/// The first of `voters` members, with the messages of the others made by hand.
+struct Node {
+    board: Board,
+    now_ms: u64,
+}
+
+impl Node {
+    fn open(voters: u8) -> Self {
+        let voters = (1..=voters).map(member).collect();
+        let first_members = Members { voters, ..Members::default() };
+        let settings = Settings { member: member(1), incarnation: Incarnation(1), first_members };
+        let random = ChaCha20Rng::seed_from_u64(SEED);
+        let mut board = Board::open(settings, Stored::default(), random);
+        board.surveys.is_enabled = true;
+        Self { board, now_ms: 1_000 }
+    }
+
+    /// A node that has no members yet, but knows where to ask.
+    fn outside() -> Self {
+        let mut node = Self::open(0);
+        node.board.settings.member = member(9);
+        node.board.seeds = [member(1), member(2)].into_iter().collect();
+        node
+    }
+
+    fn now(&self) -> Instant {
+        Instant::from_millis(self.now_ms)
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Effect> {
+        let mut out = Vec::new();
+        let now = self.now();
+        step(&mut self.board, now, input, &mut out);
+        out
+    }
+
+    fn receive(&mut self, from: &Member, term: ControlTerm, body: ReplicationBody) -> Vec<Effect> {
+        let message = ReplicationMessage {
+            disk: from.disk.clone(),
+            peer_address: from.peer_address.clone(),
+            incarnation: Incarnation(1),
+            term,
+            body,
+        };
+        self.step(Input::Replication(from.instance.clone(), message))
+    }
+
+    fn term(&self) -> ControlTerm {
+        self.board.election.ballot.term
+    }
+
+    /// Makes the node the leader, by the votes of all others, and commits its first record.
+    fn lead(voters: u8) -> Self {
+        let mut node = Self::open(voters);
+        node.step(Input::Tick);
+        node.now_ms += 1_000;
+        node.step(Input::Tick);
+        let next = node.term().next();
+        let vote = VoteAnswer { term: next, granted: true };
+        for number in 2..=voters {
+            let term = node.term();
+            node.receive(&member(number), term, ReplicationBody::PreVoteAnswer(vote.clone()));
+        }
+        for number in 2..=voters {
+            node.receive(&member(number), next, ReplicationBody::VoteAnswer(vote.clone()));
+        }
+        node.acknowledge_all(2..=voters);
+        assert!(node.board.election.is_leader());
+        node
+    }
+
+    /// Lets members acknowledge all that the log holds.
+    fn acknowledge_all(&mut self, numbers: impl IntoIterator<Item = u8>) -> Vec<Effect> {
+        let (term, matched) = (self.term(), self.board.log.last_index());
+        let sent_at = self.now();
+        let mut effects = Vec::new();
+        for number in numbers {
+            let answer = AppendAnswer { sent_at, success: true, matched };
+            effects.extend(self.receive(&member(number), term, ReplicationBody::AppendAnswer(answer)));
+        }
+        effects
+    }
+
+    /// Lets time pass while some members answer.
+    fn pass(&mut self, span_ms: u64, answering: &[u8]) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for _ in 0..span_ms / 100 {
+            self.now_ms += 100;
+            effects.extend(self.step(Input::Tick));
+            effects.extend(self.acknowledge_all(answering.iter().copied()));
+        }
+        effects
+    }
+
+    fn configure(&mut self, version: u64, document: &str) -> Vec<Effect> {
+        self.configure_with(version, document, &[2, 3])
+    }
+
+    /// Puts a configuration in force that only some members acknowledge.
+    fn configure_with(&mut self, version: u64, document: &str, acknowledging: &[u8]) -> Vec<Effect> {
+        let limits =
+            ServiceLimits { service: "ledger".into(), connection_limit: 30, synchronous_replicas: 0 };
+        let interactive =
+            InteractiveList { services: [limits].into_iter().collect(), ..InteractiveList::default() };
+        let lists = Arc::new(Lists { interactive, ..Lists::default() });
+        let content = ConfigurationContent::Whole { lists, document: document.into() };
+        let action = Action::Replace(Configuration { version, content });
+        let id = ChangeId(format!("change-{}", self.now_ms).into());
+        self.now_ms += 1;
+        let mut effects = self.step(Input::Operator(Ticket(version), Change { id, action }));
+        effects.extend(self.acknowledge_all(acknowledging.iter().copied()));
+        effects
+    }
+}
+
+fn presence(endpoint: &str, born_ms: u64, sequence: u64) -> Presence {
+    Presence {
+        endpoint: endpoint.into(),
+        service: "ledger".into(),
+        address: format!("10.0.0.{}:5432", endpoint.len()).into(),
+        domain: "quay".into(),
+        slots: 3,
+        leaving: false,
+        ended: false,
+        born_ms,
+        sequence,
+    }
+}
+
+fn surveys(effects: &[Effect]) -> Vec<Survey> {
+    let survey = |effect: &Effect| match effect {
+        Effect::Survey(survey) => Some(survey.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(survey).collect()
+}
+
+fn endpoints(node: &Node) -> Vec<String> {
+    let group = node.board.catalogue.group(&"ledger".into());
+    group.map_or_else(Vec::new, |group| group.endpoints.iter().map(|entry| entry.name.to_string()).collect())
+}
+
+fn with_endpoint() -> Node {
+    let mut node = Node::lead(3);
+    node.configure(1, "{}");
+    node.step(Input::Present(presence("db", 100, 1)));
+    node.acknowledge_all(2..=3);
+    node
+}
+
+#[test]
+fn a_presence_becomes_an_entry_that_leaves_connections_for_surveys() {
+    let node = with_endpoint();
+    let group = node.board.catalogue.group(&"ledger".into()).expect("the group exists");
+    let entry = group.endpoints.get(&"db".into()).expect("the endpoint is entered");
+    assert_eq!(entry.connection_limit, 30 - SURVEY_CONNECTIONS);
+}
+
+#[test]
+fn a_presence_of_a_service_that_no_configuration_names_is_not_entered() {
+    let mut node = Node::lead(3);
+    node.configure(1, "{}");
+    node.step(Input::Present(Presence { service: "unknown".into(), ..presence("db", 100, 1) }));
+    node.acknowledge_all(2..=3);
+    assert!(node.board.catalogue.groups.is_empty());
+}
+
+#[test_case(presence("db", 100, 1); "the same again")]
+#[test_case(presence("db", 50, 9); "an earlier run")]
+#[test_case(Presence { address: "10.0.0.2:5432".into(), ..presence("old", 50, 9) }; "an earlier run under another name at the address")]
+fn an_outdated_presence_changes_nothing(late: Presence) {
+    let mut node = with_endpoint();
+    node.step(Input::Present(Presence { leaving: true, ..late }));
+    node.acknowledge_all(2..=3);
+    assert_eq!(endpoints(&node), ["db"]);
+    let group = node.board.catalogue.group(&"ledger".into()).expect("the group exists");
+    assert!(!group.endpoints.get(&"db".into()).expect("it is entered").leaving);
+}
+
+#[test]
+fn a_leader_surveys_endpoints_and_takes_the_answers_as_announcements() {
+    let mut node = with_endpoint();
+    let asked = surveys(&node.pass(SURVEY_INTERVAL_MS, &[2, 3]));
+    let survey = asked.last().expect("the endpoint is surveyed").clone();
+    let state =
+        LogState { role: Role::Replica, timeline: Timeline(3), position: LogPosition(1_209), lag_ms: 12 };
+    node.step(Input::Surveyed(survey.clone(), Some(state)));
+    let heard = node.board.announcements.get(&"db".into()).expect("the answer counts");
+    assert_eq!(heard.announcement.position, LogPosition(1_209));
+    assert_eq!(heard.at, survey.asked_at, "the answer speaks of when it was asked for at the earliest");
+}
+
+#[test]
+fn an_endpoint_that_neither_speaks_nor_answers_is_removed() {
+    let mut node = with_endpoint();
+    node.pass(EXPIRE_AFTER_MS + 1_000, &[2, 3]);
+    assert!(endpoints(&node).is_empty());
+}
+
+#[test_case(1_600, 0, 0, true; "silent, and nobody reaches it")]
+#[test_case(1_600, 0, 1, false; "one failure domain still reaches it")]
+#[test_case(900, 0, 0, false; "one survey missed")]
+#[test_case(900, 2, 0, true; "two failure domains agree")]
+fn a_surveyed_endpoint_is_dead(silent_ms: u64, not_reaching: usize, reaching: usize, dead: bool) {
+    let evidence = Evidence { silent_ms, domains: 3, not_reaching, reaching };
+    assert_eq!(survey_finds_dead(&evidence), dead);
+}
+
+#[test]
+fn the_highest_version_is_in_force_and_a_resend_is_accepted() {
+    let mut node = Node::lead(3);
+    for (version, document) in [(7, "seven"), (9, "nine"), (8, "eight"), (9, "another nine")] {
+        let effects = node.configure(version, document);
+        let accepted = effects.iter().any(|effect| matches!(effect, Effect::AnswerOperator(_, Ok(_))));
+        assert!(accepted, "version {version} is acknowledged");
+    }
+    let document = node.board.document.as_ref().expect("one is in force");
+    assert_eq!((document.version, &*document.document), (9, "nine"));
+}
+
+#[test]
+fn the_log_carries_what_differs_and_nothing_for_an_outdated_configuration() {
+    let mut node = Node::lead(3);
+    let long = "x".repeat(100_000);
+    node.configure(1, &format!("{long}1{long}"));
+    node.configure(2, &format!("{long}2{long}"));
+    node.configure(2, &format!("{long}3{long}"));
+    let sizes: Vec<usize> = node
+        .board
+        .log
+        .after(LogIndex(0), usize::MAX)
+        .iter()
+        .filter_map(|record| match &record.command {
+            Command::Operator(Change { action: Action::Replace(new), .. }) => Some(new.content.size()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sizes, [400_002, 2, 0]);
+    let document = node.board.document.as_ref().expect("one is in force");
+    assert_eq!(&*document.document, format!("{long}2{long}"));
+}
+
+#[test]
+fn configurations_shorten_the_log_by_their_size() {
+    let mut node = Node::lead(3);
+    let mut snapshots = 0;
+    for version in 0..8 {
+        // Nothing in common, so that each is carried nearly whole.
+        let document = char::from(b'a' + version).to_string().repeat(400_000);
+        let effects = node.configure(u64::from(version) + 1, &document);
+        let is_snapshot = |effect: &&Effect| matches!(effect, Effect::Persist(Persist::Snapshot(_)));
+        snapshots += effects.iter().filter(is_snapshot).count();
+    }
+    assert_eq!(snapshots, 1);
+    assert!(node.board.log.configuration_bytes() < 4 * 1024 * 1024);
+}
+
+/// Pattern: a member wakes from a freeze and refuses each of the many messages that waited.
+#[test]
+fn a_backlog_of_refusals_is_answered_by_one_resend() {
+    let mut node = Node::lead(3);
+    node.configure_with(1, &"x".repeat(10_000), &[3]);
+    let term = node.term();
+    node.now_ms += 10;
+    let mut resends = 0;
+    for _ in 0..50 {
+        let answer =
+            AppendAnswer { sent_at: Instant::from_millis(500), success: false, matched: LogIndex(1) };
+        let effects = node.receive(&member(2), term, ReplicationBody::AppendAnswer(answer));
+        let carries = |effect: &&Effect| match effect {
+            Effect::Send(_, message) => {
+                matches!(&message.body, ReplicationBody::Append(append) if !append.records.is_empty())
+            }
+            _ => false,
+        };
+        resends += effects.iter().filter(carries).count();
+    }
+    assert_eq!(resends, 1);
+}
+
+#[test]
+fn a_silent_voter_of_an_even_group_is_retired_and_of_a_small_odd_one_not() {
+    let mut four = Node::lead(4);
+    four.pass(RETIRE_EVEN_MS + 500, &[2, 3]);
+    let voters: Vec<String> =
+        four.board.log.members().voters.iter().map(|voter| voter.instance.to_string()).collect();
+    assert_eq!(voters, ["control-1", "control-2", "control-3"]);
+    let mut three = Node::lead(3);
+    three.pass(60_000, &[2]);
+    assert_eq!(three.board.log.members().voters.len(), 3);
+}
+
+#[test]
+fn an_instance_outside_asks_the_seeds_and_follows_a_leader_that_it_does_not_know() {
+    let mut node = Node::outside();
+    let asked: Vec<Effect> = node.step(Input::Tick);
+    let joins = |effect: &&Effect| matches!(effect, Effect::Send(_, message) if matches!(message.body, ReplicationBody::Join(_)));
+    assert_eq!(asked.iter().filter(joins).count(), 2);
+    let members = Members {
+        voters: [member(1), member(2), member(3)].into_iter().collect(),
+        learners: [member(9)].into_iter().collect(),
+    };
+    let record = Record { index: LogIndex(1), term: ControlTerm(4), command: Command::Members(members) };
+    let append = Append {
+        previous_index: LogIndex(0),
+        previous_term: ControlTerm(0),
+        records: vec![record],
+        commit: LogIndex(1),
+        sent_at: Instant::ZERO,
+    };
+    node.receive(&member(3), ControlTerm(4), ReplicationBody::Append(append));
+    assert_eq!(node.board.log.commit, LogIndex(1));
+    assert_eq!(node.board.election.leader(), Some(&member(3).instance));
+}
+
+#[test]
+fn a_member_does_not_follow_a_leader_that_its_group_does_not_know() {
+    let mut node = Node::lead(3);
+    let stranger = member(7);
+    let append = Append {
+        previous_index: LogIndex(0),
+        previous_term: ControlTerm(0),
+        records: Vec::new(),
+        commit: LogIndex(0),
+        sent_at: Instant::ZERO,
+    };
+    node.receive(&stranger, ControlTerm(99), ReplicationBody::Append(append));
+    assert!(node.board.election.is_leader());
+}
+
+#[test]
+fn a_leader_takes_in_an_instance_that_it_has_never_heard_of() {
+    let mut node = Node::lead(3);
+    node.pass(500, &[2, 3]);
+    let (newcomer, term) = (member(7), ControlTerm(0));
+    node.receive(&newcomer, term, ReplicationBody::Join(newcomer.clone()));
+    assert!(node.board.log.members().learners.contains(&newcomer.instance));
+}
+
+/// A member that was retired while it was cut off still believes itself inside.
+#[test]
+fn a_member_that_hears_no_leader_asks_whether_it_still_is_one() {
+    let mut node = Node::lead(3);
+    node.receive(
+        &member(2),
+        ControlTerm(50),
+        ReplicationBody::Append(Append {
+            previous_index: LogIndex(0),
+            previous_term: ControlTerm(0),
+            records: Vec::new(),
+            commit: LogIndex(0),
+            sent_at: Instant::ZERO,
+        }),
+    );
+    let is_join = |effect: &Effect| matches!(effect, Effect::Send(_, message) if matches!(message.body, ReplicationBody::Join(_)));
+    node.now_ms += LEADERLESS_JOIN_MS - 100;
+    assert!(!node.step(Input::Tick).iter().any(is_join));
+    node.now_ms += 200;
+    assert!(node.step(Input::Tick).iter().any(is_join));
+}
+
+#[test]
+fn a_ballot_is_kept_over_a_restart_of_a_new_group() {
+    let node = Node::lead(3);
+    assert_ne!(node.board.election.ballot, Ballot::default());
+}
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -59,6 +59,7 @@
         asked_at: Instant::from_millis(3),
         revision,
         leaving: false,
+        complete: true,
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: Vec::new(),
--- /dev/null
+++ b/crates/cumincart-core/tests/interactive/admission.rs
@@ -0,0 +1,106 @@
+//! Admission under a burst, at a slow endpoint and in a failover queue.
+
+use {
+    cumincart_core::interactive::admission::{Admission, Arrival, Gate, Next, QUEUE_MAX},
+    cumincart_protocol::time::Instant,
+    std::time::Duration,
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn arrival(ticket: u64, priority: u32, arrived_ms: u64, start_by_ms: u64) -> Arrival {
+    Arrival { ticket, priority, arrived_at: at(arrived_ms), start_by: at(start_by_ms) }
+}
+
+fn gate(limit: u32) -> Gate {
+    let mut gate = Gate::default();
+    gate.set_limit(limit);
+    gate
+}
+
+/// Pattern: a burst of more work than can start within its deadline.
+#[test]
+fn a_burst_is_cut_at_what_can_start_in_time_and_the_rest_is_refused_at_once() {
+    let mut gate = gate(2);
+    let decisions: Vec<Admission> =
+        (0..40).map(|ticket| gate.ask(at(0), arrival(ticket, 1, 0, 200))).collect();
+    let admitted = decisions.iter().filter(|decision| **decision == Admission::Admitted).count();
+    let waiting = decisions.iter().filter(|decision| **decision == Admission::Waiting).count();
+    assert_eq!(admitted, 2);
+    // Two places of 40 ms each give 10 starts within 200 ms.
+    assert_eq!(waiting, 10);
+    assert!(matches!(decisions[39], Admission::Refused { retry_after_ms } if retry_after_ms > 200));
+}
+
+/// Pattern: a burst of low priority ahead of work that matters more.
+#[test]
+fn the_higher_priority_starts_first_whatever_came_before() {
+    let mut gate = gate(1);
+    gate.ask(at(0), arrival(1, 2, 0, 1_000));
+    gate.ask(at(1), arrival(2, 2, 1, 1_000));
+    gate.ask(at(2), arrival(3, 1, 2, 1_000));
+    gate.ask(at(3), arrival(4, 2, 3, 1_000));
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        gate.release(Some(Duration::from_millis(10)));
+        if let Some(Next::Admitted(ticket)) = gate.next(at(10)) {
+            order.push(ticket);
+        }
+    }
+    assert_eq!(order, [3, 2, 4]);
+}
+
+/// Pattern: an endpoint that turns slow while work waits for it.
+#[test]
+fn a_slow_endpoint_lets_fewer_wait() {
+    let mut fast = gate(1);
+    let mut slow = gate(1);
+    for _ in 0..60 {
+        for (gate, ms) in [(&mut fast, 10), (&mut slow, 400)] {
+            gate.ask(at(0), arrival(0, 1, 0, 1_000));
+            gate.release(Some(Duration::from_millis(ms)));
+        }
+    }
+    let waiting = |gate: &mut Gate| {
+        (1..200).filter(|ticket| gate.ask(at(0), arrival(*ticket, 1, 0, 1_000)) == Admission::Waiting).count()
+    };
+    let (fast, slow) = (waiting(&mut fast), waiting(&mut slow));
+    assert!(fast >= 80, "{fast} wait at the fast endpoint");
+    assert!((1..=3).contains(&slow), "{slow} wait at the slow endpoint");
+}
+
+/// Pattern: a queue that formed while no place was free, as in a failover.
+#[test]
+fn whoever_can_not_start_in_time_any_more_is_told_so_first() {
+    let mut gate = gate(1);
+    gate.ask(at(0), arrival(1, 1, 0, 1_000));
+    gate.ask(at(0), arrival(2, 1, 0, 100));
+    gate.ask(at(0), arrival(3, 1, 0, 1_000));
+    gate.release(None);
+    assert_eq!(gate.next(at(500)), Some(Next::Late(2)));
+    assert_eq!(gate.next(at(500)), Some(Next::Admitted(3)));
+    assert_eq!(gate.next(at(500)), None);
+}
+
+#[test]
+fn a_request_that_nobody_waits_for_takes_no_place() {
+    let mut gate = gate(1);
+    gate.ask(at(0), arrival(1, 1, 0, 1_000));
+    gate.ask(at(0), arrival(2, 1, 0, 1_000));
+    assert!(gate.cancel(2));
+    assert!(!gate.cancel(2));
+    gate.release(None);
+    assert_eq!(gate.next(at(1)), None);
+    assert!(gate.has_place());
+}
+
+#[test]
+fn the_queue_is_bounded_even_where_deadlines_are_far() {
+    let mut gate = gate(1);
+    let far = 1_000_000_000;
+    let waiting =
+        (0..2_000).filter(|ticket| gate.ask(at(0), arrival(*ticket, 1, 0, far)) == Admission::Waiting);
+    assert_eq!(waiting.count(), QUEUE_MAX);
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/interactive/pool.rs
@@ -0,0 +1,53 @@
+//! Which idle connection is borrowed, and which makes room.
+
+use {
+    cumincart_core::interactive::{
+        pool::{Borrow, Idle, choose},
+        session::{ConnectionState, SessionState},
+    },
+    cumincart_protocol::time::Instant,
+};
+
+fn idle(organisation: &str, since_ms: u64, values: &[(&str, &str)]) -> Idle {
+    let mut state = ConnectionState::default();
+    state.adopt(&session(values));
+    Idle { organisation: organisation.into(), state, since: Instant::from_millis(since_ms) }
+}
+
+fn session(values: &[(&str, &str)]) -> SessionState {
+    let mut session = SessionState::default();
+    for (name, value) in values {
+        session.set((*name).into(), (*value).into());
+    }
+    session
+}
+
+#[test]
+fn a_connection_that_already_holds_the_values_is_preferred() {
+    let known = [
+        idle("clinic", 30, &[("lang", "en")]),
+        idle("clinic", 10, &[("lang", "bg")]),
+        idle("taxi", 40, &[("lang", "bg")]),
+    ];
+    let wanted = session(&[("lang", "bg")]);
+    assert_eq!(choose(known.iter(), &"clinic".into(), &wanted, 3, 4), Borrow::Take(1));
+}
+
+#[test]
+fn of_equals_the_one_used_last_is_taken() {
+    let known = [idle("clinic", 10, &[]), idle("clinic", 30, &[]), idle("clinic", 20, &[])];
+    assert_eq!(choose(known.iter(), &"clinic".into(), &session(&[]), 3, 3), Borrow::Take(1));
+}
+
+#[test]
+fn a_connection_of_another_organisation_is_never_taken() {
+    let known = [idle("taxi", 10, &[])];
+    assert_eq!(choose(known.iter(), &"clinic".into(), &session(&[]), 1, 2), Borrow::Open);
+}
+
+/// Pattern: many organisations over few connections.
+#[test]
+fn at_the_limit_the_connection_idle_longest_makes_room() {
+    let known = [idle("taxi", 30, &[]), idle("shop", 10, &[]), idle("taxi", 20, &[])];
+    assert_eq!(choose(known.iter(), &"clinic".into(), &session(&[]), 3, 3), Borrow::Replace(1));
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/interactive/positions.rs
@@ -0,0 +1,73 @@
+//! Which point a replica must have for a read that accepts an age.
+
+use {
+    cumincart_core::interactive::positions::{LogPoint, Positions, SAMPLE_KEPT_MS},
+    cumincart_protocol::{
+        catalogue::TermStart,
+        number::{LogPosition, Term, Timeline},
+        time::Instant,
+    },
+    test_case::test_case,
+};
+
+fn point(timeline: u64, position: u64) -> LogPoint {
+    LogPoint { timeline: Timeline(timeline), position: LogPosition(position) }
+}
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn sampled() -> Positions {
+    let mut positions = Positions::default();
+    for step in 0..10 {
+        positions.learn(at(step * 100), point(1, step * 10));
+    }
+    positions
+}
+
+#[test_case(0, Some(0); "the earliest")]
+#[test_case(250, Some(30); "the first asked for at or after the moment")]
+#[test_case(300, Some(30); "asked for at the very moment")]
+#[test_case(901, None; "later than all samples")]
+fn the_point_covers_what_was_acknowledged_before_a_moment(since_ms: u64, expected: Option<u64>) {
+    let found = sampled().covering(at(since_ms));
+    assert_eq!(found, expected.map(|position| point(1, position)));
+}
+
+#[test]
+fn samples_that_come_close_together_are_one() {
+    let mut positions = Positions::default();
+    for ms in 0..20 {
+        positions.learn(at(ms), point(1, ms));
+    }
+    assert_eq!(positions.covering(at(0)), Some(point(1, 0)));
+    assert_eq!(positions.covering(at(1)), None, "only the first was kept");
+}
+
+#[test]
+fn old_samples_are_forgotten() {
+    let mut positions = sampled();
+    positions.learn(at(SAMPLE_KEPT_MS + 950), point(1, 500));
+    assert_eq!(positions.covering(at(0)), Some(point(1, 500)));
+}
+
+#[test]
+fn another_primary_starts_without_samples() {
+    let mut positions = sampled();
+    positions.clear();
+    assert_eq!(positions.covering(at(0)), None);
+}
+
+/// A session's own commit that a promotion rolled back must not keep it from every endpoint.
+#[test_case(point(3, 1_250), point(3, 1_240); "beyond the start of the next term")]
+#[test_case(point(3, 1_230), point(3, 1_230); "before it")]
+#[test_case(point(4, 1_250), point(4, 1_250); "of the newest term")]
+fn what_a_promotion_rolled_back_is_not_waited_for(committed: LogPoint, expected: LogPoint) {
+    let start = |term, position| TermStart {
+        term: Term(term),
+        timeline: Timeline(term),
+        position: LogPosition(position),
+    };
+    assert_eq!(committed.without_lost(&[start(3, 1_000), start(4, 1_240)]), expected);
+}
--- /dev/null
+++ b/crates/cumincart-core/tests/interactive/session.rs
@@ -0,0 +1,84 @@
+//! What a borrowed connection lacks of a session, where sessions' names collide.
+
+use {
+    cumincart_core::interactive::{
+        command::Command,
+        session::{ConnectionState, Prepared, SESSION_ENTRIES_MAX, SessionState},
+        statement::Access,
+    },
+    std::sync::Arc,
+};
+
+fn session(values: &[(&str, &str)]) -> SessionState {
+    let mut session = SessionState::default();
+    for (name, value) in values {
+        assert!(session.set((*name).into(), (*value).into()));
+    }
+    session
+}
+
+fn set(name: &str, value: &str) -> Command {
+    Command::Set { name: name.into(), value: value.into() }
+}
+
+fn prepared(name: &str, access: Access, shape: &str) -> Prepared {
+    Prepared { name: name.into(), access, shape: shape.into() }
+}
+
+#[test]
+fn a_connection_takes_over_values_that_differ_and_no_others() {
+    let mut connection = ConnectionState::default();
+    assert_eq!(
+        connection.adopt(&session(&[("zone", "bg"), ("lang", "en")])),
+        [set("lang", "en"), set("zone", "bg")]
+    );
+    assert_eq!(connection.adopt(&session(&[("zone", "bg"), ("lang", "fr")])), [set("lang", "fr")]);
+    assert!(connection.adopt(&session(&[("zone", "bg"), ("lang", "fr")])).is_empty());
+}
+
+#[test]
+fn a_value_of_another_session_is_taken_back_with_the_prepared_statements() {
+    let mut connection = ConnectionState::default();
+    connection.adopt(&session(&[("zone", "bg")]));
+    let statement = prepared("s1", Access::Read, "q1");
+    assert!(connection.prepare(&statement).is_some());
+    assert_eq!(connection.adopt(&session(&[("lang", "en")])), [Command::Reset, set("lang", "en")]);
+    assert!(connection.prepare(&statement).is_some(), "the reset dropped it");
+}
+
+#[test]
+fn sessions_with_the_same_statement_share_it_and_others_with_the_same_name_do_not() {
+    let mut connection = ConnectionState::default();
+    let first = prepared("s1", Access::Write, "q1");
+    assert!(connection.prepare(&first).is_some());
+    assert!(connection.prepare(&prepared("other-name", Access::Write, "q1")).is_none());
+    for other in [prepared("s1", Access::Write, "q2"), prepared("s1", Access::Read, "q1")] {
+        assert_ne!(other.shared_name(), first.shared_name());
+        assert!(connection.prepare(&other).is_some());
+    }
+}
+
+#[test]
+fn the_distance_counts_the_commands_that_adopting_takes() {
+    let mut connection = ConnectionState::default();
+    connection.adopt(&session(&[("zone", "bg"), ("lang", "en")]));
+    for other in [
+        session(&[]),
+        session(&[("zone", "bg"), ("lang", "en")]),
+        session(&[("zone", "ro"), ("lang", "en"), ("x", "1")]),
+    ] {
+        assert_eq!(connection.distance(&other), connection.clone().adopt(&other).len());
+    }
+}
+
+#[test]
+fn a_session_holds_a_bounded_number_of_values_and_statements() {
+    let mut session = SessionState::default();
+    for number in 0..SESSION_ENTRIES_MAX {
+        assert!(session.set(format!("v{number}").into(), "1".into()));
+    }
+    let one_more: Arc<str> = "one-more".into();
+    assert!(!session.set(one_more.clone(), "1".into()));
+    assert!(!session.prepare(prepared("s1", Access::Read, "q1")));
+    assert!(session.set("v0".into(), "2".into()), "a value may still change");
+}
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -702,6 +702,7 @@
             asked_at: now,
             revision: node.catalogue.revision,
             leaving: false,
+            complete: true,
             endpoints: std::mem::take(&mut node.reached),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -6,7 +6,7 @@
     cumincart_runtime::link::{LinkError, client::PeerLink, handshake::FleetSecret},
     slog::{Logger, info},
     std::{sync::Arc, time::Duration},
-    tokio::sync::mpsc,
+    tokio::{sync::mpsc, time::Instant},
 };
 
 /// How long an answer to a heartbeat is waited for before the next one goes to another control instance. Shorter than
@@ -71,8 +71,15 @@
 /// What an attempt learned about the control instances.
 #[derive(Debug)]
 enum Learned {
-    /// This one answered, or is the next to try.
-    Target(Arc<str>),
+    /// This one answered.
+    Answered(Arc<str>),
+    /// None that was asked answered usefully; this one is the next to try.
+    Next {
+        /// Its address.
+        address: Arc<str>,
+        /// When the attempt began; an answer since then says that a leader is known.
+        began_at: Instant,
+    },
     /// This one is said to lead, and there is no link to it yet.
     UnknownLeader(Arc<str>),
     /// These form the group.
@@ -116,10 +123,12 @@
     }
     let (learned_sender, mut learned) = mpsc::unbounded_channel();
     let mut last: Option<Box<Heartbeat>> = None;
+    let mut answered_at = Instant::now();
     let start = |links: &Links, target: &Arc<str>, heartbeat: Box<Heartbeat>| {
         let attempt = Attempt {
             links: links.links.clone(),
             first: target.clone(),
+            began_at: Instant::now(),
             inputs: inputs.clone(),
             learned: learned_sender.clone(),
         };
@@ -133,11 +142,15 @@
                 start(&links, &target, heartbeat);
             }
             Some(learned) = learned.recv() => match learned {
-                Learned::Target(next) if next == target => {}
-                Learned::Target(next) => {
-                    info!(logger, "heartbeats go to another control instance"; "address" => &*next);
-                    target = next;
+                Learned::Answered(address) => {
+                    answered_at = Instant::now();
+                    if address != target {
+                        info!(logger, "heartbeats go to another control instance"; "address" => &*address);
+                        target = address;
+                    }
                 }
+                Learned::Next { began_at, .. } if answered_at > began_at => {}
+                Learned::Next { address, .. } => target = address,
                 Learned::UnknownLeader(address) => {
                     links.add(&address);
                     target = address;
@@ -155,6 +168,7 @@
 struct Attempt {
     links: Vec<ControlLink>,
     first: Arc<str>,
+    began_at: Instant,
     inputs: mpsc::UnboundedSender<Input>,
     learned: mpsc::UnboundedSender<Learned>,
 }
@@ -166,7 +180,7 @@
             let body = PeerBody::Heartbeat(heartbeat.clone());
             match self.links[target].link.ask(body, ANSWER_TIMEOUT).await {
                 Ok(PeerBody::HeartbeatAnswer(answer)) => {
-                    self.learn(Learned::Target(self.links[target].address.clone()));
+                    self.learn(Learned::Answered(self.links[target].address.clone()));
                     if let Some(members) = &answer.control_addresses {
                         self.learn(Learned::Members(members.clone()));
                     }
@@ -182,11 +196,16 @@
                 Err(_) => {
                     // The answer may only be late: the next heartbeat tries elsewhere.
                     let next = self.next(target);
-                    return self.learn(Learned::Target(self.links[next].address.clone()));
+                    return self.learn_next(next);
                 }
             }
         }
-        self.learn(Learned::Target(self.links[target].address.clone()));
+        self.learn_next(target);
+    }
+
+    fn learn_next(&self, next: usize) {
+        let address = self.links[next].address.clone();
+        self.learn(Learned::Next { address, began_at: self.began_at });
     }
 
     /// An error says that the links have been closed.
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -149,6 +149,7 @@
         asked_at,
         revision: Revision(1),
         leaving: false,
+        complete: true,
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: permits.collect(),
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -18,6 +18,10 @@
     std::sync::Arc,
 };
 
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 fn is_zero(value: &u64) -> bool {
     *value == 0
 }
@@ -50,6 +54,9 @@
     /// Whether the sender is stopping and gives back all that it holds.
     #[serde(rename = "l")]
     pub leaving: bool,
+    /// Whether the sender tells all that it holds, and not only what has changed.
+    #[serde(rename = "c", default, skip_serializing_if = "is_false")]
+    pub complete: bool,
     /// What the sender saw of endpoints since its last heartbeat; only the ones with news.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub endpoints: Vec<EndpointReport>,
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -58,10 +58,31 @@
         /// Where the term began.
         start: LogPosition,
     },
+    /// Writes a run of an entry instance down, before it gets its first lease.
+    PutRun(Run),
+    /// Forgets a run that holds no lease any more.
+    RemoveRun(Run),
     /// Changes the members of the control group; takes effect when it is appended.
     Members(Members),
 }
 
+/// One run of an entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// The instance.
+    pub instance: InstanceName,
+    /// The run.
+    pub incarnation: Incarnation,
+}
+
+impl Keyed for Run {
+    type Key = InstanceName;
+
+    fn key(&self) -> &InstanceName {
+        &self.instance
+    }
+}
+
 /// The control instances that form the group.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
@@ -132,6 +153,9 @@
     /// The document of the configuration in force, where one was put in force by version.
     #[serde(default)]
     pub document: Option<VersionedDocument>,
+    /// The runs of entry instances that may hold leases.
+    #[serde(default)]
+    pub runs: SortedVec<Run>,
 }
 
 /// The outcome of a change, kept for resends.
--- a/crates/cumincart-runtime/tests/data_folder.rs
+++ b/crates/cumincart-runtime/tests/data_folder.rs
@@ -5,6 +5,7 @@
     cumincart_protocol::{
         number::{ControlTerm, LogIndex},
         replication::{Ballot, Command, Members, Record, Snapshot},
+        sorted::SortedVec,
     },
     cumincart_runtime::data_folder::{DataFolder, DataFolderError, Writer},
     std::{
@@ -37,6 +38,7 @@
         catalogue: Arc::default(),
         outcomes: Vec::new(),
         document: None,
+        runs: SortedVec::new(),
     }))
 }
 
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -115,7 +115,10 @@
             session.identify(engine.now()).map(|_| ())
         };
         if let Err(failure) = found {
-            info!(engine.logger(), "session refused"; "database" => database, "why" => &*failure.text);
+            if let Some(left_out) = engine.decisions().takes_failure(engine.now()) {
+                info!(engine.logger(), "session refused";
+                    "database" => database, "why" => &*failure.text, "lines_left_out" => left_out);
+            }
             return Err(failure);
         }
         Ok(session)
