Let work wait at an adaptive window, and give scarce tokens to the higher priority

Change: a gate has a window that shrinks while answers take three times as long as at best; a transaction at rest leaves its place; of equals one goes first whose organisation has a connection; waiting requests get tokens in the order of their priority.

--- a/crates/cumincart-core/src/entry/quota.rs
+++ b/crates/cumincart-core/src/entry/quota.rs
@@ -60,6 +60,19 @@
     organisation: &OrganisationName,
     ticket: Ticket,
     deadline: Instant,
+) -> QuotaDecision {
+    take_with_priority(quota, now, organisation, ticket, deadline, 0)
+}
+
+/// The same for a request that goes before waiting ones of a lower priority, which is a greater number: where the rate
+/// is used up, its tokens go to what matters most.
+pub fn take_with_priority(
+    quota: &mut Quota,
+    now: Instant,
+    organisation: &OrganisationName,
+    ticket: Ticket,
+    deadline: Instant,
+    priority: u32,
 ) -> QuotaDecision {
     if now >= quota.lease_until {
         return QuotaDecision::Refused { retry_after_ms: HEARTBEAT_INTERVAL_MS };
@@ -74,10 +87,11 @@
         return QuotaDecision::Admitted;
     }
     let wait_until = deadline.min(now + Duration::from_millis(QUOTA_WAIT_MS));
-    if !bucket.may_wait(now, wait_until, plan) {
+    if !bucket.may_wait(now, wait_until, plan, priority) {
         return QuotaDecision::Refused { retry_after_ms: bucket.retry_after_ms(now, plan) };
     }
-    bucket.waiting.push_back(Waiter { ticket, until: wait_until });
+    let place = bucket.place_of(priority);
+    bucket.waiting.insert(place, Waiter { ticket, until: wait_until, priority });
     quota.waiting += 1;
     QuotaDecision::Waiting
 }
--- a/crates/cumincart-core/src/entry/quota/bucket.rs
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -34,6 +34,8 @@
     pub ticket: Ticket,
     /// When it is refused.
     pub until: Instant,
+    /// The order among requests that wait; 0 goes first.
+    pub priority: u32,
 }
 
 /// A report and when it was made.
@@ -131,21 +133,26 @@
     }
 
     /// Whether a token may come for one more request before `until`, from this share or from the leader's reserve.
-    pub fn may_wait(&self, now: Instant, until: Instant, plan: Share) -> bool {
-        if self.own_token_at(now).is_some_and(|at| at <= until) {
+    pub fn may_wait(&self, now: Instant, until: Instant, plan: Share, priority: u32) -> bool {
+        if self.own_token_at(now, self.place_of(priority)).is_some_and(|at| at <= until) {
             return true;
         }
         let queue_limit = (plan.rate_milli_per_s * QUOTA_WAIT_MS / (TOKEN_MILLI * 1_000)).max(1);
         self.reserve_at <= until && (self.waiting.len() as u64) < queue_limit
     }
 
+    /// How many of those that wait go before a new request of this priority.
+    pub fn place_of(&self, priority: u32) -> usize {
+        self.waiting.partition_point(|waiter| waiter.priority <= priority)
+    }
+
     /// Whether a request waits that this share can't serve soon, and the leader's reserve may have a token.
     pub fn needs_tokens(&self, now: Instant) -> bool {
         if self.waiting.is_empty() || self.reserve_at > now {
             return false;
         }
         let soon = now + Duration::from_millis(OWN_WAIT_MS);
-        self.own_token_at(now).is_none_or(|at| at > soon)
+        self.own_token_at(now, self.waiting.len()).is_none_or(|at| at > soon)
     }
 
     /// Whether the leader should hear now that demand has moved.
@@ -156,7 +163,7 @@
     /// The time until a token can be here for a request that comes behind those that wait.
     pub fn retry_after_ms(&self, now: Instant, plan: Share) -> u64 {
         let reserve_at = self.reserve_at.max(now + interval_of(plan));
-        let at = self.own_token_at(now).map_or(reserve_at, |own| own.min(reserve_at));
+        let at = self.own_token_at(now, self.waiting.len()).map_or(reserve_at, |own| own.min(reserve_at));
         millis_between(now, at).max(1)
     }
 
@@ -318,12 +325,12 @@
         self.returned_milli += surplus_milli;
     }
 
-    /// When this share alone has a token for a request behind those that wait.
-    fn own_token_at(&self, now: Instant) -> Option<Instant> {
+    /// When this share alone has a token for a request behind `ahead` others.
+    fn own_token_at(&self, now: Instant, ahead: usize) -> Option<Instant> {
         if self.share.rate_milli_per_s == 0 || self.share.burst_milli < TOKEN_MILLI {
             return None;
         }
-        let needed_nano = (self.waiting.len() as u64 + 1) * TOKEN_NANO;
+        let needed_nano = (ahead as u64 + 1) * TOKEN_NANO;
         let missing_nano = needed_nano.saturating_sub(self.tokens_nano);
         let micros = missing_nano.div_ceil(self.share.rate_milli_per_s);
         Some(now + Duration::from_micros(micros))
--- a/crates/cumincart-core/src/interactive/admission.rs
+++ b/crates/cumincart-core/src/interactive/admission.rs
@@ -5,7 +5,7 @@
 //! so that what does wait is served within its deadline, and clients come back after a time that the queue explains.
 
 use {
-    cumincart_protocol::time::Instant,
+    cumincart_protocol::{name::OrganisationName, time::Instant},
     std::{cmp::Ordering, time::Duration},
 };
 
@@ -15,14 +15,37 @@
 /// The service time that is assumed before any was measured, in microseconds.
 const INITIAL_SERVICE_US: u64 = 40_000;
 
+/// The weight of the newest latency in its average, in thousandths.
+const LATENCY_WEIGHT_PER_MILLE: u64 = 100;
+
+/// How fast the base latency rises where nothing lower is measured, in millionths an exchange.
+const BASE_RISE_PPM: u64 = 500;
+
+/// How many times the base latency counts as an overloaded endpoint.
+const OVERLOAD_FACTOR: u64 = 3;
+
+/// What an overloaded endpoint leaves of the window with each exchange, in thousandths.
+const WINDOW_DECREASE_PER_MILLE: u64 = 950;
+
+/// By how much the window grows over as many exchanges as it holds, in thousandths of a place.
+const WINDOW_INCREASE_MILLI: u64 = 250;
+
+/// One place of the window.
+const PLACE_MILLI: u64 = 1_000;
+
+/// How long the first that waits may be passed over by one whose connection is there, in milliseconds.
+const PASSED_OVER_MS: u64 = 100;
+
 /// The longest queue, so that a stalled endpoint costs bounded memory.
 pub const QUEUE_MAX: usize = 512;
 
 /// A request for a place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Arrival {
     /// Names the request.
     pub ticket: u64,
+    /// Whose it is.
+    pub organisation: OrganisationName,
     /// The order among databases; 0 goes first.
     pub priority: u32,
     /// When the client's statement arrived.
@@ -52,10 +75,20 @@
 }
 
 /// The places at one endpoint.
+///
+/// Two bounds hold: connections for all that has a place, and a window for what uses the endpoint at this moment. The
+/// window shrinks while answers take several times as long as they do at best, so that work waits here, in the order of
+/// its priority, and not in the endpoint's own queue.
 #[derive(Debug)]
 pub struct Gate {
     limit: u32,
     running: u32,
+    /// Transactions whose client is between two statements.
+    resting: u32,
+    /// Places in use at once, in thousandths.
+    window_milli: u64,
+    latency_us: u64,
+    base_us: u64,
     service_us: u64,
     /// In the order in which they get places.
     waiting: Vec<Arrival>,
@@ -63,14 +96,28 @@
 
 impl Default for Gate {
     fn default() -> Self {
-        Self { limit: 0, running: 0, service_us: INITIAL_SERVICE_US, waiting: Vec::new() }
+        Self {
+            limit: 0,
+            running: 0,
+            resting: 0,
+            window_milli: u64::MAX,
+            latency_us: INITIAL_SERVICE_US,
+            base_us: INITIAL_SERVICE_US,
+            service_us: INITIAL_SERVICE_US,
+            waiting: Vec::new(),
+        }
     }
 }
 
 impl Gate {
-    /// How many places are taken.
-    pub fn running(&self) -> u32 {
-        self.running
+    /// How many places are taken, by transactions at rest too.
+    pub fn taken(&self) -> u32 {
+        self.running + self.resting
+    }
+
+    /// How many places may be in use at once.
+    pub fn window(&self) -> u32 {
+        u32::try_from(self.window_milli / PLACE_MILLI).unwrap_or(u32::MAX).min(self.limit).max(1)
     }
 
     /// How many places there are.
@@ -90,7 +137,11 @@
 
     /// Whether a request would get a place now.
     pub fn has_place(&self) -> bool {
-        self.running < self.limit && self.waiting.is_empty()
+        self.is_open() && self.waiting.is_empty()
+    }
+
+    fn is_open(&self) -> bool {
+        self.running < self.window() && self.taken() < self.limit
     }
 
     /// How long a request with this priority would wait, as far as can be told.
@@ -99,7 +150,7 @@
             return Duration::ZERO;
         }
         let ahead = self.waiting.iter().filter(|other| other.priority <= priority).count() as u64;
-        let places = u64::from(self.limit.max(1));
+        let places = u64::from(self.window());
         Duration::from_micros((ahead + 1) * self.service_us / places)
     }
 
@@ -136,24 +187,62 @@
         }
     }
 
+    /// Leaves a place to others while its transaction's client thinks.
+    pub fn rest(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.resting += 1;
+    }
+
+    /// Takes a place up again for the next statement of its transaction, before all new work.
+    pub fn resume(&mut self) {
+        self.resting = self.resting.saturating_sub(1);
+        self.running += 1;
+    }
+
+    /// Learns from an answer's latency, or from the endpoint's refusal because its queue is full.
+    pub fn observe(&mut self, latency: Duration, is_refusal: bool) {
+        let measured = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX).min(60_000_000);
+        if !is_refusal {
+            let old = self.latency_us * (1_000 - LATENCY_WEIGHT_PER_MILLE);
+            self.latency_us = (old + measured * LATENCY_WEIGHT_PER_MILLE) / 1_000;
+            let risen = self.base_us + self.base_us * BASE_RISE_PPM / 1_000_000;
+            self.base_us = risen.min(self.latency_us);
+        }
+        let most = u64::from(self.limit.max(1)) * PLACE_MILLI;
+        let window = self.window_milli.min(most);
+        let is_overloaded = is_refusal || self.latency_us > OVERLOAD_FACTOR * self.base_us;
+        self.window_milli = if is_overloaded {
+            (window * WINDOW_DECREASE_PER_MILLE / 1_000).max(PLACE_MILLI)
+        } else {
+            (window + WINDOW_INCREASE_MILLI * PLACE_MILLI / window.max(1)).min(most)
+        };
+    }
+
     /// Changes the number of places.
     pub fn set_limit(&mut self, limit: u32) {
         self.limit = limit;
     }
 
-    /// Gives the next free place to the first that waits and can still start in time. The others are named as late.
-    pub fn next(&mut self, now: Instant) -> Option<Next> {
+    /// Gives the next free place to the first that waits and can still start in time; the others are named as late. Of
+    /// the same priority one goes first whose organisation `has_connection`, since opening one takes a slot's time.
+    pub fn next(&mut self, now: Instant, has_connection: impl Fn(&OrganisationName) -> bool) -> Option<Next> {
         if self.waiting.is_empty() {
             return None;
         }
         if self.waiting[0].start_by < now {
             return Some(Next::Late(self.waiting.remove(0).ticket));
         }
-        if self.running >= self.limit {
+        if !self.is_open() {
             return None;
         }
         self.running += 1;
-        Some(Next::Admitted(self.waiting.remove(0).ticket))
+        let first = &self.waiting[0];
+        let may_pass = now.saturating_since(first.arrived_at) < Duration::from_millis(PASSED_OVER_MS);
+        let peers = self.waiting.iter().take_while(|other| other.priority == first.priority);
+        let with_connection =
+            peers.enumerate().find(|(_, other)| other.start_by >= now && has_connection(&other.organisation));
+        let chosen = with_connection.filter(|_| may_pass).map_or(0, |(position, _)| position);
+        Some(Next::Admitted(self.waiting.remove(chosen).ticket))
     }
 }
 
--- a/crates/cumincart-core/tests/interactive/admission.rs
+++ b/crates/cumincart-core/tests/interactive/admission.rs
@@ -11,7 +11,13 @@
 }
 
 fn arrival(ticket: u64, priority: u32, arrived_ms: u64, start_by_ms: u64) -> Arrival {
-    Arrival { ticket, priority, arrived_at: at(arrived_ms), start_by: at(start_by_ms) }
+    Arrival {
+        ticket,
+        organisation: "clinic".into(),
+        priority,
+        arrived_at: at(arrived_ms),
+        start_by: at(start_by_ms),
+    }
 }
 
 fn gate(limit: u32) -> Gate {
@@ -45,7 +51,7 @@
     let mut order = Vec::new();
     for _ in 0..3 {
         gate.release(Some(Duration::from_millis(10)));
-        if let Some(Next::Admitted(ticket)) = gate.next(at(10)) {
+        if let Some(Next::Admitted(ticket)) = gate.next(at(10), |_| false) {
             order.push(ticket);
         }
     }
@@ -79,9 +85,9 @@
     gate.ask(at(0), arrival(2, 1, 0, 100));
     gate.ask(at(0), arrival(3, 1, 0, 1_000));
     gate.release(None);
-    assert_eq!(gate.next(at(500)), Some(Next::Late(2)));
-    assert_eq!(gate.next(at(500)), Some(Next::Admitted(3)));
-    assert_eq!(gate.next(at(500)), None);
+    assert_eq!(gate.next(at(500), |_| false), Some(Next::Late(2)));
+    assert_eq!(gate.next(at(500), |_| false), Some(Next::Admitted(3)));
+    assert_eq!(gate.next(at(500), |_| false), None);
 }
 
 #[test]
@@ -92,7 +98,7 @@
     assert!(gate.cancel(2));
     assert!(!gate.cancel(2));
     gate.release(None);
-    assert_eq!(gate.next(at(1)), None);
+    assert_eq!(gate.next(at(1), |_| false), None);
     assert!(gate.has_place());
 }
 
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -114,6 +114,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PlaceRequest<'a> {
     pub(crate) database: &'a Database,
+    pub(crate) organisation: &'a OrganisationName,
     pub(crate) target: Target,
     pub(crate) tried: &'a [EndpointName],
     pub(crate) arrived_at: Instant,
@@ -243,13 +244,18 @@
     }
 
     /// Takes a token of the organisation's rate, or tells that none comes in time.
-    pub(crate) async fn take_token(&self, organisation: &OrganisationName, start_by: Instant) -> bool {
+    pub(crate) async fn take_token(
+        &self,
+        organisation: &OrganisationName,
+        start_by: Instant,
+        priority: u32,
+    ) -> bool {
         let (ticket, answered) = {
             let mut state = self.lock();
             let now = self.now();
             let (ticket, answered) = state.ticket();
             let quota = &mut state.fleet.quota;
-            match quota::take(quota, now, organisation, Ticket(ticket), start_by) {
+            match quota::take_with_priority(quota, now, organisation, Ticket(ticket), start_by, priority) {
                 QuotaDecision::Waiting => (ticket, answered),
                 decision => {
                     state.drop_ticket(ticket);
@@ -321,6 +327,7 @@
         let Some(endpoint) = state.endpoints.get_mut(&chosen.name) else { return Asked::NoEndpoint };
         let arrival = Arrival {
             ticket,
+            organisation: request.organisation.clone(),
             priority: request.database.priority,
             arrived_at: request.arrived_at,
             start_by: request.start_by,
@@ -484,17 +491,19 @@
 
     async fn refresh_point(self, database: Database) {
         let now = self.now();
-        let request = PlaceRequest {
-            database: &database,
-            target: Target::Primary,
-            tried: &[],
-            arrived_at: now,
-            start_by: now + REFRESH_TIMEOUT,
-        };
-        let organisation = self.any_organisation();
-        if let (Ok(mut place), Some(organisation)) = (self.place(&request).await, organisation) {
+        if let Some(organisation) = self.any_organisation() {
+            let request = PlaceRequest {
+                database: &database,
+                organisation: &organisation,
+                target: Target::Primary,
+                tried: &[],
+                arrived_at: now,
+                start_by: now + REFRESH_TIMEOUT,
+            };
             let deadline = tokio::time::Instant::now() + REFRESH_TIMEOUT;
-            if place.connect(&organisation, &SessionState::default(), deadline).await.is_ok() {
+            if let Ok(mut place) = self.place(&request).await
+                && place.connect(&organisation, &SessionState::default(), deadline).await.is_ok()
+            {
                 // Its point is learned with the reply; a failure is noted with the endpoint's contact.
                 let _ = place.exchange(vec![Command::Status], deadline).await;
             }
--- a/crates/cumincart-session/src/place.rs
+++ b/crates/cumincart-session/src/place.rs
@@ -58,6 +58,7 @@
     busy: Duration,
     borrowed: Option<Borrowed>,
     is_clean: bool,
+    is_resting: bool,
 }
 
 impl Place {
@@ -80,6 +81,7 @@
             busy,
             borrowed: None,
             is_clean: true,
+            is_resting: false,
         }
     }
 
@@ -198,6 +200,7 @@
         commands: Vec<Command>,
         deadline: tokio::time::Instant,
     ) -> Result<Vec<Reply>, LinkFailure> {
+        self.resume();
         let Some(borrowed) = &self.borrowed else { return Err(LinkFailure::NotSent) };
         let asked_at = self.engine.now();
         let holds_lease =
@@ -214,7 +217,9 @@
             Ok(Err(_)) => Err(LinkFailure::Broken),
             Err(_) => Err(LinkFailure::TimedOut),
         };
-        self.busy += self.engine.now().saturating_since(asked_at);
+        let latency = self.engine.now().saturating_since(asked_at);
+        self.busy += latency;
+        self.observe(latency, &result);
         match result {
             Ok(replies) if replies.len() == expected => {
                 self.take_replies(&replies, holds_lease.then_some(asked_at));
@@ -234,6 +239,41 @@
         }
     }
 
+    /// Leaves the place to others until the transaction's next statement.
+    pub(crate) fn rest(&mut self) {
+        if std::mem::replace(&mut self.is_resting, true) {
+            return;
+        }
+        let now = self.engine.now();
+        let mut state = self.engine.lock();
+        if let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) {
+            endpoint.gate.rest();
+        }
+        state.pump(now, &self.endpoint);
+    }
+
+    fn resume(&mut self) {
+        if !std::mem::replace(&mut self.is_resting, false) {
+            return;
+        }
+        if let Some(endpoint) = self.engine.lock().endpoints.get_mut(&self.endpoint) {
+            endpoint.gate.resume();
+        }
+    }
+
+    /// Lets the gate learn from an exchange.
+    fn observe(&self, latency: Duration, result: &Result<Vec<Reply>, LinkFailure>) {
+        let is_refusal = result.as_ref().is_ok_and(|replies| {
+            let is_busy = |reply: &Reply| {
+                reply.result.as_ref().is_err_and(|error| error.kind == EndpointErrorKind::Busy)
+            };
+            replies.iter().any(is_busy)
+        });
+        if let Some(endpoint) = self.engine.lock().endpoints.get_mut(&self.endpoint) {
+            endpoint.gate.observe(latency, is_refusal);
+        }
+    }
+
     /// Learns from replies how far the endpoint's log is.
     fn take_replies(&mut self, replies: &[Reply], lease_held_at: Option<Instant>) {
         self.is_clean = replies.last().is_some_and(|reply| reply.state == TransactionState::Idle);
@@ -301,6 +341,9 @@
         let mut state = self.engine.lock();
         let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) else { return };
         let service = (self.busy > Duration::ZERO).then_some(self.busy);
+        if self.is_resting {
+            endpoint.gate.resume();
+        }
         endpoint.gate.release(service);
         if let Some(borrowed) = self.borrowed.take() {
             let is_surplus = endpoint.open > endpoint.gate.limit();
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -37,7 +37,7 @@
 /// The part of the latency objective for which an operation waits for a token of its organisation's rate, in thousandths.
 /// A share can move here meanwhile; where the whole rate is used up, waiting longer only makes all of the organisation's
 /// operations late.
-const TOKEN_WAIT_PER_MILLE: u32 = 250;
+const TOKEN_WAIT_PER_MILLE: u32 = 400;
 
 /// How many endpoints a read is tried on.
 const READ_ATTEMPTS: usize = 3;
@@ -157,7 +157,8 @@
             return Ok(operation);
         }
         let wait = Duration::from_millis(operation.database.objective_ms) * TOKEN_WAIT_PER_MILLE / 1_000;
-        if self.engine.take_token(&operation.organisation, arrived_at + wait).await {
+        let priority = operation.database.priority;
+        if self.engine.take_token(&operation.organisation, arrived_at + wait, priority).await {
             return Ok(operation);
         }
         let text = format!("the rate of {} is used up here", operation.organisation);
@@ -265,6 +266,7 @@
         };
         let request = PlaceRequest {
             database,
+            organisation: &operation.organisation,
             target: point.map_or(Target::Primary, Target::Anywhere),
             tried,
             arrived_at: operation.arrived_at,
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -14,7 +14,7 @@
     cumincart_protocol::{
         catalogue::Catalogue,
         heartbeat::EndpointReport,
-        name::{EndpointName, ServiceName},
+        name::{EndpointName, OrganisationName, ServiceName},
         number::Term,
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -90,7 +90,7 @@
     /// What routing needs to know.
     pub(crate) fn load(&self) -> Load {
         Load {
-            in_use: u64::from(self.gate.running()) + self.gate.waiting() as u64,
+            in_use: u64::from(self.gate.taken()) + self.gate.waiting() as u64,
             limit: self.gate.limit(),
             service_us: self.gate.service_us(),
             point: self.point,
@@ -115,7 +115,7 @@
         let lately = Duration::from_millis(USED_LATELY_MS);
         let used = self.idle.iter().filter(|idle| now.saturating_since(idle.idle.since) < lately).count();
         let waiting = self.gate.waiting().min(WAITING_COUNTED);
-        self.gate.running() + u32::try_from(used + waiting).unwrap_or(u32::MAX)
+        self.gate.taken() + u32::try_from(used + waiting).unwrap_or(u32::MAX)
     }
 
     fn report(&mut self, now: Instant) -> Option<EndpointReport> {
@@ -276,7 +276,11 @@
     pub(crate) fn pump(&mut self, now: Instant, name: &EndpointName) {
         loop {
             let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-            match endpoint.gate.next(now) {
+            let idle = &endpoint.idle;
+            let has_connection = |organisation: &OrganisationName| {
+                idle.iter().any(|idle| idle.idle.organisation == *organisation)
+            };
+            match endpoint.gate.next(now, has_connection) {
                 None => return,
                 Some(Next::Late(ticket)) => {
                     self.answer(ticket, false);
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -68,6 +68,9 @@
         match self.pass_on(&mut transaction, statement, Asked::InTransaction, arrived_at).await {
             Ok((reply, rows)) => {
                 transaction.active_at = self.engine.now();
+                if let Some(place) = transaction.place.as_mut() {
+                    place.rest();
+                }
                 self.phase = Phase::Open(transaction);
                 Answer { result: Ok(rows), state: TransactionState::Open, point: reply }
             }
@@ -152,6 +155,7 @@
                 .flatten();
             let request = PlaceRequest {
                 database: &operation.database,
+                organisation: &operation.organisation,
                 target: point.map_or(Target::Primary, Target::Anywhere),
                 tried: &tried,
                 arrived_at,
