--- a/crates/cumincart-core/tests/interactive/admission.rs
+++ b/crates/cumincart-core/tests/interactive/admission.rs
@@ -110,3 +110,70 @@
         (0..2_000).filter(|ticket| gate.ask(at(0), arrival(*ticket, 1, 0, far)) == Admission::Waiting);
     assert_eq!(waiting.count(), QUEUE_MAX);
 }
+
+/// Pattern: several instances that keep an endpoint's own queue full, where priorities don't count.
+#[test]
+fn the_window_shrinks_while_answers_take_several_times_as_long_as_at_best() {
+    let mut gate = gate(8);
+    for _ in 0..100 {
+        gate.observe(Duration::from_millis(20), false);
+    }
+    assert_eq!(gate.window(), 8);
+    for _ in 0..100 {
+        gate.observe(Duration::from_millis(200), false);
+    }
+    assert_eq!(gate.window(), 1, "one place is always left");
+    for _ in 0..200 {
+        gate.observe(Duration::from_millis(20), false);
+    }
+    assert_eq!(gate.window(), 8);
+}
+
+/// Pattern: an endpoint that sheds load.
+#[test]
+fn refusals_of_the_endpoint_shrink_the_window() {
+    let mut gate = gate(8);
+    for _ in 0..20 {
+        gate.observe(Duration::from_millis(1), true);
+    }
+    assert!(gate.window() <= 3, "{} places", gate.window());
+}
+
+/// Pattern: long transactions whose clients think between statements.
+#[test]
+fn a_transaction_at_rest_leaves_its_place_but_keeps_its_connection() {
+    let mut gate = gate(2);
+    for _ in 0..60 {
+        gate.observe(Duration::from_millis(20), false);
+    }
+    for _ in 0..80 {
+        gate.observe(Duration::from_millis(1), true);
+    }
+    assert_eq!(gate.window(), 1);
+    assert_eq!(gate.ask(at(0), arrival(1, 1, 0, 1_000)), Admission::Admitted);
+    assert_eq!(gate.ask(at(0), arrival(2, 1, 0, 1_000)), Admission::Waiting);
+    gate.rest();
+    assert_eq!(gate.next(at(0), |_| false), Some(Next::Admitted(2)));
+    gate.rest();
+    assert_eq!(gate.ask(at(0), arrival(3, 1, 0, 1_000)), Admission::Waiting, "both connections are taken");
+    gate.resume();
+    gate.release(None);
+    assert_eq!(gate.next(at(0), |_| false), Some(Next::Admitted(3)));
+}
+
+/// Pattern: many organisations over few connections.
+#[test]
+fn of_equals_one_goes_first_whose_connection_is_there_but_nobody_is_passed_over_for_long() {
+    let mut gate = gate(1);
+    gate.ask(at(0), arrival(1, 1, 0, 5_000));
+    for ticket in 2..6 {
+        let organisation = if ticket % 2 == 0 { "clinic" } else { "taxi" };
+        let arrival = Arrival { organisation: organisation.into(), ..arrival(ticket, 1, 0, 5_000) };
+        gate.ask(at(0), arrival);
+    }
+    let is_taxi = |organisation: &cumincart_protocol::name::OrganisationName| organisation.as_str() == "taxi";
+    gate.release(None);
+    assert_eq!(gate.next(at(10), is_taxi), Some(Next::Admitted(3)));
+    gate.release(None);
+    assert_eq!(gate.next(at(500), is_taxi), Some(Next::Admitted(2)), "it has waited long enough");
+}
