--- a/crates/cumincart-core/src/control/choice.rs
+++ b/crates/cumincart-core/src/control/choice.rs
@@ -16,8 +16,9 @@
 /// How long endpoints that were heard lately are waited for beyond a majority, in milliseconds.
 pub const STRAGGLER_WAIT_MS: u64 = 2 * ANNOUNCEMENT_INTERVAL_MS + 50;
 
-/// How long a majority of an asynchronously replicated group is waited for after the fence, in milliseconds.
-pub const MAJORITY_WAIT_MS: u64 = 2_000;
+/// How long a majority of an asynchronously replicated group is waited for after the fence, in milliseconds: several
+/// urgent surveys, and one that has its whole time.
+pub const MAJORITY_WAIT_MS: u64 = 800;
 
 /// How long a planned move holds writes for a replica to catch up, in milliseconds.
 pub const MOVE_TIMEOUT_MS: u64 = 2_000;
--- a/crates/cumincart-core/src/control/detection.rs
+++ b/crates/cumincart-core/src/control/detection.rs
@@ -70,11 +70,17 @@
 /// two surveys that had their whole time and failed.
 pub const SURVEY_SILENT_MS: u64 = 1_500;
 
+/// The silence after which a surveyed endpoint counts as dead where entry instances of several failure domains did not
+/// reach it and none did, in milliseconds: a survey that failed, and the interval before it.
+pub const SURVEY_AGREED_MS: u64 = 600;
+
 /// Whether an endpoint that the leader asks itself is dead: its own attempts fail, and entry instances either agree or
 /// have nothing to say for it.
 pub fn survey_finds_dead(evidence: &Evidence) -> bool {
-    let is_unheard = evidence.silent_ms >= SURVEY_SILENT_MS && evidence.reaching == 0;
-    agrees_dead(evidence) || is_unheard
+    let needed = evidence.domains.clamp(1, AGREEING_DOMAINS);
+    let is_agreed = evidence.silent_ms >= SURVEY_AGREED_MS && evidence.not_reaching >= needed;
+    let is_unheard = evidence.silent_ms >= SURVEY_SILENT_MS;
+    agrees_dead(evidence) || (evidence.reaching == 0 && (is_agreed || is_unheard))
 }
 
 /// The last report of each entry instance on each endpoint.
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -88,7 +88,8 @@
     for endpoint in heard {
         enter(board, now, &endpoint, out);
     }
-    if board.surveys.is_enabled {
+    // What was proposed before is applied first, so that nothing is removed twice.
+    if board.surveys.is_enabled && board.log.applied == board.log.last_index() {
         remove_expired(board, now, out);
     }
 }
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -238,7 +238,10 @@
 #[test_case(1_600, 0, 0, true; "silent, and nobody reaches it")]
 #[test_case(1_600, 0, 1, false; "one failure domain still reaches it")]
 #[test_case(900, 0, 0, false; "one survey missed")]
-#[test_case(900, 2, 0, true; "two failure domains agree")]
+#[test_case(700, 2, 0, true; "two failure domains agree")]
+#[test_case(700, 1, 0, false; "only one failure domain does not reach it")]
+#[test_case(700, 2, 1, false; "one failure domain reaches it")]
+#[test_case(500, 2, 0, false; "no survey has failed for sure")]
 fn a_surveyed_endpoint_is_dead(silent_ms: u64, not_reaching: usize, reaching: usize, dead: bool) {
     let evidence = Evidence { silent_ms, domains: 3, not_reaching, reaching };
     assert_eq!(survey_finds_dead(&evidence), dead);
