Pass exchanges on to the instance that holds the organisation's connections

Change: each organisation's work at an endpoint goes by one instance of the endpoint's failure domain, named by rendezvous hashing; a transaction keeps its place there. Instances that want no connection to an endpoint get no permit for it.

--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -60,6 +60,8 @@
     kept: u32,
     /// What holders want beyond one connection each.
     wanted: u32,
+    /// How many holders want any.
+    wanting: u32,
 }
 
 impl Keyed for Account {
@@ -75,12 +77,14 @@
         self.leased -= holding.leased();
         self.kept -= holding.kept();
         self.wanted -= holding.wanted;
+        self.wanting -= u32::from(holding.wants);
     }
 
     fn count(&mut self, holding: &Holding) {
         self.leased += holding.leased();
         self.kept += holding.kept();
         self.wanted += holding.wanted;
+        self.wanting += u32::from(holding.wants);
     }
 }
 
@@ -169,7 +173,7 @@
 }
 
 fn account_of<'a>(accounts: &'a mut SortedVec<Account>, endpoint: &EndpointName) -> &'a mut Account {
-    let none = || Account { endpoint: endpoint.clone(), leased: 0, kept: 0, wanted: 0 };
+    let none = || Account { endpoint: endpoint.clone(), leased: 0, kept: 0, wanted: 0, wanting: 0 };
     accounts.get_or_insert_with(endpoint, none)
 }
 
@@ -249,6 +253,7 @@
         instances: u32::try_from(active.count() + this).unwrap_or(u32::MAX),
         instances_here: u32::try_from(here + this).unwrap_or(u32::MAX),
         active: holder.active,
+        wants: false,
     }
 }
 
@@ -267,7 +272,8 @@
     let held = holding.confirmed;
     let kept_target = target::kept(&budget, demand, holding.kept(), may_gain_kept);
     let kept_room = budget.kept.saturating_sub(account.kept - holding.kept());
-    let leased_target = target::leased(&budget, demand, holding.wanted, account.wanted);
+    let demand = Demand { instances: account.wanting, wants: holding.wants, ..*demand };
+    let leased_target = target::leased(&budget, &demand, holding.wanted, account.wanted);
     let leased_room = leasable.saturating_sub(account.leased - holding.leased()).max(held.leased());
     let kept = kept_target.min(kept_room);
     let leased = leased_target.min(leased_room);
--- a/crates/cumincart-core/src/control/permits/holder.rs
+++ b/crates/cumincart-core/src/control/permits/holder.rs
@@ -74,6 +74,8 @@
     pub wanted: u32,
     /// Connections that the holder wants now, less one.
     wanted_now: u32,
+    /// Whether the holder wants any.
+    pub wants: bool,
     /// Connections that the holder reported, with those that it has yet to close.
     reported: u32,
     /// Permits that the holder reported to keep.
@@ -97,6 +99,7 @@
             outstanding: None,
             wanted: 0,
             wanted_now: 0,
+            wants: false,
             reported: 0,
             reported_kept: 0,
         }
@@ -120,6 +123,7 @@
         self.reported = report.held;
         self.reported_kept = report.kept;
         self.wanted_now = report.wanted.saturating_sub(1);
+        self.wants = report.wanted > 0;
         if let Some(sent) = self.outstanding.filter(|sent| sent.grant_number == report.grant_number) {
             self.confirmed = sent;
             self.outstanding = None;
@@ -146,6 +150,7 @@
         self.outstanding = None;
         self.wanted = 0;
         self.wanted_now = 0;
+        self.wants = false;
         self.reported = kept;
         self.reported_kept = kept;
     }
--- a/crates/cumincart-core/src/control/permits/target.rs
+++ b/crates/cumincart-core/src/control/permits/target.rs
@@ -16,12 +16,14 @@
 /// The part of the fleet that a division depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand {
-    /// Instances with a lease.
+    /// Instances with a lease that want connections to the endpoint.
     pub instances: u32,
     /// Those in the holder's failure domain.
     pub instances_here: u32,
-    /// Whether the holder is one of them.
+    /// Whether the holder has a lease.
     pub active: bool,
+    /// Whether the holder wants connections to the endpoint.
+    pub wants: bool,
 }
 
 /// Divides an endpoint's limit. Nothing is set aside where no route could be served without a lease.
@@ -40,10 +42,10 @@
     if may_gain { part } else { part.min(held) }
 }
 
-/// The permits that a holder should lease: one, and beyond it as much as it wants, in proportion where all together
+/// The permits that a holder should lease; none where it wants none. Otherwise one, and beyond it as much as it wants, in proportion where all together
 /// want too much. What nobody wants is divided equally.
 pub fn leased(budget: &Budget, demand: &Demand, wanted: u32, all_wanted: u32) -> u32 {
-    if !demand.active {
+    if !demand.active || !demand.wants {
         return 0;
     }
     let floors = demand.instances.min(budget.leased);
--- a/crates/cumincart-core/src/interactive.rs
+++ b/crates/cumincart-core/src/interactive.rs
@@ -5,10 +5,12 @@
 //! transaction (transaction pooling). Nothing here does input or output.
 
 pub mod admission;
-pub mod command;
+pub mod homes;
 pub mod pool;
 pub mod positions;
 pub mod routing;
 pub mod session;
 pub mod statement;
 pub mod verdict;
+
+pub use cumincart_protocol::exchange as command;
--- /dev/null
+++ b/crates/cumincart-core/src/interactive/homes.rs
@@ -0,0 +1,48 @@
+//! Which entry instances hold an organisation's connections to an endpoint.
+//!
+//! Answers many organisations over few connections: each organisation's work at an endpoint goes by one instance of the
+//! endpoint's failure domain, so its connections are used again and again. Rendezvous hashing moves only what an instance
+//! that comes or goes held.
+
+use cumincart_protocol::{
+    catalogue::EndpointEntry,
+    heartbeat::InstanceEntry,
+    name::{InstanceName, OrganisationName},
+    sorted::SortedVec,
+};
+
+/// How many instances are named: the first, and those that stand in for it.
+pub const HOMES: usize = 3;
+
+/// The offset basis of 64-bit FNV-1a.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// The prime of 64-bit FNV-1a.
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// The instances that hold the organisation's connections, best first: those of the endpoint's failure domain, or where it
+/// has none, all.
+pub fn homes<'a>(
+    instances: &'a SortedVec<InstanceEntry>,
+    endpoint: &EndpointEntry,
+    organisation: &OrganisationName,
+) -> Vec<&'a InstanceEntry> {
+    let near: Vec<&InstanceEntry> =
+        instances.iter().filter(|instance| instance.domain == endpoint.domain).collect();
+    let mut homes = if near.is_empty() { instances.iter().collect() } else { near };
+    homes.sort_by_key(|instance| std::cmp::Reverse(score(&instance.name, endpoint, organisation)));
+    homes.truncate(HOMES);
+    homes
+}
+
+fn score(instance: &InstanceName, endpoint: &EndpointEntry, organisation: &OrganisationName) -> u64 {
+    let parts = [instance.as_str(), endpoint.name.as_str(), organisation.as_str()];
+    let mut hash = FNV_OFFSET;
+    for byte in parts.iter().flat_map(|part| part.bytes().chain([0])) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    }
+    // FNV's upper bits depend little on the last bytes; a finalizer spreads them.
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
--- a/crates/cumincart-core/src/interactive/positions.rs
+++ b/crates/cumincart-core/src/interactive/positions.rs
@@ -3,14 +3,11 @@
 //! An answer of the primary, asked for under a term lease, names a point that covers every commit acknowledged before it
 //! was asked for. So a replica that has this point may serve reads whose bound reaches back to that moment.
 
+pub use cumincart_protocol::exchange::LogPoint;
+
 use {
-    cumincart_protocol::{
-        catalogue::TermStart,
-        number::{LogPosition, Timeline},
-        time::Instant,
-    },
-    serde::{Deserialize, Serialize},
-    std::{collections::VecDeque, fmt, time::Duration},
+    cumincart_protocol::time::Instant,
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// The shortest time between two samples that are kept, in milliseconds.
@@ -19,33 +16,6 @@
 /// How long samples are kept, in milliseconds: longer than any age that reads usually accept.
 pub const SAMPLE_KEPT_MS: u64 = 5_000;
 
-/// A point of a group's log: a later timeline goes before a greater position.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct LogPoint {
-    /// The timeline.
-    pub timeline: Timeline,
-    /// The position.
-    pub position: LogPosition,
-}
-
-impl fmt::Display for LogPoint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.timeline, self.position)
-    }
-}
-
-impl LogPoint {
-    /// The point with what promotions have rolled back taken off, so that some endpoint can have it.
-    #[must_use]
-    pub fn without_lost(self, starts: &[TermStart]) -> Self {
-        let next = starts.iter().find(|start| start.timeline > self.timeline);
-        match next {
-            Some(next) if self.position > next.position => Self { position: next.position, ..self },
-            _ => self,
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Sample {
     asked_at: Instant,
--- a/crates/cumincart-core/src/interactive/session.rs
+++ b/crates/cumincart-core/src/interactive/session.rs
@@ -1,62 +1,18 @@
 //! A session's values and prepared statements, and what a borrowed connection lacks of them.
 
+pub use cumincart_protocol::exchange::{Prepared, SessionValue};
+
 use {
-    super::{command::Command, positions::LogPoint, statement::Access},
-    cumincart_protocol::sorted::{Keyed, SortedVec},
+    cumincart_protocol::{
+        exchange::{Command, LogPoint},
+        sorted::SortedVec,
+    },
     std::sync::Arc,
 };
 
 /// The most values and prepared statements of one session together, so that a client can't fill the memory.
 pub const SESSION_ENTRIES_MAX: usize = 256;
 
-/// A value of a session.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SessionValue {
-    /// Its name.
-    pub name: Arc<str>,
-    /// The value.
-    pub value: Arc<str>,
-}
-
-impl Keyed for SessionValue {
-    type Key = Arc<str>;
-
-    fn key(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-/// A statement that a session has prepared.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Prepared {
-    /// The session's name of it.
-    pub name: Arc<str>,
-    /// Whether it reads or writes.
-    pub access: Access,
-    /// What it does, in the endpoint's own words.
-    pub shape: Arc<str>,
-}
-
-impl Keyed for Prepared {
-    type Key = Arc<str>;
-
-    fn key(&self) -> &Arc<str> {
-        &self.name
-    }
-}
-
-impl Prepared {
-    /// The name under which connections hold this statement: the same for every session that prepared the same, since
-    /// sessions' own names collide.
-    pub fn shared_name(&self) -> Arc<str> {
-        let access = match self.access {
-            Access::Read => 'r',
-            Access::Write => 'w',
-        };
-        format!("{access}_{}", self.shape).into()
-    }
-}
-
 /// What lasts as long as a session.
 #[derive(Debug, Default)]
 pub struct SessionState {
@@ -95,6 +51,11 @@
         self.prepared.get(name)
     }
 
+    /// A state with these values, as an instance passes them on.
+    pub fn with_values(values: SortedVec<SessionValue>) -> Self {
+        Self { values, ..Self::default() }
+    }
+
     /// The session's values.
     pub fn values(&self) -> &SortedVec<SessionValue> {
         &self.values
--- a/crates/cumincart-core/src/interactive/statement.rs
+++ b/crates/cumincart-core/src/interactive/statement.rs
@@ -1,15 +1,8 @@
 //! What an interactive client asks for, one statement at a time.
 
-use std::sync::Arc;
+pub use cumincart_protocol::exchange::{Access, TransactionState};
 
-/// Whether a statement reads or writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Access {
-    /// Reads only.
-    Read,
-    /// Writes.
-    Write,
-}
+use std::sync::Arc;
 
 /// One statement of a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -68,14 +61,3 @@
         name: Arc<str>,
     },
 }
-
-/// Whether a session is inside a transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TransactionState {
-    /// In none.
-    Idle,
-    /// In one.
-    Open,
-    /// In one that has failed; it can only be ended.
-    Failed,
-}
--- a/crates/cumincart-core/src/interactive/verdict.rs
+++ b/crates/cumincart-core/src/interactive/verdict.rs
@@ -1,6 +1,8 @@
 //! What a client is told when its statement did not succeed: a promise only where it is true.
 
-use super::command::EndpointErrorKind;
+pub use cumincart_protocol::exchange::LinkFailure;
+
+use cumincart_protocol::exchange::EndpointErrorKind;
 
 /// Why a statement did not succeed, as the client is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,17 +31,6 @@
     Failed,
 }
 
-/// How an exchange with an endpoint ended without an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LinkFailure {
-    /// Nothing was sent.
-    NotSent,
-    /// The connection broke after something was sent.
-    Broken,
-    /// No answer came in time.
-    TimedOut,
-}
-
 /// What was asked of the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asked {
--- a/crates/cumincart-core/tests/interactive.rs
+++ b/crates/cumincart-core/tests/interactive.rs
@@ -2,6 +2,8 @@
 
 #[path = "interactive/admission.rs"]
 mod admission;
+#[path = "interactive/homes.rs"]
+mod homes;
 #[path = "interactive/pool.rs"]
 mod pool;
 #[path = "interactive/positions.rs"]
--- a/crates/cumincart-protocol/src/peer.rs
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -5,6 +5,7 @@
         heartbeat::{Heartbeat, HeartbeatAnswer},
         name::InstanceName,
         refusal::Refusal,
+        relay::{RelayAnswer, RelayRequest},
         replication::ReplicationMessage,
         request::{CallerRequest, CallerResult},
     },
@@ -53,6 +54,12 @@
     Forward(Box<CallerRequest>),
     /// The answer to `Forward`.
     ForwardAnswer(Box<CallerResult>),
+    /// An exchange with an endpoint, passed on to the entry instance that holds the organisation's connections.
+    #[serde(rename = "x")]
+    Relay(Box<RelayRequest>),
+    /// The answer to `Relay`.
+    #[serde(rename = "y")]
+    RelayAnswer(Box<RelayAnswer>),
     /// A request that the receiver could not serve as a message.
     Refused(Refusal),
 }
--- a/crates/cumincart-protocol/src/sorted.rs
+++ b/crates/cumincart-protocol/src/sorted.rs
@@ -97,6 +97,11 @@
         self.items.retain(keep);
     }
 
+    /// The elements in the order of their keys, taken out.
+    pub fn into_items(self) -> std::vec::IntoIter<T> {
+        self.items.into_iter()
+    }
+
     /// The number of elements.
     pub fn len(&self) -> usize {
         self.items.len()
--- a/crates/cumincart-runtime/src/lib.rs
+++ b/crates/cumincart-runtime/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod metrics;
 pub mod pending;
 pub mod signal;
+pub mod socket;
--- a/crates/cumincart-runtime/src/link/client.rs
+++ b/crates/cumincart-runtime/src/link/client.rs
@@ -6,14 +6,20 @@
         handshake::{self, Challenge, FleetSecret},
         server::{receive, send, socket_config},
     },
-    crate::pending::Pending,
+    crate::{pending::Pending, socket},
     cumincart_protocol::{
         name::InstanceName,
         peer::{Envelope, PEER_VERSION, PeerBody},
     },
     futures_util::{SinkExt, StreamExt},
     rand::RngExt,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         net::TcpStream,
         sync::{mpsc, oneshot},
@@ -35,6 +41,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerLink {
     orders: mpsc::Sender<Order>,
+    is_up: Arc<AtomicBool>,
 }
 
 #[derive(Debug)]
@@ -61,8 +68,14 @@
         unasked: mpsc::UnboundedSender<PeerBody>,
     ) -> Self {
         let (orders, queue) = mpsc::channel(SEND_QUEUE);
-        tokio::spawn(run_link(Peer { address, me, secret }, queue, unasked));
-        Self { orders }
+        let is_up = Arc::new(AtomicBool::new(false));
+        tokio::spawn(run_link(Peer { address, me, secret, is_up: is_up.clone() }, queue, unasked));
+        Self { orders, is_up }
+    }
+
+    /// Whether the link is open, as far as is known: a message would be sent at once.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::Relaxed)
     }
 
     /// Sends a message that needs no answer; it is lost while the link is down.
@@ -86,14 +99,18 @@
     address: Arc<str>,
     me: InstanceName,
     secret: FleetSecret,
+    is_up: Arc<AtomicBool>,
 }
 
 async fn run_link(peer: Peer, mut queue: mpsc::Receiver<Order>, unasked: mpsc::UnboundedSender<PeerBody>) {
     loop {
-        if let Ok(Ok(socket)) = timeout(CONNECT_TIMEOUT, connect(&peer)).await
-            && carry(socket, &peer.me, &mut queue, &unasked).await.is_none()
-        {
-            return;
+        if let Ok(Ok(socket)) = timeout(CONNECT_TIMEOUT, connect(&peer)).await {
+            peer.is_up.store(true, Ordering::Relaxed);
+            let ended = carry(socket, &peer.me, &mut queue, &unasked).await;
+            peer.is_up.store(false, Ordering::Relaxed);
+            if ended.is_none() {
+                return;
+            }
         }
         if !refuse_waiting(&mut queue).await {
             return;
@@ -103,8 +120,8 @@
 
 async fn connect(peer: &Peer) -> Result<WebSocketStream<TcpStream>, LinkError> {
     let stream = TcpStream::connect(&*peer.address).await.map_err(|_| LinkError::Down)?;
-    // Without it a small message can wait for the acknowledgement of the one before.
-    let _ = stream.set_nodelay(true);
+    // Where the options can't be set, the link works and its loss is noticed late.
+    let _ = socket::prepare(&stream);
     let url = format!("ws://{}/", peer.address);
     let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
         .await
--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -5,6 +5,7 @@
         LinkError, codec,
         handshake::{self, FleetSecret, Hello, Proof},
     },
+    crate::socket,
     cumincart_protocol::{
         name::InstanceName,
         peer::{Envelope, PEER_MAX_BYTES, PEER_VERSION, PeerBody},
@@ -29,6 +30,9 @@
 /// How long a peer may take for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The buffers of a link, in bytes: most messages are smaller, and an instance has many links.
+const BUFFER_BYTES: usize = 4 * 1_024;
+
 /// How many answers may wait for a slow peer before its link is closed.
 const ANSWER_QUEUE: usize = 4_096;
 
@@ -107,7 +111,8 @@
 }
 
 async fn serve_link(stream: TcpStream, shared: Shared) {
-    let _ = stream.set_nodelay(true);
+    // Where the options can't be set, the link works and its loss is noticed late.
+    let _ = socket::prepare(&stream);
     let Ok(Ok((socket, from))) = timeout(HANDSHAKE_TIMEOUT, accept_handshake(stream, &shared.secret)).await
     else {
         return;
@@ -173,7 +178,11 @@
 
 /// The limits of a peer link's messages.
 pub(super) fn socket_config() -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(PEER_MAX_BYTES)).max_frame_size(Some(PEER_MAX_BYTES))
+    WebSocketConfig::default()
+        .max_message_size(Some(PEER_MAX_BYTES))
+        .max_frame_size(Some(PEER_MAX_BYTES))
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
 }
 
 /// Sends one handshake message.
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -1,7 +1,15 @@
 //! The engine: it holds the leases by heartbeats, follows the catalogue, and gives out places at endpoints.
 
 use {
-    crate::{decision_log::DecisionLog, driver::Driver, metrics::Metrics, place::Place, state::State, stop},
+    crate::{
+        decision_log::DecisionLog,
+        driver::Driver,
+        metrics::Metrics,
+        place::Place,
+        relay::{self, KeptPlace, Relay},
+        state::State,
+        stop,
+    },
     cumincart_core::{
         entry::{self, Input, Settings, Ticket, membership, quota, quota::QuotaDecision},
         interactive::{
@@ -14,14 +22,16 @@
     },
     cumincart_entry::control_link::ControlLinks,
     cumincart_protocol::{
-        catalogue::Catalogue,
+        catalogue::{Catalogue, EndpointEntry},
+        heartbeat::InstanceEntry,
         lists::Database,
-        name::{EndpointName, OrganisationName, ServiceName},
+        name::{EndpointName, InstanceName, OrganisationName, ServiceName},
+        sorted::SortedVec,
         time::Instant,
     },
     cumincart_runtime::{
         clock::{self, Clock},
-        link::handshake::FleetSecret,
+        link::{client::PeerLink, handshake::FleetSecret},
     },
     slog::{Logger, info},
     std::{
@@ -88,6 +98,17 @@
     changes: watch::Sender<u64>,
     phase: watch::Sender<StopPhase>,
     sessions: watch::Sender<usize>,
+    me: InstanceName,
+    fleet_secret: FleetSecret,
+    links: Mutex<Vec<InstanceLink>>,
+    kept: Mutex<SortedVec<KeptPlace>>,
+}
+
+/// A link to another entry instance.
+#[derive(Debug)]
+struct InstanceLink {
+    address: Arc<str>,
+    link: PeerLink,
 }
 
 /// A running engine. Its tasks end when all handles are dropped.
@@ -110,6 +131,17 @@
     Late,
 }
 
+/// A request for a place at one endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct PlaceAt<'a> {
+    pub(crate) service: &'a ServiceName,
+    pub(crate) endpoint: &'a EndpointName,
+    pub(crate) organisation: &'a OrganisationName,
+    pub(crate) priority: u32,
+    pub(crate) arrived_at: Instant,
+    pub(crate) start_by: Instant,
+}
+
 /// What a request for a place is about.
 #[derive(Debug, Clone)]
 pub(crate) struct PlaceRequest<'a> {
@@ -132,7 +164,12 @@
             inputs,
             options.logger.clone(),
         );
+        let me = options.core.instance.clone();
         let shared = Shared {
+            me,
+            fleet_secret: options.fleet_secret,
+            links: Mutex::default(),
+            kept: Mutex::default(),
             state: Mutex::new(State::new(entry::Board::open(options.core, clock::random()))),
             clock: Clock::start(),
             driver: options.driver,
@@ -172,6 +209,64 @@
         *self.shared.phase.borrow() >= StopPhase::Closing
     }
 
+    /// Whether other instances should pass their exchanges elsewhere.
+    pub(crate) fn refuses_relays(&self) -> bool {
+        *self.shared.phase.borrow() >= StopPhase::Unready
+    }
+
+    /// The link to another entry instance; opened where there is none.
+    pub(crate) fn link(&self, address: &Arc<str>) -> PeerLink {
+        let mut links = self.shared.links.lock().unwrap_or_else(PoisonError::into_inner);
+        match links.binary_search_by(|known| known.address.cmp(address)) {
+            Ok(place) => links[place].link.clone(),
+            Err(place) => {
+                let secret = self.shared.fleet_secret.clone();
+                let link = PeerLink::spawn(address.clone(), self.shared.me.clone(), secret);
+                links.insert(place, InstanceLink { address: address.clone(), link: link.clone() });
+                link
+            }
+        }
+    }
+
+    /// Opens links to the instances that hold leases, and closes those to others.
+    fn follow_instances(&self, instances: &SortedVec<InstanceEntry>) {
+        {
+            let mut links = self.shared.links.lock().unwrap_or_else(PoisonError::into_inner);
+            let is_listed =
+                |link: &InstanceLink| instances.iter().any(|instance| instance.peer_address == link.address);
+            links.retain(is_listed);
+        }
+        for instance in instances.iter().filter(|instance| instance.name != self.shared.me) {
+            self.link(&instance.peer_address);
+        }
+    }
+
+    /// Passes an instance over for a while.
+    pub(crate) fn avoid(&self, instance: &InstanceName) {
+        let until = self.now() + relay::AVOID;
+        self.lock().avoid(instance, until);
+    }
+
+    /// The places that are kept for other instances' transactions.
+    pub(crate) fn kept(&self) -> MutexGuard<'_, SortedVec<KeptPlace>> {
+        self.shared.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Rolls back what other instances have left, and all at the end of a planned stop.
+    fn abandon_kept(&self, now: Instant) {
+        let is_over = *self.shared.phase.borrow() >= StopPhase::Ending;
+        let expired: Vec<KeptPlace> = {
+            let mut kept = self.kept();
+            let (expired, rest): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut *kept).into_items().partition(|place| is_over || place.until <= now);
+            *kept = rest.into_iter().collect();
+            expired
+        };
+        for place in expired {
+            tokio::spawn(place.abandon());
+        }
+    }
+
     /// Whether a planned stop has got so far that a new operation could be cut.
     pub(crate) fn refuses_operations(&self) -> bool {
         *self.shared.phase.borrow() >= StopPhase::Ending
@@ -288,7 +383,16 @@
                 Asked::Place(place) => return Ok(place),
                 Asked::Refused(refusal) => return Err(refusal),
                 Asked::Waits { place, ticket, answered } => {
-                    return self.await_place(request, place, ticket, answered).await;
+                    let at = PlaceAt {
+                        service: &request.database.service,
+                        endpoint: &place.endpoint.clone(),
+                        organisation: request.organisation,
+                        priority: request.database.priority,
+                        arrived_at: request.arrived_at,
+                        start_by: request.start_by,
+                    };
+                    let needs_primary = request.target == Target::Primary;
+                    return self.await_place(&at, needs_primary, place, ticket, answered).await;
                 }
                 Asked::NoEndpoint => {}
             }
@@ -311,55 +415,122 @@
             return Asked::NoEndpoint;
         }
         let domain = state.fleet.settings.domain.clone();
-        let load = |entry: &cumincart_protocol::catalogue::EndpointEntry| {
+        let load = |entry: &EndpointEntry| {
             state.endpoints.get(&entry.name).map_or_else(Load::default, |known| known.load())
         };
         let candidates =
             routing::candidates(&catalogue, group, request.target, domain.as_str(), now, request.tried, load);
         let Some(best) = candidates.first() else { return Asked::NoEndpoint };
-        let has_place =
-            |name: &EndpointName| state.endpoints.get(name).is_some_and(|known| known.gate.has_place());
-        let chosen = candidates.iter().find(|entry| has_place(&entry.name)).unwrap_or(best);
+        let is_up = |home: &InstanceEntry| self.link(&home.peer_address).is_up();
+        let homes_of = |entry: &EndpointEntry| state.homes(now, entry, request.organisation, is_up);
+        let has_place = |entry: &EndpointEntry| {
+            let known = state.endpoints.get(&entry.name);
+            known.is_some_and(|known| known.gate.has_place()) || !homes_of(entry).is_empty()
+        };
+        let chosen = candidates.iter().find(|entry| has_place(entry)).unwrap_or(best);
         let is_primary = group.writable
             && group.primary.as_ref() == Some(&chosen.name)
             && state.fleet.freshness.holds_term_lease(now);
-        let (ticket, answered) = state.ticket();
-        let Some(endpoint) = state.endpoints.get_mut(&chosen.name) else { return Asked::NoEndpoint };
-        let arrival = Arrival {
-            ticket,
-            organisation: request.organisation.clone(),
+        let homes = homes_of(chosen);
+        if !homes.is_empty() {
+            if let Some(endpoint) = state.endpoints.get_mut(&chosen.name) {
+                endpoint.relayed += 1;
+            }
+            drop(state);
+            let priority = request.database.priority;
+            let relay = Relay::new(homes, request.organisation.clone(), priority, request.start_by);
+            let address = chosen.address.clone();
+            let place = Place::new(self.clone(), service.clone(), chosen.name.clone(), address, is_primary);
+            return Asked::Place(place.by(relay));
+        }
+        let at = PlaceAt {
+            service,
+            endpoint: &chosen.name,
+            organisation: request.organisation,
             priority: request.database.priority,
             arrived_at: request.arrived_at,
             start_by: request.start_by,
         };
+        self.ask_gate(state, now, &at, chosen, is_primary)
+    }
+
+    /// Asks for one of this instance's own places at an endpoint.
+    fn ask_gate(
+        &self,
+        mut state: MutexGuard<'_, State>,
+        now: Instant,
+        at: &PlaceAt<'_>,
+        entry: &EndpointEntry,
+        is_primary: bool,
+    ) -> Asked {
+        let (ticket, answered) = state.ticket();
+        let Some(endpoint) = state.endpoints.get_mut(&entry.name) else { return Asked::NoEndpoint };
+        let arrival = Arrival {
+            ticket,
+            organisation: at.organisation.clone(),
+            priority: at.priority,
+            arrived_at: at.arrived_at,
+            start_by: at.start_by,
+        };
         let admission = endpoint.gate.ask(now, arrival);
+        if admission == Admission::Waiting && endpoint.gate.limit() == 0 {
+            state.has_news = true;
+        }
         if admission != Admission::Waiting {
             state.drop_ticket(ticket);
         }
         drop(state);
-        let place = || {
-            let address = chosen.address.clone();
-            Place::new(self.clone(), service.clone(), chosen.name.clone(), address, is_primary)
-        };
         match admission {
-            Admission::Admitted => Asked::Place(place()),
+            Admission::Admitted => {
+                let address = entry.address.clone();
+                let service = at.service.clone();
+                Asked::Place(Place::new(self.clone(), service, entry.name.clone(), address, is_primary))
+            }
             Admission::Refused { retry_after_ms } => Asked::Refused(NoPlace::Busy { retry_after_ms }),
             Admission::Waiting => {
                 let place =
-                    Waiting { endpoint: chosen.name.clone(), address: chosen.address.clone(), is_primary };
+                    Waiting { endpoint: entry.name.clone(), address: entry.address.clone(), is_primary };
                 Asked::Waits { place, ticket, answered }
             }
         }
     }
 
+    /// Gets a place at one endpoint for another instance, which has chosen it.
+    pub(crate) async fn place_at(&self, at: &PlaceAt<'_>) -> Result<Place, NoPlace> {
+        let asked = {
+            let now = self.now();
+            let state = self.lock();
+            let catalogue = state.catalogue();
+            let group = catalogue.group(at.service);
+            let entry = group.and_then(|group| group.endpoints.get(at.endpoint));
+            let entry = entry.filter(|entry| routing::may_serve(&catalogue, entry));
+            let Some(entry) = entry else { return Err(NoPlace::NoEndpoint) };
+            let is_primary = group.is_some_and(|group| {
+                group.writable
+                    && group.primary.as_ref() == Some(at.endpoint)
+                    && state.fleet.freshness.holds_term_lease(now)
+            });
+            self.ask_gate(state, now, at, entry, is_primary)
+        };
+        match asked {
+            Asked::Place(place) => Ok(place),
+            Asked::Refused(refusal) => Err(refusal),
+            Asked::NoEndpoint => Err(NoPlace::NoEndpoint),
+            Asked::Waits { place, ticket, answered } => {
+                self.await_place(at, false, place, ticket, answered).await
+            }
+        }
+    }
+
     async fn await_place(
         &self,
-        request: &PlaceRequest<'_>,
+        at: &PlaceAt<'_>,
+        needs_primary: bool,
         waiting: Waiting,
         ticket: u64,
         answered: tokio::sync::oneshot::Receiver<bool>,
     ) -> Result<Place, NoPlace> {
-        let granted = match timeout_at(self.deadline(request.start_by), answered).await {
+        let granted = match timeout_at(self.deadline(at.start_by), answered).await {
             Ok(granted) => granted.unwrap_or(false),
             Err(_) => {
                 let mut state = self.lock();
@@ -378,10 +549,10 @@
         if !granted {
             return Err(NoPlace::Late);
         }
-        let service = request.database.service.clone();
+        let service = at.service.clone();
         let is_primary = waiting.is_primary && self.holds_primary(&service, &waiting.endpoint, self.now());
         let place = Place::new(self.clone(), service, waiting.endpoint, waiting.address, is_primary);
-        if request.target == Target::Primary && !place.is_primary {
+        if needs_primary && !place.is_primary {
             return Err(NoPlace::NoEndpoint);
         }
         Ok(place)
@@ -413,6 +584,7 @@
             state.close_surplus(now);
         }
         self.send_heartbeat_when_due(control);
+        self.abandon_kept(now);
         self.refresh_points();
     }
 
@@ -437,7 +609,11 @@
         let after = state.catalogue();
         state.follow_catalogue(now);
         state.release_tokens(now);
+        let instances = answer.instances.is_some().then(|| state.fleet.freshness.instances.clone());
         drop(state);
+        if let Some(instances) = instances {
+            self.follow_instances(&instances);
+        }
         if before.revision != after.revision {
             self.note_changes(&before, &after);
             self.shared.changes.send_modify(|count| *count += 1);
--- a/crates/cumincart-session/src/lib.rs
+++ b/crates/cumincart-session/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod metrics;
 pub mod place;
+pub mod relay;
 pub mod session;
 mod state;
 pub mod stop;
--- a/crates/cumincart-session/src/place.rs
+++ b/crates/cumincart-session/src/place.rs
@@ -5,6 +5,7 @@
         driver::{Connection, Destination, Exchange, OpenFailure},
         engine::Engine,
         metrics::{Opened, OpenedLabels},
+        relay::{Relay, RelayFailure},
         state::IdleConnection,
     },
     cumincart_core::interactive::{
@@ -57,6 +58,8 @@
     taken_at: Instant,
     busy: Duration,
     borrowed: Option<Borrowed>,
+    /// The way by other instances; none where this one's own connections are used.
+    relay: Option<Relay>,
     is_clean: bool,
     is_resting: bool,
 }
@@ -80,11 +83,18 @@
             taken_at,
             busy,
             borrowed: None,
+            relay: None,
             is_clean: true,
             is_resting: false,
         }
     }
 
+    /// Makes the place go by other instances.
+    pub(crate) fn by(mut self, relay: Relay) -> Self {
+        self.relay = Some(relay);
+        self
+    }
+
     /// Borrows a connection and brings it in line with the session.
     pub(crate) async fn connect(
         &mut self,
@@ -92,6 +102,10 @@
         session: &SessionState,
         deadline: tokio::time::Instant,
     ) -> Result<(), ConnectFailure> {
+        if let Some(relay) = &mut self.relay {
+            relay.adopt(session);
+            return Ok(());
+        }
         if !self.borrow_idle(organisation, session) {
             self.open(organisation, deadline).await.map_err(ConnectFailure::Open)?;
         }
@@ -104,6 +118,10 @@
         session: &SessionState,
         deadline: tokio::time::Instant,
     ) -> Result<(), LinkFailure> {
+        if let Some(relay) = &mut self.relay {
+            relay.adopt(session);
+            return Ok(());
+        }
         let commands = self.borrowed.as_mut().map(|borrowed| borrowed.state.adopt(session));
         let commands = commands.unwrap_or_default();
         if commands.is_empty() {
@@ -191,6 +209,10 @@
 
     /// The command that makes the connection hold a prepared statement, where it lacks it.
     pub(crate) fn prepare(&mut self, prepared: &Prepared) -> Option<Command> {
+        if let Some(relay) = &mut self.relay {
+            relay.prepare(prepared);
+            return None;
+        }
         self.borrowed.as_mut()?.state.prepare(prepared)
     }
 
@@ -200,6 +222,9 @@
         commands: Vec<Command>,
         deadline: tokio::time::Instant,
     ) -> Result<Vec<Reply>, LinkFailure> {
+        if self.relay.is_some() {
+            return self.exchange_by_relay(commands, deadline).await;
+        }
         self.resume();
         let Some(borrowed) = &self.borrowed else { return Err(LinkFailure::NotSent) };
         let asked_at = self.engine.now();
@@ -239,9 +264,38 @@
         }
     }
 
+    /// Sends commands by another instance. After a failure the place can only be given back.
+    async fn exchange_by_relay(
+        &mut self,
+        commands: Vec<Command>,
+        deadline: tokio::time::Instant,
+    ) -> Result<Vec<Reply>, LinkFailure> {
+        let Some(mut relay) = self.relay.take() else { return Err(LinkFailure::NotSent) };
+        let asked_at = self.engine.now();
+        let holds_lease =
+            self.is_primary && self.engine.holds_primary(&self.service, &self.endpoint, asked_at);
+        let expected = commands.len();
+        self.is_clean = false;
+        let result = relay.exchange(&self.engine, &self.service, &self.endpoint, commands, deadline).await;
+        self.relay = Some(relay);
+        match result {
+            Ok(replies) if replies.len() == expected => {
+                self.take_replies(&replies, holds_lease.then_some(asked_at));
+                Ok(replies)
+            }
+            Ok(_) => Err(LinkFailure::Broken),
+            Err(RelayFailure { failure, is_endpoint }) => {
+                if is_endpoint {
+                    self.note_contact(false);
+                }
+                Err(failure)
+            }
+        }
+    }
+
     /// Leaves the place to others until the transaction's next statement.
     pub(crate) fn rest(&mut self) {
-        if std::mem::replace(&mut self.is_resting, true) {
+        if self.relay.is_some() || std::mem::replace(&mut self.is_resting, true) {
             return;
         }
         let now = self.engine.now();
@@ -322,7 +376,7 @@
 
     /// Rolls an open transaction back before the place is given back. A connection that can't is closed.
     pub(crate) async fn roll_back(mut self) {
-        if self.is_clean || self.borrowed.is_none() {
+        if self.is_clean || (self.borrowed.is_none() && self.relay.is_none()) {
             return;
         }
         let result = timeout(OPEN_TIMEOUT, async {
@@ -340,6 +394,10 @@
         let now = self.engine.now();
         let mut state = self.engine.lock();
         let Some(endpoint) = state.endpoints.get_mut(&self.endpoint) else { return };
+        if self.relay.is_some() {
+            endpoint.relayed = endpoint.relayed.saturating_sub(1);
+            return;
+        }
         let service = (self.busy > Duration::ZERO).then_some(self.busy);
         if self.is_resting {
             endpoint.gate.resume();
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -6,15 +6,16 @@
         entry::{self, Ticket, permits, permits::ConnectionUse, quota, quota::QuotaDecision},
         interactive::{
             admission::{Gate, Next},
+            homes,
             pool::Idle,
             positions::{LogPoint, Positions},
             routing::{Load, UNREACHABLE_PAUSE_MS},
         },
     },
     cumincart_protocol::{
-        catalogue::Catalogue,
-        heartbeat::EndpointReport,
-        name::{EndpointName, OrganisationName, ServiceName},
+        catalogue::{Catalogue, EndpointEntry},
+        heartbeat::{EndpointReport, InstanceEntry},
+        name::{EndpointName, InstanceName, OrganisationName, ServiceName},
         number::Term,
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -59,6 +60,8 @@
     pub(crate) idle: Vec<IdleConnection>,
     /// Connections that are open or being opened, idle ones included.
     pub(crate) open: u32,
+    /// Statements and transactions that use the endpoint by other instances.
+    pub(crate) relayed: u32,
     pub(crate) point: Option<LogPoint>,
     pub(crate) lagging_until: Instant,
     pub(crate) unreachable_until: Instant,
@@ -80,6 +83,7 @@
             gate: Gate::default(),
             idle: Vec::new(),
             open: 0,
+            relayed: 0,
             point: None,
             lagging_until: Instant::ZERO,
             unreachable_until: Instant::ZERO,
@@ -90,8 +94,9 @@
     /// What routing needs to know.
     pub(crate) fn load(&self) -> Load {
         Load {
-            in_use: u64::from(self.gate.taken()) + self.gate.waiting() as u64,
-            limit: self.gate.limit(),
+            in_use: u64::from(self.gate.taken() + self.relayed) + self.gate.waiting() as u64,
+            // Without a connection of its own, another instance's or one to come serves.
+            limit: self.gate.limit().max(1),
             service_us: self.gate.service_us(),
             point: self.point,
             lagging_until: self.lagging_until,
@@ -169,6 +174,20 @@
     }
 }
 
+#[derive(Debug)]
+struct Avoided {
+    instance: InstanceName,
+    until: Instant,
+}
+
+impl Keyed for Avoided {
+    type Key = InstanceName;
+
+    fn key(&self) -> &InstanceName {
+        &self.instance
+    }
+}
+
 /// All that an engine knows.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -178,6 +197,8 @@
     services: SortedVec<ServicePositions>,
     waiters: SortedVec<Waiter>,
     next_ticket: u64,
+    /// Instances that did not serve what was passed on to them, and until when they are passed over.
+    avoided: SortedVec<Avoided>,
     /// Whether something was noted that the control leader should hear at once.
     pub(crate) has_news: bool,
 }
@@ -190,6 +211,7 @@
             services: SortedVec::new(),
             waiters: SortedVec::new(),
             next_ticket: 1,
+            avoided: SortedVec::new(),
             has_news: false,
         }
     }
@@ -198,6 +220,39 @@
         Arc::clone(&self.fleet.freshness.catalogue)
     }
 
+    /// Passes an instance over for a while.
+    pub(crate) fn avoid(&mut self, instance: &InstanceName, until: Instant) {
+        self.avoided.insert(Avoided { instance: instance.clone(), until });
+    }
+
+    /// The other instances by which an organisation's work goes to an endpoint, best first; none where it goes by this
+    /// one.
+    pub(crate) fn homes(
+        &self,
+        now: Instant,
+        endpoint: &EndpointEntry,
+        organisation: &OrganisationName,
+        is_up: impl Fn(&InstanceEntry) -> bool,
+    ) -> Vec<InstanceEntry> {
+        let own = &self.fleet.settings.instance;
+        let known = self.endpoints.get(&endpoint.name);
+        let has_idle =
+            |known: &EndpointState| known.idle.iter().any(|idle| idle.idle.organisation == *organisation);
+        if known.is_some_and(has_idle) {
+            return Vec::new();
+        }
+        let is_usable = |home: &&InstanceEntry| {
+            let is_avoided = self.avoided.get(&home.name).is_some_and(|avoided| now < avoided.until);
+            home.name == *own || (!is_avoided && is_up(home))
+        };
+        homes::homes(&self.fleet.freshness.instances, endpoint, organisation)
+            .into_iter()
+            .filter(is_usable)
+            .take_while(|home| home.name != *own)
+            .cloned()
+            .collect()
+    }
+
     /// A ticket and the way in which its holder hears whether it got what it waits for.
     pub(crate) fn ticket(&mut self) -> (u64, oneshot::Receiver<bool>) {
         let ticket = self.next_ticket;
@@ -313,13 +368,20 @@
     /// What the next heartbeat reports of endpoints.
     pub(crate) fn reports(&mut self, now: Instant) -> (Vec<EndpointReport>, SortedVec<ConnectionUse>) {
         let reports = self.endpoints.iter_mut().filter_map(|endpoint| endpoint.report(now)).collect();
+        let catalogue = self.catalogue();
+        let own_domain = &self.fleet.settings.domain;
+        let is_near = |name: &EndpointName| {
+            let entries = catalogue.groups.iter().filter_map(|group| group.endpoints.get(name));
+            entries.into_iter().any(|entry| entry.domain == *own_domain)
+        };
         let uses = self
             .endpoints
             .iter()
             .map(|endpoint| ConnectionUse {
                 endpoint: endpoint.name.clone(),
                 open: endpoint.open,
-                wanted: endpoint.wanted(now),
+                // An instance near an endpoint is some organisations' home, and keeps a connection ready.
+                wanted: endpoint.wanted(now).max(u32::from(is_near(&endpoint.name))),
             })
             .collect();
         (reports, uses)
