--- a/crates/cumincart-core/src/entry/quota/bucket.rs
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -27,6 +27,10 @@
 /// A request asks the leader for a token if its own share takes longer than this, in milliseconds.
 const OWN_WAIT_MS: u64 = 200;
 
+/// Demand up to this counts as the same, in thousandths of a request a second: a share is never smaller than what serves it,
+/// and with many organisations its changes would be most of what instances report.
+const SMALL_DEMAND_MILLI_PER_S: u64 = 1_000;
+
 /// A request that waits for a token.
 #[derive(Debug)]
 pub struct Waiter {
@@ -292,7 +296,10 @@
         let demand_milli_per_s = last.report.demand_milli_per_s;
         let near = report.demand_milli_per_s.abs_diff(demand_milli_per_s)
             <= demand_milli_per_s / REPORTED_DEMAND_DIVISOR;
-        near && report.waiting == 0
+        let are_small = report.demand_milli_per_s.max(demand_milli_per_s) <= SMALL_DEMAND_MILLI_PER_S
+            && (report.demand_milli_per_s == 0) == (demand_milli_per_s == 0);
+        (near || are_small)
+            && report.waiting == 0
             && *report == ShareReport { demand_milli_per_s: report.demand_milli_per_s, ..last.report.clone() }
     }
 
