--- a/crates/cumincart-core/tests/interactive/session.rs
+++ b/crates/cumincart-core/tests/interactive/session.rs
@@ -1,12 +1,9 @@
 //! What a borrowed connection lacks of a session, where sessions' names collide.
 
-use {
-    cumincart_core::interactive::{
-        command::Command,
-        session::{ConnectionState, Prepared, SESSION_ENTRIES_MAX, SessionState},
-        statement::Access,
-    },
-    std::sync::Arc,
+use cumincart_core::interactive::{
+    command::Command,
+    session::{ConnectionState, Prepared, SESSION_ENTRIES_MAX, SessionState},
+    statement::Access,
 };
 
 fn session(values: &[(&str, &str)]) -> SessionState {
@@ -77,8 +74,7 @@
     for number in 0..SESSION_ENTRIES_MAX {
         assert!(session.set(format!("v{number}").into(), "1".into()));
     }
-    let one_more: Arc<str> = "one-more".into();
-    assert!(!session.set(one_more.clone(), "1".into()));
+    assert!(!session.set("one-more".into(), "1".into()));
     assert!(!session.prepare(prepared("s1", Access::Read, "q1")));
     assert!(session.set("v0".into(), "2".into()), "a value may still change");
 }
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -86,11 +86,14 @@
     Members(Vec<Arc<str>>),
 }
 
+/// Opens a link to an address.
+type OpenLink = dyn Fn(&Arc<str>) -> PeerLink + Send;
+
 /// The links to the control instances: to those that settings name, and to those that answers name.
 struct Links {
     named: Vec<Arc<str>>,
     links: Vec<ControlLink>,
-    open: Box<dyn Fn(&Arc<str>) -> PeerLink + Send>,
+    open: Box<OpenLink>,
 }
 
 impl Links {
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -4,34 +4,26 @@
     crate::{
         decision_log::DecisionLog,
         driver::Driver,
+        instances::InstanceLink,
         metrics::Metrics,
-        place::Place,
-        relay::{self, KeptPlace, Relay},
+        relay::{self, KeptPlace},
         state::State,
         stop,
     },
     cumincart_core::{
         entry::{self, Input, Settings, Ticket, membership, quota, quota::QuotaDecision},
-        interactive::{
-            admission::{Admission, Arrival},
-            command::{Command, Rows},
-            positions::LogPoint,
-            routing::{self, Load, Target},
-            session::SessionState,
-        },
+        interactive::command::Rows,
     },
     cumincart_entry::control_link::ControlLinks,
     cumincart_protocol::{
-        catalogue::{Catalogue, EndpointEntry},
-        heartbeat::InstanceEntry,
-        lists::Database,
+        catalogue::Catalogue,
         name::{EndpointName, InstanceName, OrganisationName, ServiceName},
         sorted::SortedVec,
         time::Instant,
     },
     cumincart_runtime::{
         clock::{self, Clock},
-        link::{client::PeerLink, handshake::FleetSecret},
+        link::handshake::FleetSecret,
     },
     slog::{Logger, info},
     std::{
@@ -45,17 +37,7 @@
 };
 
 /// Time between two looks at what is due.
-const TICK: Duration = Duration::from_millis(50);
-
-/// The age at which the newest point of a primary is refreshed while reads need one, in milliseconds: well under the
-/// ages that reads usually accept.
-const POINT_REFRESH_MS: u64 = 500;
-
-/// How long after a read needed a point it is kept fresh, in milliseconds.
-const POINT_NEEDED_MS: u64 = 3_000;
-
-/// How long a refresh may take.
-const REFRESH_TIMEOUT: Duration = Duration::from_millis(600);
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 
 /// What an engine needs.
 #[derive(Debug, Clone)]
@@ -104,55 +86,12 @@
     kept: Mutex<SortedVec<KeptPlace>>,
 }
 
-/// A link to another entry instance.
-#[derive(Debug)]
-struct InstanceLink {
-    address: Arc<str>,
-    link: PeerLink,
-}
-
 /// A running engine. Its tasks end when all handles are dropped.
 #[derive(Debug, Clone)]
 pub struct Engine {
     shared: Arc<Shared>,
 }
 
-/// Why no place was given; nothing ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NoPlace {
-    /// No endpoint may serve the statement now.
-    NoEndpoint,
-    /// All that may serve it are too busy to start it in time.
-    Busy {
-        /// When a place is likely, in milliseconds.
-        retry_after_ms: u64,
-    },
-    /// A place did not come in time.
-    Late,
-}
-
-/// A request for a place at one endpoint.
-#[derive(Debug, Clone)]
-pub(crate) struct PlaceAt<'a> {
-    pub(crate) service: &'a ServiceName,
-    pub(crate) endpoint: &'a EndpointName,
-    pub(crate) organisation: &'a OrganisationName,
-    pub(crate) priority: u32,
-    pub(crate) arrived_at: Instant,
-    pub(crate) start_by: Instant,
-}
-
-/// What a request for a place is about.
-#[derive(Debug, Clone)]
-pub(crate) struct PlaceRequest<'a> {
-    pub(crate) database: &'a Database,
-    pub(crate) organisation: &'a OrganisationName,
-    pub(crate) target: Target,
-    pub(crate) tried: &'a [EndpointName],
-    pub(crate) arrived_at: Instant,
-    pub(crate) start_by: Instant,
-}
-
 impl Engine {
     /// Starts an engine.
     pub fn spawn(options: EngineOptions) -> Self {
@@ -214,33 +153,6 @@
         *self.shared.phase.borrow() >= StopPhase::Unready
     }
 
-    /// The link to another entry instance; opened where there is none.
-    pub(crate) fn link(&self, address: &Arc<str>) -> PeerLink {
-        let mut links = self.shared.links.lock().unwrap_or_else(PoisonError::into_inner);
-        match links.binary_search_by(|known| known.address.cmp(address)) {
-            Ok(place) => links[place].link.clone(),
-            Err(place) => {
-                let secret = self.shared.fleet_secret.clone();
-                let link = PeerLink::spawn(address.clone(), self.shared.me.clone(), secret);
-                links.insert(place, InstanceLink { address: address.clone(), link: link.clone() });
-                link
-            }
-        }
-    }
-
-    /// Opens links to the instances that hold leases, and closes those to others.
-    fn follow_instances(&self, instances: &SortedVec<InstanceEntry>) {
-        {
-            let mut links = self.shared.links.lock().unwrap_or_else(PoisonError::into_inner);
-            let is_listed =
-                |link: &InstanceLink| instances.iter().any(|instance| instance.peer_address == link.address);
-            links.retain(is_listed);
-        }
-        for instance in instances.iter().filter(|instance| instance.name != self.shared.me) {
-            self.link(&instance.peer_address);
-        }
-    }
-
     /// Passes an instance over for a while.
     pub(crate) fn avoid(&self, instance: &InstanceName) {
         let until = self.now() + relay::AVOID;
@@ -306,6 +218,22 @@
         sleep(2 * TICK).await;
     }
 
+    pub(crate) fn links(&self) -> MutexGuard<'_, Vec<InstanceLink>> {
+        self.shared.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn name(&self) -> &InstanceName {
+        &self.shared.me
+    }
+
+    pub(crate) fn fleet_secret(&self) -> &FleetSecret {
+        &self.shared.fleet_secret
+    }
+
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.shared.changes.subscribe()
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         // The state is consistent between any two statements that could panic.
         self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -374,190 +302,6 @@
         tokio::time::Instant::now() + at.saturating_since(self.now())
     }
 
-    /// Gets a place at an endpoint that may serve the request. Where none may now, it waits for a change of the
-    /// catalogue as long as the request can still start in time.
-    pub(crate) async fn place(&self, request: &PlaceRequest<'_>) -> Result<Place, NoPlace> {
-        let mut changes = self.shared.changes.subscribe();
-        loop {
-            match self.ask_place(request) {
-                Asked::Place(place) => return Ok(place),
-                Asked::Refused(refusal) => return Err(refusal),
-                Asked::Waits { place, ticket, answered } => {
-                    let at = PlaceAt {
-                        service: &request.database.service,
-                        endpoint: &place.endpoint.clone(),
-                        organisation: request.organisation,
-                        priority: request.database.priority,
-                        arrived_at: request.arrived_at,
-                        start_by: request.start_by,
-                    };
-                    let needs_primary = request.target == Target::Primary;
-                    return self.await_place(&at, needs_primary, place, ticket, answered).await;
-                }
-                Asked::NoEndpoint => {}
-            }
-            let next = self.deadline(request.start_by).min(tokio::time::Instant::now() + TICK);
-            // A timeout looks again: an endpoint may have become reachable.
-            let _ = timeout_at(next, changes.changed()).await;
-            if self.now() >= request.start_by {
-                return Err(NoPlace::NoEndpoint);
-            }
-        }
-    }
-
-    fn ask_place(&self, request: &PlaceRequest<'_>) -> Asked {
-        let now = self.now();
-        let mut state = self.lock();
-        let catalogue = state.catalogue();
-        let service = &request.database.service;
-        let Some(group) = catalogue.group(service) else { return Asked::NoEndpoint };
-        if request.target == Target::Primary && !state.fleet.freshness.holds_term_lease(now) {
-            return Asked::NoEndpoint;
-        }
-        let domain = state.fleet.settings.domain.clone();
-        let load = |entry: &EndpointEntry| {
-            state.endpoints.get(&entry.name).map_or_else(Load::default, |known| known.load())
-        };
-        let candidates =
-            routing::candidates(&catalogue, group, request.target, domain.as_str(), now, request.tried, load);
-        let Some(best) = candidates.first() else { return Asked::NoEndpoint };
-        let is_up = |home: &InstanceEntry| self.link(&home.peer_address).is_up();
-        let homes_of = |entry: &EndpointEntry| state.homes(now, entry, request.organisation, is_up);
-        let has_place = |entry: &EndpointEntry| {
-            let known = state.endpoints.get(&entry.name);
-            known.is_some_and(|known| known.gate.has_place()) || !homes_of(entry).is_empty()
-        };
-        let chosen = candidates.iter().find(|entry| has_place(entry)).unwrap_or(best);
-        let is_primary = group.writable
-            && group.primary.as_ref() == Some(&chosen.name)
-            && state.fleet.freshness.holds_term_lease(now);
-        let homes = homes_of(chosen);
-        if !homes.is_empty() {
-            if let Some(endpoint) = state.endpoints.get_mut(&chosen.name) {
-                endpoint.relayed += 1;
-            }
-            drop(state);
-            let priority = request.database.priority;
-            let relay = Relay::new(homes, request.organisation.clone(), priority, request.start_by);
-            let address = chosen.address.clone();
-            let place = Place::new(self.clone(), service.clone(), chosen.name.clone(), address, is_primary);
-            return Asked::Place(place.by(relay));
-        }
-        let at = PlaceAt {
-            service,
-            endpoint: &chosen.name,
-            organisation: request.organisation,
-            priority: request.database.priority,
-            arrived_at: request.arrived_at,
-            start_by: request.start_by,
-        };
-        self.ask_gate(state, now, &at, chosen, is_primary)
-    }
-
-    /// Asks for one of this instance's own places at an endpoint.
-    fn ask_gate(
-        &self,
-        mut state: MutexGuard<'_, State>,
-        now: Instant,
-        at: &PlaceAt<'_>,
-        entry: &EndpointEntry,
-        is_primary: bool,
-    ) -> Asked {
-        let (ticket, answered) = state.ticket();
-        let Some(endpoint) = state.endpoints.get_mut(&entry.name) else { return Asked::NoEndpoint };
-        let arrival = Arrival {
-            ticket,
-            organisation: at.organisation.clone(),
-            priority: at.priority,
-            arrived_at: at.arrived_at,
-            start_by: at.start_by,
-        };
-        let admission = endpoint.gate.ask(now, arrival);
-        if admission == Admission::Waiting && endpoint.gate.limit() == 0 {
-            state.has_news = true;
-        }
-        if admission != Admission::Waiting {
-            state.drop_ticket(ticket);
-        }
-        drop(state);
-        match admission {
-            Admission::Admitted => {
-                let address = entry.address.clone();
-                let service = at.service.clone();
-                Asked::Place(Place::new(self.clone(), service, entry.name.clone(), address, is_primary))
-            }
-            Admission::Refused { retry_after_ms } => Asked::Refused(NoPlace::Busy { retry_after_ms }),
-            Admission::Waiting => {
-                let place =
-                    Waiting { endpoint: entry.name.clone(), address: entry.address.clone(), is_primary };
-                Asked::Waits { place, ticket, answered }
-            }
-        }
-    }
-
-    /// Gets a place at one endpoint for another instance, which has chosen it.
-    pub(crate) async fn place_at(&self, at: &PlaceAt<'_>) -> Result<Place, NoPlace> {
-        let asked = {
-            let now = self.now();
-            let state = self.lock();
-            let catalogue = state.catalogue();
-            let group = catalogue.group(at.service);
-            let entry = group.and_then(|group| group.endpoints.get(at.endpoint));
-            let entry = entry.filter(|entry| routing::may_serve(&catalogue, entry));
-            let Some(entry) = entry else { return Err(NoPlace::NoEndpoint) };
-            let is_primary = group.is_some_and(|group| {
-                group.writable
-                    && group.primary.as_ref() == Some(at.endpoint)
-                    && state.fleet.freshness.holds_term_lease(now)
-            });
-            self.ask_gate(state, now, at, entry, is_primary)
-        };
-        match asked {
-            Asked::Place(place) => Ok(place),
-            Asked::Refused(refusal) => Err(refusal),
-            Asked::NoEndpoint => Err(NoPlace::NoEndpoint),
-            Asked::Waits { place, ticket, answered } => {
-                self.await_place(at, false, place, ticket, answered).await
-            }
-        }
-    }
-
-    async fn await_place(
-        &self,
-        at: &PlaceAt<'_>,
-        needs_primary: bool,
-        waiting: Waiting,
-        ticket: u64,
-        answered: tokio::sync::oneshot::Receiver<bool>,
-    ) -> Result<Place, NoPlace> {
-        let granted = match timeout_at(self.deadline(at.start_by), answered).await {
-            Ok(granted) => granted.unwrap_or(false),
-            Err(_) => {
-                let mut state = self.lock();
-                state.drop_ticket(ticket);
-                if let Some(endpoint) = state.endpoints.get_mut(&waiting.endpoint)
-                    && !endpoint.gate.cancel(ticket)
-                {
-                    // The place was given at the same moment.
-                    endpoint.gate.release(None);
-                    let now = self.now();
-                    state.pump(now, &waiting.endpoint);
-                }
-                return Err(NoPlace::Late);
-            }
-        };
-        if !granted {
-            return Err(NoPlace::Late);
-        }
-        let service = at.service.clone();
-        let is_primary = waiting.is_primary && self.holds_primary(&service, &waiting.endpoint, self.now());
-        let place = Place::new(self.clone(), service, waiting.endpoint, waiting.address, is_primary);
-        if needs_primary && !place.is_primary {
-            return Err(NoPlace::NoEndpoint);
-        }
-        Ok(place)
-    }
-
     async fn run(self, control: ControlLinks, mut answers: mpsc::UnboundedReceiver<Input>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -640,88 +384,6 @@
                 "revision" => revision);
         }
     }
-
-    /// Asks primaries for their points where reads need one and none has come with other answers.
-    fn refresh_points(&self) {
-        let now = self.now();
-        let catalogue = self.lock().catalogue();
-        for database in &catalogue.lists.interactive.databases {
-            if routing::accepted_age(database.consistency).is_none() {
-                continue;
-            }
-            let mut state = self.lock();
-            let known = state.positions(&database.service);
-            let is_needed = now.saturating_since(known.needed_at) < Duration::from_millis(POINT_NEEDED_MS);
-            let is_old = known
-                .positions
-                .last_asked_at()
-                .is_none_or(|at| now.saturating_since(at) >= Duration::from_millis(POINT_REFRESH_MS));
-            if !is_needed || !is_old || known.is_asking {
-                continue;
-            }
-            known.is_asking = true;
-            drop(state);
-            tokio::spawn(self.clone().refresh_point(database.clone()));
-        }
-    }
-
-    async fn refresh_point(self, database: Database) {
-        let now = self.now();
-        if let Some(organisation) = self.any_organisation() {
-            let request = PlaceRequest {
-                database: &database,
-                organisation: &organisation,
-                target: Target::Primary,
-                tried: &[],
-                arrived_at: now,
-                start_by: now + REFRESH_TIMEOUT,
-            };
-            let deadline = tokio::time::Instant::now() + REFRESH_TIMEOUT;
-            if let Ok(mut place) = self.place(&request).await
-                && place.connect(&organisation, &SessionState::default(), deadline).await.is_ok()
-            {
-                // Its point is learned with the reply; a failure is noted with the endpoint's contact.
-                let _ = place.exchange(vec![Command::Status], deadline).await;
-            }
-        }
-        self.lock().positions(&database.service).is_asking = false;
-    }
-
-    fn any_organisation(&self) -> Option<OrganisationName> {
-        let catalogue = self.lock().catalogue();
-        catalogue.lists.organisations.organisations.first().map(|organisation| organisation.name.clone())
-    }
-
-    /// The point that a read of this moment needs, where replicas may serve it.
-    pub(crate) fn needed_point(
-        &self,
-        database: &Database,
-        arrived_at: Instant,
-        committed: Option<LogPoint>,
-    ) -> Option<LogPoint> {
-        let age = routing::accepted_age(database.consistency)?;
-        let mut state = self.lock();
-        let catalogue = state.catalogue();
-        let group = catalogue.group(&database.service)?;
-        let known = state.positions(&database.service);
-        known.needed_at = arrived_at;
-        let point = known.positions.covering(arrived_at - age)?;
-        let committed = committed.map(|committed| committed.without_lost(&group.term_starts));
-        Some(committed.map_or(point, |committed| committed.max(point)))
-    }
-}
-
-enum Asked {
-    Place(Place),
-    Waits { place: Waiting, ticket: u64, answered: tokio::sync::oneshot::Receiver<bool> },
-    Refused(NoPlace),
-    NoEndpoint,
-}
-
-struct Waiting {
-    endpoint: EndpointName,
-    address: Arc<str>,
-    is_primary: bool,
 }
 
 /// The rows of an answer that this system gave itself.
--- /dev/null
+++ b/crates/cumincart-session/src/instances.rs
@@ -0,0 +1,43 @@
+//! Links to other entry instances.
+
+use {
+    crate::engine::Engine,
+    cumincart_protocol::{heartbeat::InstanceEntry, sorted::SortedVec},
+    cumincart_runtime::link::client::PeerLink,
+    std::sync::Arc,
+};
+
+/// A link to another entry instance.
+#[derive(Debug)]
+pub(crate) struct InstanceLink {
+    address: Arc<str>,
+    link: PeerLink,
+}
+
+impl Engine {
+    /// The link to another entry instance; opened where there is none.
+    pub(crate) fn link(&self, address: &Arc<str>) -> PeerLink {
+        let mut links = self.links();
+        match links.binary_search_by(|known| known.address.cmp(address)) {
+            Ok(place) => links[place].link.clone(),
+            Err(place) => {
+                let link = PeerLink::spawn(address.clone(), self.name().clone(), self.fleet_secret().clone());
+                links.insert(place, InstanceLink { address: address.clone(), link: link.clone() });
+                link
+            }
+        }
+    }
+
+    /// Opens links to the instances that hold leases, and closes those to others.
+    pub(crate) fn follow_instances(&self, instances: &SortedVec<InstanceEntry>) {
+        {
+            let mut links = self.links();
+            let is_listed =
+                |link: &InstanceLink| instances.iter().any(|instance| instance.peer_address == link.address);
+            links.retain(is_listed);
+        }
+        for instance in instances.iter().filter(|instance| instance.name != *self.name()) {
+            self.link(&instance.peer_address);
+        }
+    }
+}
--- a/crates/cumincart-session/src/lib.rs
+++ b/crates/cumincart-session/src/lib.rs
@@ -7,8 +7,11 @@
 pub mod decision_log;
 pub mod driver;
 pub mod engine;
+mod instances;
 pub mod metrics;
-pub mod place;
+mod place;
+mod placing;
+mod points;
 pub mod relay;
 pub mod session;
 mod state;
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -4,8 +4,9 @@
 use {
     crate::{
         driver::OpenFailure,
-        engine::{Engine, NoPlace, PlaceAt},
+        engine::Engine,
         place::{ConnectFailure, Place},
+        placing::{NoPlace, PlaceAt},
     },
     cumincart_core::interactive::session::{Prepared, SessionState},
     cumincart_protocol::{
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -4,9 +4,10 @@
 
 use {
     crate::{
-        engine::{Engine, NoPlace, PlaceRequest, StopPhase, own_rows},
+        engine::{Engine, StopPhase, own_rows},
         metrics::{Outcome, StatementLabels},
         place::{ConnectFailure, Place},
+        placing::{NoPlace, PlaceRequest},
         stop,
         transaction::{Phase, Transaction},
     },
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        engine::PlaceRequest,
         place::Place,
+        placing::PlaceRequest,
         session::{Answer, Failure, Operation, Session, connect_failure, link_text, no_place, start_by},
     },
     cumincart_core::interactive::{
