--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -40,6 +40,9 @@
     },
 };
 
+/// The pause between two attempts to write to a full disk.
+const FULL_DISK_RETRY: Duration = Duration::from_millis(200);
+
 /// What the engine needs besides the core's settings.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
@@ -303,7 +306,7 @@
             return Ok(());
         }
         let snapshot = control::snapshot::current(&self.board);
-        self.folder.persist(&Persist::Snapshot(Box::new(snapshot)))
+        self.persist(&Persist::Snapshot(Box::new(snapshot)))
     }
 
     fn run(mut self, mut queue: mpsc::UnboundedReceiver<Message>) {
@@ -363,7 +366,7 @@
 
     fn carry_out(&mut self, effect: Effect) -> Result<(), DataFolderError> {
         match effect {
-            Effect::Persist(persist) => self.folder.persist(&persist)?,
+            Effect::Persist(persist) => self.persist(&persist)?,
             Effect::Send(member, message) => self.send(&member, message),
             Effect::AnswerHeartbeat(ticket, body) => self.answer_heartbeat(ticket, body),
             Effect::AnswerOperator(ticket, result) => {
@@ -379,6 +382,28 @@
         Ok(())
     }
 
+    /// Writes to the data folder. Where the disk is full, it waits for room: nothing behind this effect may happen before,
+    /// and the other instances elect another leader meanwhile.
+    fn persist(&mut self, persist: &Persist) -> Result<(), DataFolderError> {
+        let mut is_noted = false;
+        loop {
+            match self.folder.persist(persist) {
+                Err(error @ DataFolderError::Full { .. }) => {
+                    if !std::mem::replace(&mut is_noted, true) {
+                        crit!(self.logger, "this instance waits for room on its disk"; "error" => %error);
+                    }
+                    thread::sleep(FULL_DISK_RETRY);
+                }
+                result => {
+                    if is_noted {
+                        info!(self.logger, "the disk has room again");
+                    }
+                    return result;
+                }
+            }
+        }
+    }
+
     fn send(&mut self, member: &Member, message: ReplicationMessage) {
         let address = &member.peer_address;
         let index = match self.links.binary_search_by(|known| known.address.cmp(address)) {
--- a/crates/cumincart-runtime/src/data_folder.rs
+++ b/crates/cumincart-runtime/src/data_folder.rs
@@ -18,7 +18,7 @@
     cumincart_core::control::{Persist, Stored},
     cumincart_protocol::replication::DiskId,
     frame::{Entry, Scan},
-    journal::Journal,
+    journal::{AppendError, Journal},
     state::State,
     std::{
         fs::{self, File, TryLockError},
@@ -79,29 +79,42 @@
         Ok((folder, disk, stored))
     }
 
-    /// Writes and syncs; blocks until it is on the disk. After an error the process must stop.
+    /// Writes and syncs; blocks until it is on the disk. After [`DataFolderError::Full`] nothing was written and the same may be
+    /// tried again; after any other error the process must stop.
     pub fn persist(&mut self, persist: &Persist) -> Result<(), DataFolderError> {
         if self.failed {
             return Err(DataFolderError::Failed { path: self.path.clone() });
         }
         let result = self.write(persist);
-        self.failed = result.is_err();
+        self.failed = result.as_ref().is_err_and(|error| !matches!(error, DataFolderError::Full { .. }));
         result
     }
 
     fn write(&mut self, persist: &Persist) -> Result<(), DataFolderError> {
-        self.state.apply(persist);
         if matches!(persist, Persist::Snapshot(_)) {
-            return self.begin_generation();
+            let mut next = self.state.clone();
+            next.apply(persist);
+            return self.begin_generation(next);
         }
         let frame = frame::encode(&Entry::Persist(persist.clone()));
-        self.journal.append(&frame, &mut self.writer).map_err(|error| DataFolderError::io(&self.path, error))
+        self.journal.append(&frame, &mut self.writer).map_err(|error| match error {
+            AppendError::Full => DataFolderError::Full { path: self.path.clone() },
+            AppendError::Unknown(error) => DataFolderError::io(&self.path, error),
+        })?;
+        self.state.apply(persist);
+        Ok(())
     }
 
-    fn begin_generation(&mut self) -> Result<(), DataFolderError> {
+    /// Writes a whole state aside; the present file counts until that is done.
+    fn begin_generation(&mut self, state: State) -> Result<(), DataFolderError> {
         let next = self.generation + 1;
-        let (generation, state, journal) =
-            begin(&self.path, next, &self.disk, std::mem::take(&mut self.state), &mut self.writer)?;
+        let begun = begin(&self.path, next, &self.disk, state, &mut self.writer);
+        let (generation, state, journal) = begun.map_err(|error| match error {
+            DataFolderError::Io { error, .. } if error.kind() == ErrorKind::StorageFull => {
+                DataFolderError::Full { path: self.path.clone() }
+            }
+            error => error,
+        })?;
         self.generation = generation;
         self.state = state;
         self.journal = journal;
--- a/crates/cumincart-runtime/src/data_folder/error.rs
+++ b/crates/cumincart-runtime/src/data_folder/error.rs
@@ -21,6 +21,13 @@
         #[source]
         error: io::Error,
     },
+    /// The disk has no room. Nothing was written, and the same may be tried again.
+    #[error("the disk of the data folder {} is full", path.display())]
+    #[diagnostic(code(cumincart::data_folder::full), help("make room; the instance goes on by itself"))]
+    Full {
+        /// The folder.
+        path: PathBuf,
+    },
     /// An earlier write or sync failed, so what is on the disk is not known.
     #[error("a write to the data folder {} has failed before", path.display())]
     #[diagnostic(
--- a/crates/cumincart-runtime/src/data_folder/journal.rs
+++ b/crates/cumincart-runtime/src/data_folder/journal.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt,
     fs::File,
-    io::{self, Seek, SeekFrom, Write},
+    io::{self, ErrorKind, Seek, SeekFrom, Write},
     path::Path,
 };
 
@@ -33,10 +33,21 @@
     }
 }
 
+/// Why a frame was not appended.
+#[derive(Debug)]
+pub enum AppendError {
+    /// The disk has no room; nothing was written.
+    Full,
+    /// What is on the disk is not known.
+    Unknown(io::Error),
+}
+
 /// A file that frames are appended to.
 #[derive(Debug)]
 pub struct Journal {
     file: File,
+    /// Where the next frame begins.
+    end: u64,
 }
 
 impl Journal {
@@ -48,12 +59,21 @@
             file.sync_all()?;
         }
         file.seek(SeekFrom::Start(end))?;
-        Ok(Self { file })
+        Ok(Self { file, end })
     }
 
-    /// Appends a frame and syncs it.
-    pub fn append(&mut self, frame: &[u8], writer: &mut Writer) -> io::Result<()> {
-        (writer.write)(&mut self.file, frame)?;
-        (writer.sync)(&self.file)
+    /// Appends a frame and syncs it. Where the disk has no room for it, the file is as it was before.
+    pub fn append(&mut self, frame: &[u8], writer: &mut Writer) -> Result<(), AppendError> {
+        if let Err(error) = (writer.write)(&mut self.file, frame) {
+            if error.kind() != ErrorKind::StorageFull {
+                return Err(AppendError::Unknown(error));
+            }
+            self.file.set_len(self.end).map_err(AppendError::Unknown)?;
+            self.file.seek(SeekFrom::Start(self.end)).map_err(AppendError::Unknown)?;
+            return Err(AppendError::Full);
+        }
+        (writer.sync)(&self.file).map_err(AppendError::Unknown)?;
+        self.end += frame.len() as u64;
+        Ok(())
     }
 }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -541,7 +541,7 @@
 
 pub(crate) fn link_text(failure: LinkFailure) -> &'static str {
     match failure {
-        LinkFailure::NotSent => "the connection was lost before anything was sent",
+        LinkFailure::NotSent => "nothing could be sent",
         LinkFailure::Broken => "the connection was lost before the answer came",
         LinkFailure::TimedOut => "no answer came in time",
     }
