Replace a primary whose address a later run has taken

Change: a refusal by another endpoint at the address is no contact; a later run that announces itself at a silent primary's address ends it. Control links log when heartbeats stop and begin to be answered.

--- a/crates/cumincart-core/src/control/detection.rs
+++ b/crates/cumincart-core/src/control/detection.rs
@@ -138,6 +138,10 @@
     if silent_ms < ANNOUNCEMENT_INTERVAL_MS {
         return false;
     }
+    // An announcement that is late may name an address that its sender has lost, so silence must agree.
+    if silent_ms >= SURVEY_AGREED_MS && is_succeeded(board, endpoint) {
+        return true;
+    }
     let reports = &board.failover.reports;
     let recent = Duration::from_millis(REACHED_COUNTS_MS);
     let reached = |report: &Report| report.reachable && now.saturating_since(report.at) < recent;
@@ -150,6 +154,12 @@
     (board.failover.policy.is_dead)(&evidence)
 }
 
+/// Whether a later run has taken the endpoint's address.
+fn is_succeeded(board: &Board, endpoint: &EndpointName) -> bool {
+    let mut entries = board.catalogue.groups.iter().filter_map(|group| group.endpoints.get(endpoint));
+    entries.any(|entry| board.presences.has_successor(entry))
+}
+
 /// Whether a primary says that it is a replica, for longer than announcements on their way can say so: somebody else
 /// has demoted it, and it takes no writes.
 pub fn is_demoted(board: &Board, now: Instant, primary: &EndpointName) -> bool {
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -49,6 +49,18 @@
     pub fn get(&self, endpoint: &EndpointName) -> Option<&Presence> {
         self.heard.get(endpoint).map(|heard| &heard.presence)
     }
+
+    /// Whether a later run under another name has announced itself at the endpoint's address, so that the endpoint's own
+    /// run is over.
+    pub fn has_successor(&self, entry: &EndpointEntry) -> bool {
+        let born_ms = self.get(&entry.name).map(|presence| presence.born_ms);
+        self.heard.iter().map(|heard| &heard.presence).any(|other| {
+            other.address == entry.address
+                && other.endpoint != entry.name
+                && !other.ended
+                && born_ms.is_none_or(|born_ms| other.born_ms > born_ms)
+        })
+    }
 }
 
 /// Forgets what an earlier leadership heard.
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -3,7 +3,7 @@
 use {
     cumincart_core::control::{
         Board, Effect, Input, Persist, Settings, Stored, Survey, Ticket,
-        detection::{Evidence, survey_finds_dead},
+        detection::{Evidence, SURVEY_AGREED_MS, survey_finds_dead},
         members::{LEADERLESS_JOIN_MS, RETIRE_EVEN_MS},
         presence::{EXPIRE_AFTER_MS, SURVEY_CONNECTIONS},
         step,
@@ -130,6 +130,10 @@
         effects
     }
 
+    fn group_is_writable(&self) -> bool {
+        self.board.catalogue.group(&"ledger".into()).is_some_and(|group| group.writable)
+    }
+
     fn configure(&mut self, version: u64, document: &str) -> Vec<Effect> {
         self.configure_with(version, document, &[2, 3])
     }
@@ -235,6 +239,39 @@
     assert!(endpoints(&node).is_empty());
 }
 
+/// A node whose group has the endpoint as the primary of an open term.
+fn with_primary() -> Node {
+    let mut node = with_endpoint();
+    for _ in 0..10 {
+        for survey in surveys(&node.pass(100, &[2, 3])) {
+            let state =
+                LogState { role: Role::Primary, timeline: Timeline(3), position: LogPosition(7), lag_ms: 0 };
+            node.step(Input::Surveyed(survey, Some(state)));
+        }
+    }
+    assert!(node.group_is_writable(), "the primary is adopted");
+    node
+}
+
+#[test]
+fn a_primary_whose_address_a_later_run_has_taken_is_replaced_once_it_is_silent() {
+    let mut node = with_primary();
+    node.step(Input::Present(Presence { address: "10.0.0.2:5432".into(), ..presence("restarted", 900, 1) }));
+    node.acknowledge_all(2..=3);
+    assert!(node.group_is_writable(), "an announcement alone may be late");
+    node.pass(SURVEY_AGREED_MS + 200, &[2, 3]);
+    assert!(!node.group_is_writable(), "its run is over");
+}
+
+#[test]
+fn a_primary_stays_while_only_an_earlier_run_at_its_address_announces_itself() {
+    let mut node = with_primary();
+    node.step(Input::Present(Presence { address: "10.0.0.2:5432".into(), ..presence("earlier", 50, 1) }));
+    node.acknowledge_all(2..=3);
+    node.pass(SURVEY_AGREED_MS + 200, &[2, 3]);
+    assert!(node.group_is_writable());
+}
+
 #[test_case(1_600, 0, 0, true; "silent, and nobody reaches it")]
 #[test_case(1_600, 0, 1, false; "one failure domain still reaches it")]
 #[test_case(900, 0, 0, false; "one survey missed")]
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -4,7 +4,7 @@
     cumincart_core::entry::Input,
     cumincart_protocol::{heartbeat::Heartbeat, name::InstanceName, peer::PeerBody},
     cumincart_runtime::link::{LinkError, client::PeerLink, handshake::FleetSecret},
-    slog::{Logger, info},
+    slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::Instant},
 };
@@ -77,6 +77,8 @@
     Next {
         /// Its address.
         address: Arc<str>,
+        /// Why the last one that was asked did not answer the heartbeat.
+        why: &'static str,
         /// When the attempt began; an answer since then says that a leader is known.
         began_at: Instant,
     },
@@ -127,6 +129,7 @@
     let (learned_sender, mut learned) = mpsc::unbounded_channel();
     let mut last: Option<Box<Heartbeat>> = None;
     let mut answered_at = Instant::now();
+    let mut is_answered = true;
     let start = |links: &Links, target: &Arc<str>, heartbeat: Box<Heartbeat>| {
         let attempt = Attempt {
             links: links.links.clone(),
@@ -147,13 +150,22 @@
             Some(learned) = learned.recv() => match learned {
                 Learned::Answered(address) => {
                     answered_at = Instant::now();
+                    if !std::mem::replace(&mut is_answered, true) {
+                        info!(logger, "heartbeats are answered again"; "address" => &*address);
+                    }
                     if address != target {
                         info!(logger, "heartbeats go to another control instance"; "address" => &*address);
                         target = address;
                     }
                 }
                 Learned::Next { began_at, .. } if answered_at > began_at => {}
-                Learned::Next { address, .. } => target = address,
+                Learned::Next { address, why, .. } => {
+                    if std::mem::replace(&mut is_answered, false) {
+                        warn!(logger, "a heartbeat was not answered";
+                            "address" => &*target, "why" => why, "next" => &*address);
+                    }
+                    target = address;
+                }
                 Learned::UnknownLeader(address) => {
                     links.add(&address);
                     target = address;
@@ -179,6 +191,7 @@
 impl Attempt {
     async fn run(self, heartbeat: Box<Heartbeat>) {
         let mut target = self.position(&self.first).unwrap_or_default();
+        let mut why = "none leads";
         for _ in 0..ATTEMPTS {
             let body = PeerBody::Heartbeat(heartbeat.clone());
             match self.links[target].link.ask(body, ANSWER_TIMEOUT).await {
@@ -195,20 +208,24 @@
                     Some(_) => target = self.next(target),
                     None => return self.learn(Learned::UnknownLeader(leader.peer_address)),
                 },
-                Ok(_) | Err(LinkError::Down) => target = self.next(target),
+                Ok(_) => target = self.next(target),
+                Err(LinkError::Down) => {
+                    why = "the link is down";
+                    target = self.next(target);
+                }
                 Err(_) => {
                     // The answer may only be late: the next heartbeat tries elsewhere.
                     let next = self.next(target);
-                    return self.learn_next(next);
+                    return self.learn_next(next, "no answer came in time");
                 }
             }
         }
-        self.learn_next(target);
+        self.learn_next(target, why);
     }
 
-    fn learn_next(&self, next: usize) {
+    fn learn_next(&self, next: usize, why: &'static str) {
         let address = self.links[next].address.clone();
-        self.learn(Learned::Next { address, began_at: self.began_at });
+        self.learn(Learned::Next { address, why, began_at: self.began_at });
     }
 
     /// An error says that the links have been closed.
--- a/crates/cumincart-session/src/driver.rs
+++ b/crates/cumincart-session/src/driver.rs
@@ -35,6 +35,16 @@
     Unreachable,
 }
 
+impl OpenFailure {
+    /// Whether the endpoint itself was reached. One that is not the one named has taken its address.
+    pub fn is_contact(self) -> bool {
+        match self {
+            Self::Refused(kind) => kind != EndpointErrorKind::Misrouted,
+            Self::Unreachable => false,
+        }
+    }
+}
+
 /// What came back of an exchange: one reply for each command.
 pub type ExchangeResult = Result<Vec<Reply>, LinkFailure>;
 
--- a/crates/cumincart-session/src/place.rs
+++ b/crates/cumincart-session/src/place.rs
@@ -201,7 +201,7 @@
             }
             Err(failure) => {
                 self.forget_connection();
-                self.note_contact(failure != OpenFailure::Unreachable);
+                self.note_contact(failure.is_contact());
                 Err(failure)
             }
         }
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -3,7 +3,6 @@
 
 use {
     crate::{
-        driver::OpenFailure,
         engine::Engine,
         place::{ConnectFailure, Place},
         placing::{NoPlace, PlaceAt},
@@ -266,10 +265,8 @@
     })?;
     match place.connect(&request.organisation, session, deadline).await {
         Ok(()) => Ok(place),
-        Err(ConnectFailure::Open(OpenFailure::Unreachable)) => Err(RelayAnswer::Unreachable),
-        Err(ConnectFailure::Open(OpenFailure::Refused(_))) => {
-            Err(RelayAnswer::Busy { retry_after_ms: request.start_within_ms })
-        }
+        Err(ConnectFailure::Open(failure)) if !failure.is_contact() => Err(RelayAnswer::Unreachable),
+        Err(ConnectFailure::Open(_)) => Err(RelayAnswer::Busy { retry_after_ms: request.start_within_ms }),
         Err(ConnectFailure::Link(_)) => Err(RelayAnswer::Failed(LinkFailure::NotSent)),
     }
 }
