Use a primary without a term lease where endpoints fence themselves

Cause: when the control group is lost, the lease on terms ends after 1.5 s and with it all work on primaries, though the lease on keys runs for 2.9 s and the platform's endpoints refuse writes and plain transactions once they have lost the lead. Ruled out: a longer lease on terms (each failover with an unreachable instance would wait for it). Change: a driver says whether its endpoints fence themselves. Then a read on a primary goes out in a plain transaction, after that has begun, or with the point that it needs; writes and plain transactions go as they are. Test: interactive/authority.

--- a/crates/cumincart-core/src/interactive.rs
+++ b/crates/cumincart-core/src/interactive.rs
@@ -5,6 +5,7 @@
 //! transaction (transaction pooling). Nothing here does input or output.
 
 pub mod admission;
+pub mod authority;
 pub mod homes;
 pub mod pool;
 pub mod positions;
--- a/crates/cumincart-core/tests/interactive.rs
+++ b/crates/cumincart-core/tests/interactive.rs
@@ -2,6 +2,8 @@
 
 #[path = "interactive/admission.rs"]
 mod admission;
+#[path = "interactive/authority.rs"]
+mod authority;
 #[path = "interactive/homes.rs"]
 mod homes;
 #[path = "interactive/pool.rs"]
--- a/crates/cumincart-session/src/driver.rs
+++ b/crates/cumincart-session/src/driver.rs
@@ -79,6 +79,8 @@
 pub struct Driver {
     /// Opens a connection.
     pub open: Arc<OpenFn>,
+    /// Whether an endpoint that has lost the lead refuses writes and plain transactions from that moment on.
+    pub fences_terms: bool,
 }
 
 impl fmt::Debug for Driver {
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -12,7 +12,7 @@
     },
     cumincart_core::{
         entry::{self, Input, Settings, Ticket, membership, quota, quota::QuotaDecision},
-        interactive::command::Rows,
+        interactive::{authority::Authority, command::Rows},
     },
     cumincart_entry::control_link::ControlLinks,
     cumincart_protocol::{
@@ -257,13 +257,14 @@
         });
     }
 
-    /// Whether an endpoint is the primary of a term on which this instance holds a lease.
-    pub(crate) fn holds_primary(&self, service: &ServiceName, endpoint: &EndpointName, now: Instant) -> bool {
-        let state = self.lock();
-        let freshness = &state.fleet.freshness;
-        let group = freshness.catalogue.group(service);
-        freshness.holds_term_lease(now)
-            && group.is_some_and(|group| group.writable && group.primary.as_ref() == Some(endpoint))
+    /// On what an endpoint may be used as the primary of its group.
+    pub(crate) fn authority(
+        &self,
+        service: &ServiceName,
+        endpoint: &EndpointName,
+        now: Instant,
+    ) -> Authority {
+        self.lock().authority(service, endpoint, self.shared.driver.fences_terms, now)
     }
 
     /// Takes a token of the organisation's rate, or tells that none comes in time.
--- a/crates/cumincart-session/src/place.rs
+++ b/crates/cumincart-session/src/place.rs
@@ -9,6 +9,7 @@
         state::IdleConnection,
     },
     cumincart_core::interactive::{
+        authority::Authority,
         command::{Command, EndpointErrorKind, Reply},
         pool::{self, Borrow, Idle},
         routing::LAGGING_PAUSE_MS,
@@ -37,6 +38,15 @@
     state: ConnectionState,
 }
 
+/// What shows that an endpoint led when it was asked, so that its answer's point covers all that was acknowledged before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeadProof {
+    /// The lease on its term.
+    Lease,
+    /// That it begins a plain transaction.
+    Begin,
+}
+
 /// Why a place could not get a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectFailure {
@@ -53,7 +63,7 @@
     pub(crate) service: ServiceName,
     pub(crate) endpoint: EndpointName,
     pub(crate) address: Arc<str>,
-    /// Whether the endpoint is the primary of the term that this instance holds a lease on.
+    /// Whether the endpoint was the primary, as far as this instance may rely on it, when the place was given.
     pub(crate) is_primary: bool,
     taken_at: Instant,
     busy: Duration,
@@ -228,8 +238,7 @@
         self.resume();
         let Some(borrowed) = &self.borrowed else { return Err(LinkFailure::NotSent) };
         let asked_at = self.engine.now();
-        let holds_lease =
-            self.is_primary && self.engine.holds_primary(&self.service, &self.endpoint, asked_at);
+        let proof = self.proof_of_lead(&commands, asked_at);
         let (replies, answered) = oneshot::channel();
         let expected = commands.len();
         if borrowed.connection.exchanges.send(Exchange { commands, replies }).is_err() {
@@ -247,7 +256,7 @@
         self.observe(latency, &result);
         match result {
             Ok(replies) if replies.len() == expected => {
-                self.take_replies(&replies, holds_lease.then_some(asked_at));
+                self.take_replies(&replies, asked_at, proof);
                 Ok(replies)
             }
             Ok(_) => {
@@ -272,15 +281,14 @@
     ) -> Result<Vec<Reply>, LinkFailure> {
         let Some(mut relay) = self.relay.take() else { return Err(LinkFailure::NotSent) };
         let asked_at = self.engine.now();
-        let holds_lease =
-            self.is_primary && self.engine.holds_primary(&self.service, &self.endpoint, asked_at);
+        let proof = self.proof_of_lead(&commands, asked_at);
         let expected = commands.len();
         self.is_clean = false;
         let result = relay.exchange(&self.engine, &self.service, &self.endpoint, commands, deadline).await;
         self.relay = Some(relay);
         match result {
             Ok(replies) if replies.len() == expected => {
-                self.take_replies(&replies, holds_lease.then_some(asked_at));
+                self.take_replies(&replies, asked_at, proof);
                 Ok(replies)
             }
             Ok(_) => Err(LinkFailure::Broken),
@@ -328,8 +336,28 @@
         }
     }
 
+    /// On what this instance may use the endpoint as the primary now.
+    pub(crate) fn authority(&self) -> Authority {
+        if !self.is_primary {
+            return Authority::None;
+        }
+        self.engine.authority(&self.service, &self.endpoint, self.engine.now())
+    }
+
+    /// What will show that the endpoint leads when it answers these commands.
+    fn proof_of_lead(&self, commands: &[Command], asked_at: Instant) -> Option<LeadProof> {
+        if !self.is_primary {
+            return None;
+        }
+        if self.engine.authority(&self.service, &self.endpoint, asked_at) == Authority::Lease {
+            return Some(LeadProof::Lease);
+        }
+        let begins = matches!(commands.first(), Some(Command::Begin { read_only: false, .. }));
+        begins.then_some(LeadProof::Begin)
+    }
+
     /// Learns from replies how far the endpoint's log is.
-    fn take_replies(&mut self, replies: &[Reply], lease_held_at: Option<Instant>) {
+    fn take_replies(&mut self, replies: &[Reply], asked_at: Instant, proof: Option<LeadProof>) {
         self.is_clean = replies.last().is_some_and(|reply| reply.state == TransactionState::Idle);
         let point = replies.iter().filter_map(|reply| reply.point).max();
         let is_lagging = replies
@@ -346,7 +374,12 @@
                 state.has_news = true;
             }
         }
-        if let (Some(asked_at), Some(point)) = (lease_held_at, point) {
+        let leads = match proof {
+            Some(LeadProof::Lease) => true,
+            Some(LeadProof::Begin) => replies.first().is_some_and(|reply| reply.result.is_ok()),
+            None => false,
+        };
+        if let Some(point) = point.filter(|_| leads) {
             state.positions(&self.service).positions.learn(asked_at, point);
         }
     }
--- a/crates/cumincart-session/src/placing.rs
+++ b/crates/cumincart-session/src/placing.rs
@@ -9,6 +9,7 @@
     },
     cumincart_core::interactive::{
         admission::{Admission, Arrival},
+        authority::{self, Authority},
         routing::{self, Load, Target},
     },
     cumincart_protocol::{
@@ -97,7 +98,9 @@
         let catalogue = state.catalogue();
         let service = &request.database.service;
         let Some(group) = catalogue.group(service) else { return Asked::NoEndpoint };
-        if request.target == Target::Primary && !state.fleet.freshness.holds_term_lease(now) {
+        let fences_terms = self.driver().fences_terms;
+        let held = authority::authority(&state.fleet.freshness, fences_terms, now);
+        if request.target == Target::Primary && held == Authority::None {
             return Asked::NoEndpoint;
         }
         let domain = state.fleet.settings.domain.clone();
@@ -114,9 +117,7 @@
             known.is_some_and(|known| known.gate.has_place()) || !homes_of(entry).is_empty()
         };
         let chosen = candidates.iter().find(|entry| has_place(entry)).unwrap_or(best);
-        let is_primary = group.writable
-            && group.primary.as_ref() == Some(&chosen.name)
-            && state.fleet.freshness.holds_term_lease(now);
+        let is_primary = state.authority(service, &chosen.name, fences_terms, now) != Authority::None;
         let homes = homes_of(chosen);
         if !homes.is_empty() {
             if let Some(endpoint) = state.endpoints.get_mut(&chosen.name) {
@@ -192,11 +193,8 @@
             let entry = group.and_then(|group| group.endpoints.get(at.endpoint));
             let entry = entry.filter(|entry| routing::may_serve(&catalogue, entry));
             let Some(entry) = entry else { return Err(NoPlace::NoEndpoint) };
-            let is_primary = group.is_some_and(|group| {
-                group.writable
-                    && group.primary.as_ref() == Some(at.endpoint)
-                    && state.fleet.freshness.holds_term_lease(now)
-            });
+            let fences_terms = self.driver().fences_terms;
+            let is_primary = state.authority(at.service, at.endpoint, fences_terms, now) != Authority::None;
             self.ask_gate(state, now, at, entry, is_primary)
         };
         match asked {
@@ -238,7 +236,8 @@
             return Err(NoPlace::Late);
         }
         let service = at.service.clone();
-        let is_primary = waiting.is_primary && self.holds_primary(&service, &waiting.endpoint, self.now());
+        let held = self.authority(&service, &waiting.endpoint, self.now());
+        let is_primary = waiting.is_primary && held != Authority::None;
         let place = Place::new(self.clone(), service, waiting.endpoint, waiting.address, is_primary);
         if needs_primary && !place.is_primary {
             return Err(NoPlace::NoEndpoint);
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -12,6 +12,7 @@
         transaction::{Phase, Transaction},
     },
     cumincart_core::interactive::{
+        authority::{self, ReadGuard},
         command::{Command, EndpointErrorKind, Reply, Rows},
         positions::LogPoint,
         routing::Target,
@@ -282,9 +283,11 @@
             tried_unless_primary(tried, &place);
             return Attempt::TryAgain(connect_failure(asked, failure, &place));
         }
-        let after = point.filter(|_| !place.is_primary);
-        let commands = self.commands(&mut place, statement, after);
-        match place.exchange(commands, deadline).await {
+        let guard = match asked {
+            Asked::Read => authority::read_guard(place.authority(), place.is_primary, point),
+            _ => ReadGuard::None,
+        };
+        match self.exchange_guarded(&mut place, statement, guard, deadline).await {
             Ok(mut replies) => {
                 let reply = replies.pop();
                 self.finish_attempt(asked, reply, &place, tried)
@@ -302,6 +305,37 @@
         }
     }
 
+    /// Sends a statement with what guards it. The last reply is the statement's, or that of the guard which failed.
+    async fn exchange_guarded(
+        &self,
+        place: &mut Place,
+        statement: &Statement,
+        guard: ReadGuard,
+        deadline: tokio::time::Instant,
+    ) -> Result<Vec<Reply>, LinkFailure> {
+        let after = match guard {
+            ReadGuard::After(point) => Some(point),
+            ReadGuard::None | ReadGuard::Transaction => None,
+        };
+        if guard == ReadGuard::Transaction {
+            // The read goes out only after the endpoint has shown that it leads.
+            let begin = Command::Begin { read_only: false, after: None };
+            let replies = place.exchange(vec![begin], deadline).await?;
+            if replies.iter().any(|reply| reply.result.is_err()) {
+                return Ok(replies);
+            }
+        }
+        let mut commands = self.commands(place, statement, after);
+        if guard == ReadGuard::Transaction {
+            commands.push(Command::Rollback);
+        }
+        let mut replies = place.exchange(commands, deadline).await?;
+        if guard == ReadGuard::Transaction {
+            replies.pop();
+        }
+        Ok(replies)
+    }
+
     fn finish_attempt(
         &mut self,
         asked: Asked,
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -6,6 +6,7 @@
         entry::{self, Ticket, permits, permits::ConnectionUse, quota, quota::QuotaDecision},
         interactive::{
             admission::{Gate, Next},
+            authority::{self, Authority},
             homes,
             pool::Idle,
             positions::{LogPoint, Positions},
@@ -220,6 +221,22 @@
         Arc::clone(&self.fleet.freshness.catalogue)
     }
 
+    /// On what an endpoint may be used as the primary of its group.
+    pub(crate) fn authority(
+        &self,
+        service: &ServiceName,
+        endpoint: &EndpointName,
+        fences_terms: bool,
+        now: Instant,
+    ) -> Authority {
+        let freshness = &self.fleet.freshness;
+        let group = freshness.catalogue.group(service);
+        if !group.is_some_and(|group| group.writable && group.primary.as_ref() == Some(endpoint)) {
+            return Authority::None;
+        }
+        authority::authority(freshness, fences_terms, now)
+    }
+
     /// Passes an instance over for a while.
     pub(crate) fn avoid(&mut self, instance: &InstanceName, until: Instant) {
         self.avoided.insert(Avoided { instance: instance.clone(), until });
