--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -303,7 +303,6 @@
     Fleet {
         domains: ledger.domains.len() as u64,
         instances_here: ledger.domains.get(&holder.domain).map_or(0, |count| count.instances),
-        instances: ledger.domains.iter().map(|count| count.instances).sum(),
         active: holder.active,
     }
 }
--- a/crates/cumincart-core/src/control/shares/account.rs
+++ b/crates/cumincart-core/src/control/shares/account.rs
@@ -40,6 +40,8 @@
     pub tokens_in_flight_milli: u64,
     /// Requests that wait for a token, over all holders.
     pub waiting: u64,
+    /// Holders with demand.
+    pub askers: u64,
     /// Since when demand exceeds the plan.
     pub overloaded_since: Option<Instant>,
     /// The reserve's level in billionths of a token.
@@ -70,6 +72,7 @@
             excess_milli_per_s: 0,
             tokens_in_flight_milli: 0,
             waiting: 0,
+            askers: 0,
             overloaded_since: None,
             reserve_nano: 0,
             settled_at: from,
@@ -86,6 +89,11 @@
         };
     }
 
+    /// Whether those with demand can each have a useful part of the plan.
+    pub fn is_divisible(&self) -> bool {
+        self.plan.is_divisible_among(self.askers)
+    }
+
     /// What is not allocated and may be: within the plan, and within a whole of all holders' fractions.
     pub fn headroom(&self) -> Share {
         let rate_left_ppb = RATE_WHOLE_PPB.saturating_sub(self.fractions.rate_ppb);
@@ -146,6 +154,7 @@
         self.demand_milli_per_s -= holding.demand_milli_per_s;
         self.excess_milli_per_s -= holding.excess_milli_per_s;
         self.waiting -= holding.waiting;
+        self.askers -= u64::from(holding.has_demand());
         self.tokens_in_flight_milli -= holding.tokens_in_flight_milli();
     }
 
@@ -160,6 +169,7 @@
         self.demand_milli_per_s += holding.demand_milli_per_s;
         self.excess_milli_per_s += holding.excess_milli_per_s;
         self.waiting += holding.waiting;
+        self.askers += u64::from(holding.has_demand());
         self.tokens_in_flight_milli += holding.tokens_in_flight_milli();
     }
 
--- a/crates/cumincart-core/src/control/shares/holder.rs
+++ b/crates/cumincart-core/src/control/shares/holder.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Whether the holder has requests for this organisation.
+    pub fn has_demand(&self) -> bool {
+        self.demand_milli_per_s > 0 || self.waiting > 0
+    }
+
     /// Tokens that are on their way.
     pub fn tokens_in_flight_milli(&self) -> u64 {
         self.outstanding.unwrap_or_default().tokens_milli
--- a/crates/cumincart-core/src/control/shares/target.rs
+++ b/crates/cumincart-core/src/control/shares/target.rs
@@ -1,8 +1,8 @@
 //! How an organisation's rate and burst are divided among the instances.
 //!
 //! A tenth belongs to the failure domains with instances in service, in equal parts. The rest follows demand; what
-//! nobody asks for stays in the leader's reserve, or half of it with those that ask. A plan too small to be divided
-//! stays in the reserve whole, and its tokens go to where requests wait.
+//! nobody asks for stays in the leader's reserve, or half of it with those that ask. A plan too small to be divided among
+//! those that ask stays in the reserve whole, and its tokens go to where requests wait.
 
 use {
     super::{
@@ -44,8 +44,6 @@
     pub domains: u64,
     /// Instances in service in the holder's failure domain.
     pub instances_here: u64,
-    /// Instances in service.
-    pub instances: u64,
     /// Whether the holder is in service.
     pub active: bool,
 }
@@ -59,12 +57,6 @@
         let parts = self.domains.max(1) * self.instances_here.max(1);
         total * FLOOR_PER_MILLE / 1_000 / parts
     }
-
-    /// Whether a plan is too small to be divided: less than one token a second or two of burst for each instance.
-    fn is_indivisible(&self, plan: Share) -> bool {
-        let instances_milli = self.instances.max(1) * TOKEN_MILLI;
-        plan.rate_milli_per_s < instances_milli || plan.burst_milli < 2 * instances_milli
-    }
 }
 
 /// The grant that a holder should get now, without its number; none where its share is right and nothing waits.
@@ -78,7 +70,7 @@
     }
     let tokens_milli = whole_tokens(account.reserve_milli()).min(waiting * TOKEN_MILLI);
     let unserved = waiting - tokens_milli / TOKEN_MILLI;
-    let next_token_ms = if unserved == 0 { 0 } else { next_token_ms(account, fleet, tokens_milli, now) };
+    let next_token_ms = if unserved == 0 { 0 } else { next_token_ms(account, tokens_milli, now) };
     Some(Granted { share, basis: account.limit, tokens_milli, next_token_ms, ..Granted::default() })
 }
 
@@ -96,7 +88,7 @@
 }
 
 fn target_of(account: &Account, holding: &Holding, fleet: &Fleet) -> Share {
-    if !fleet.active || fleet.is_indivisible(account.plan) {
+    if !fleet.active || !account.is_divisible() {
         return Share::default();
     }
     let burst_milli = burst_target(account, holding, fleet);
@@ -141,9 +133,9 @@
 }
 
 /// When the reserve has a token beyond those just taken out of it.
-fn next_token_ms(account: &Account, fleet: &Fleet, taken_milli: u64, now: Instant) -> u64 {
+fn next_token_ms(account: &Account, taken_milli: u64, now: Instant) -> u64 {
     let left_milli = account.reserve_milli() - taken_milli;
-    if fleet.is_indivisible(account.plan) {
+    if !account.is_divisible() {
         let missing_milli = (account.waiting * TOKEN_MILLI).saturating_sub(taken_milli + left_milli);
         return time_to_gain_ms(missing_milli, account.plan.rate_milli_per_s);
     }
--- a/crates/cumincart-core/src/interactive/homes.rs
+++ b/crates/cumincart-core/src/interactive/homes.rs
@@ -1,4 +1,4 @@
-//! Which entry instances hold an organisation's connections to an endpoint.
+//! Which entry instances hold an organisation's connections to an endpoint, and which its tokens.
 //!
 //! Answers many organisations over few connections: each organisation's work at an endpoint goes by one instance of the
 //! endpoint's failure domain, so its connections are used again and again. Rendezvous hashing moves only what an instance
@@ -7,7 +7,7 @@
 use cumincart_protocol::{
     catalogue::EndpointEntry,
     heartbeat::InstanceEntry,
-    name::{InstanceName, OrganisationName},
+    name::{DomainName, InstanceName, OrganisationName},
     sorted::SortedVec,
 };
 
@@ -27,16 +27,39 @@
     endpoint: &EndpointEntry,
     organisation: &OrganisationName,
 ) -> Vec<&'a InstanceEntry> {
-    let near: Vec<&InstanceEntry> =
-        instances.iter().filter(|instance| instance.domain == endpoint.domain).collect();
-    let mut homes = if near.is_empty() { instances.iter().collect() } else { near };
-    homes.sort_by_key(|instance| std::cmp::Reverse(score(&instance.name, endpoint, organisation)));
-    homes.truncate(HOMES);
-    homes
+    let near = of_domain(instances, &endpoint.domain);
+    let candidates = if near.is_empty() { instances.iter().collect() } else { near };
+    ranked(candidates, endpoint.name.as_str(), organisation)
 }
 
-fn score(instance: &InstanceName, endpoint: &EndpointEntry, organisation: &OrganisationName) -> u64 {
-    let parts = [instance.as_str(), endpoint.name.as_str(), organisation.as_str()];
+/// The instances that hold a failure domain's share of a small organisation's rate, best first.
+///
+/// Answers many small organisations on many instances: a share at each of them would be less than a token, so every
+/// operation would have to ask the control leader for one, and none would be served without it.
+pub fn token_homes<'a>(
+    instances: &'a SortedVec<InstanceEntry>,
+    domain: &DomainName,
+    organisation: &OrganisationName,
+) -> Vec<&'a InstanceEntry> {
+    ranked(of_domain(instances, domain), "tokens", organisation)
+}
+
+fn of_domain<'a>(instances: &'a SortedVec<InstanceEntry>, domain: &DomainName) -> Vec<&'a InstanceEntry> {
+    instances.iter().filter(|instance| instance.domain == *domain).collect()
+}
+
+fn ranked<'a>(
+    mut instances: Vec<&'a InstanceEntry>,
+    subject: &str,
+    organisation: &OrganisationName,
+) -> Vec<&'a InstanceEntry> {
+    instances.sort_by_key(|instance| std::cmp::Reverse(score(&instance.name, subject, organisation)));
+    instances.truncate(HOMES);
+    instances
+}
+
+fn score(instance: &InstanceName, subject: &str, organisation: &OrganisationName) -> u64 {
+    let parts = [instance.as_str(), subject, organisation.as_str()];
     let mut hash = FNV_OFFSET;
     for byte in parts.iter().flat_map(|part| part.bytes().chain([0])) {
         hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
--- a/crates/cumincart-core/tests/interactive/homes.rs
+++ b/crates/cumincart-core/tests/interactive/homes.rs
@@ -1,7 +1,7 @@
 //! Where an organisation's connections are held, as instances come and go.
 
 use {
-    cumincart_core::interactive::homes::homes,
+    cumincart_core::interactive::homes::{homes, token_homes},
     cumincart_protocol::{
         catalogue::EndpointEntry, heartbeat::InstanceEntry, name::OrganisationName, number::Incarnation,
         sorted::SortedVec,
@@ -74,3 +74,25 @@
         assert!(old == new || old.as_str() == "a-2", "{organisation} moved from {old} to {new}");
     }
 }
+
+#[test]
+fn tokens_are_held_in_the_asker_s_failure_domain() {
+    let fleet = instances(&FLEET);
+    for organisation in organisations() {
+        let named = token_homes(&fleet, &"forest".into(), &organisation);
+        assert_eq!(named.len(), 2);
+        assert!(named.iter().all(|home| home.domain.as_str() == "forest"));
+    }
+}
+
+#[test]
+fn small_organisations_tokens_are_spread_over_the_instances() {
+    let fleet = instances(&FLEET);
+    for instance in ["a-1", "a-2", "a-3"] {
+        let is_first = |organisation: &OrganisationName| {
+            token_homes(&fleet, &"quay".into(), organisation)[0].name.as_str() == instance
+        };
+        let held = organisations().iter().filter(|organisation| is_first(organisation)).count();
+        assert!((100..170).contains(&held), "{instance} holds {held} of 400");
+    }
+}
--- a/crates/cumincart-core/tests/limits_shares.rs
+++ b/crates/cumincart-core/tests/limits_shares.rs
@@ -268,3 +268,26 @@
     run_at_nodes(&mut fleet, &[0, 1], 2_000);
     assert_eq!(refused_at_nodes(&mut fleet, &[0, 1], 2_000), 0);
 }
+
+/// Many small organisations on many instances: one instance of each failure domain holds the domain's tokens.
+#[test]
+fn a_small_plan_held_by_few_of_many_instances_serves_without_the_leader() {
+    const HOLDERS: usize = 6;
+    let mut fleet = Fleet::new(12, &[(26.0, 26)]);
+    fleet.add_many(60, HOLDERS);
+    fleet.elect(Clock::default());
+    fleet.run_ms(6_000);
+    let request_each_ms = |fleet: &mut Fleet, interval_ms: usize, count: usize| {
+        for request in 0..count {
+            fleet.request(request % HOLDERS, 0);
+            fleet.run_ms(interval_ms as u64);
+        }
+    };
+    // 16 a second of 26, for longer than shares take to settle.
+    request_each_ms(&mut fleet, 62, 100);
+    fleet.leader = None;
+    let before = fleet.counts();
+    request_each_ms(&mut fleet, 62, 24);
+    let after = fleet.counts();
+    assert_eq!(after.refused, before.refused, "all are within the rate and served from shares at hand");
+}
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -113,6 +113,12 @@
         let rate_milli_per_s = (plan.rate_per_s * 1_000.0).clamp(0.0, MAX_RATE_MILLI_PER_S).floor() as u64;
         Self { rate_milli_per_s, burst_milli: u64::from(plan.burst) * 1_000 }
     }
+
+    /// Whether each of so many holders can have a useful part: one token a second and a burst of two.
+    pub fn is_divisible_among(&self, holders: u64) -> bool {
+        let holders_milli = holders.max(1) * 1_000;
+        self.rate_milli_per_s >= holders_milli && self.burst_milli >= 2 * holders_milli
+    }
 }
 
 /// What an entry instance holds and needs of one organisation's rate.
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod session;
 pub mod sorted;
 pub mod time;
+pub mod token;
 pub mod verdict;
--- a/crates/cumincart-protocol/src/peer.rs
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -8,13 +8,14 @@
         relay::{RelayAnswer, RelayRequest},
         replication::ReplicationMessage,
         request::{CallerRequest, CallerResult},
+        token::{TokenAnswer, TokenRequest},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
 /// The version of the envelope and all that it carries.
-pub const PEER_VERSION: u16 = 2;
+pub const PEER_VERSION: u16 = 3;
 
 /// The longest encoded envelope that is read, in bytes.
 pub const PEER_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -60,6 +61,12 @@
     /// The answer to `Relay`.
     #[serde(rename = "y")]
     RelayAnswer(Box<RelayAnswer>),
+    /// Asks the entry instance that holds a failure domain's share of an organisation's rate for a token.
+    #[serde(rename = "t")]
+    Token(TokenRequest),
+    /// The answer to `Token`.
+    #[serde(rename = "u")]
+    TokenAnswer(TokenAnswer),
     /// A request that the receiver could not serve as a message.
     Refused(Refusal),
 }
--- a/crates/cumincart-runtime/tests/link.rs
+++ b/crates/cumincart-runtime/tests/link.rs
@@ -162,7 +162,7 @@
     assert_eq!(codec::decode(&codec::encode(&sent)).expect("it was encoded here"), sent);
 }
 
-#[test_case(&codec::encode(&envelope(PEER_VERSION + 1)), "its version is 3, not 2"; "another version")]
+#[test_case(&codec::encode(&envelope(PEER_VERSION + 1)), "its version is 4, not 3"; "another version")]
 #[test_case(&[codec::encode(&envelope(PEER_VERSION)), vec![0]].concat(), "bytes are left over"; "bytes left over")]
 #[test_case(&vec![0; PEER_MAX_BYTES + 1], "it is too long"; "too long")]
 fn a_bad_envelope_is_refused(bytes: &[u8], reason: &str) {
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -11,13 +11,13 @@
         stop,
     },
     cumincart_core::{
-        entry::{self, Input, Settings, Ticket, membership, quota, quota::QuotaDecision},
+        entry::{self, Input, Settings, membership},
         interactive::{authority::Authority, command::Rows},
     },
     cumincart_entry::control_link::ControlLinks,
     cumincart_protocol::{
         catalogue::Catalogue,
-        name::{EndpointName, InstanceName, OrganisationName, ServiceName},
+        name::{EndpointName, InstanceName, ServiceName},
         sorted::SortedVec,
         time::Instant,
     },
@@ -267,37 +267,6 @@
         self.lock().authority(service, endpoint, self.shared.driver.fences_terms, now)
     }
 
-    /// Takes a token of the organisation's rate, or tells that none comes in time.
-    pub(crate) async fn take_token(
-        &self,
-        organisation: &OrganisationName,
-        start_by: Instant,
-        priority: u32,
-    ) -> bool {
-        let (ticket, answered) = {
-            let mut state = self.lock();
-            let now = self.now();
-            let (ticket, answered) = state.ticket();
-            let quota = &mut state.fleet.quota;
-            match quota::take_with_priority(quota, now, organisation, Ticket(ticket), start_by, priority) {
-                QuotaDecision::Waiting => (ticket, answered),
-                decision => {
-                    state.drop_ticket(ticket);
-                    return decision == QuotaDecision::Admitted;
-                }
-            }
-        };
-        match timeout_at(self.deadline(start_by), answered).await {
-            Ok(Ok(granted)) => granted,
-            _ => {
-                let mut state = self.lock();
-                state.drop_ticket(ticket);
-                quota::cancel(&mut state.fleet.quota, Ticket(ticket));
-                false
-            }
-        }
-    }
-
     /// An instant on the runtime's clock.
     pub(crate) fn deadline(&self, at: Instant) -> tokio::time::Instant {
         tokio::time::Instant::now() + at.saturating_since(self.now())
--- a/crates/cumincart-session/src/lib.rs
+++ b/crates/cumincart-session/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod session;
 mod state;
 pub mod stop;
+mod tokens;
 mod transaction;
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -184,21 +184,30 @@
     }
 }
 
-/// Serves exchanges of other instances until their channel closes.
+/// Serves exchanges and requests for tokens of other instances until their channel closes.
 pub async fn serve(engine: Engine, mut received: mpsc::UnboundedReceiver<Received>) {
     while let Some(Received { from, body, reply }) = received.recv().await {
-        let PeerBody::Relay(request) = body else {
-            let refusal = Refusal::not_run(RefusalCode::BadRequest, "this instance takes only exchanges");
-            reply.send(PeerBody::Refused(refusal));
-            continue;
-        };
         let engine = engine.clone();
-        tokio::spawn(async move {
-            engine.count_session(true);
-            let answer = answer(&engine, from, *request).await;
-            engine.count_session(false);
-            reply.send(PeerBody::RelayAnswer(Box::new(answer)));
-        });
+        match body {
+            PeerBody::Relay(request) => {
+                tokio::spawn(async move {
+                    engine.count_session(true);
+                    let answer = answer(&engine, from, *request).await;
+                    engine.count_session(false);
+                    reply.send(PeerBody::RelayAnswer(Box::new(answer)));
+                });
+            }
+            PeerBody::Token(request) => {
+                tokio::spawn(async move {
+                    let answer = engine.give_token(&request).await;
+                    reply.send(PeerBody::TokenAnswer(answer));
+                });
+            }
+            _ => {
+                let why = "this instance takes only exchanges and requests for tokens";
+                reply.send(PeerBody::Refused(Refusal::not_run(RefusalCode::BadRequest, why)));
+            }
+        }
     }
 }
 
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -251,23 +251,28 @@
         organisation: &OrganisationName,
         is_up: impl Fn(&InstanceEntry) -> bool,
     ) -> Vec<InstanceEntry> {
-        let own = &self.fleet.settings.instance;
         let known = self.endpoints.get(&endpoint.name);
         let has_idle =
             |known: &EndpointState| known.idle.iter().any(|idle| idle.idle.organisation == *organisation);
         if known.is_some_and(has_idle) {
             return Vec::new();
         }
+        self.ways(now, homes::homes(&self.fleet.freshness.instances, endpoint, organisation), is_up)
+    }
+
+    /// Those of some instances, best first, that can be asked before this one itself comes.
+    pub(crate) fn ways(
+        &self,
+        now: Instant,
+        homes: Vec<&InstanceEntry>,
+        is_up: impl Fn(&InstanceEntry) -> bool,
+    ) -> Vec<InstanceEntry> {
+        let own = &self.fleet.settings.instance;
         let is_usable = |home: &&InstanceEntry| {
             let is_avoided = self.avoided.get(&home.name).is_some_and(|avoided| now < avoided.until);
             home.name == *own || (!is_avoided && is_up(home))
         };
-        homes::homes(&self.fleet.freshness.instances, endpoint, organisation)
-            .into_iter()
-            .filter(is_usable)
-            .take_while(|home| home.name != *own)
-            .cloned()
-            .collect()
+        homes.into_iter().filter(is_usable).take_while(|home| home.name != *own).cloned().collect()
     }
 
     /// A ticket and the way in which its holder hears whether it got what it waits for.
