Read in the own region where the own failure domain has no endpoint

Cause: an instance in a failure domain without an endpoint took all endpoints for equally far, so two of three of its reads went to another region. Change: an instance knows the other failure domains of its region; an endpoint there costs a round trip of 2 ms, not 24. Test: interactive/routing.

--- a/crates/cumincart-core/src/interactive/routing.rs
+++ b/crates/cumincart-core/src/interactive/routing.rs
@@ -2,22 +2,26 @@
 //! point that the read needs.
 //!
 //! Answers replicas that lag, endpoints that slow down and an uneven share of clients per instance: work goes to the
-//! endpoint of the own failure domain until others would serve it sooner.
+//! endpoint of the own failure domain, then of the own region, until others would serve it sooner.
 
 use {
     super::positions::LogPoint,
     cumincart_protocol::{
         catalogue::{Catalogue, EndpointEntry, Group},
         lists::Consistency,
-        name::EndpointName,
+        name::{DomainName, EndpointName},
+        sorted::SortedVec,
         time::Instant,
     },
     std::time::Duration,
 };
 
-/// What reaching another failure domain costs, in microseconds: a round trip between regions.
+/// What reaching another region costs, in microseconds: a round trip between regions.
 pub const REMOTE_COST_US: u64 = 24_000;
 
+/// What reaching another failure domain of the own region costs, in microseconds: a round trip between failure domains.
+pub const NEAR_COST_US: u64 = 2_000;
+
 /// How long an endpoint that lacked a point is not asked again for reads that need one, in milliseconds: several times
 /// the usual replication lag.
 pub const LAGGING_PAUSE_MS: u64 = 200;
@@ -25,6 +29,28 @@
 /// How long an endpoint that could not be reached gets no new work, in milliseconds.
 pub const UNREACHABLE_PAUSE_MS: u64 = 500;
 
+/// Where an instance stands among the failure domains.
+#[derive(Debug, Clone)]
+pub struct Locality {
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The other failure domains of its region.
+    pub near: SortedVec<DomainName>,
+}
+
+impl Locality {
+    /// What reaching an endpoint there costs, in microseconds.
+    fn cost_us(&self, domain: &DomainName) -> u64 {
+        if *domain == self.domain {
+            0
+        } else if self.near.contains(domain) {
+            NEAR_COST_US
+        } else {
+            REMOTE_COST_US
+        }
+    }
+}
+
 /// Where a statement may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -76,7 +102,7 @@
     catalogue: &Catalogue,
     group: &'a Group,
     target: Target,
-    own_domain: &str,
+    locality: &Locality,
     now: Instant,
     tried: &[EndpointName],
     load: impl Fn(&EndpointEntry) -> Load,
@@ -97,15 +123,14 @@
         if lags || load.limit == 0 || now < load.unreachable_until {
             continue;
         }
-        ranked.push((cost_us(entry, &load, own_domain), entry));
+        ranked.push((cost_us(entry, &load, locality), entry));
     }
     ranked.sort_by_key(|(cost, _)| *cost);
     ranked.into_iter().map(|(_, entry)| entry).collect()
 }
 
 /// What a read is expected to take at an endpoint, in microseconds.
-fn cost_us(entry: &EndpointEntry, load: &Load, own_domain: &str) -> u64 {
-    let distance = if entry.domain.as_str() == own_domain { 0 } else { REMOTE_COST_US };
+fn cost_us(entry: &EndpointEntry, load: &Load, locality: &Locality) -> u64 {
     let places = u64::from(entry.slots.max(1));
-    distance + load.service_us * (load.in_use + 1) / places
+    locality.cost_us(&entry.domain) + load.service_us * (load.in_use + 1) / places
 }
--- a/crates/cumincart-core/tests/interactive/routing.rs
+++ b/crates/cumincart-core/tests/interactive/routing.rs
@@ -3,7 +3,7 @@
 use {
     cumincart_core::interactive::{
         positions::LogPoint,
-        routing::{Load, Target, candidates},
+        routing::{Load, Locality, Target, candidates},
     },
     cumincart_protocol::{
         catalogue::{Catalogue, EndpointEntry, Group},
@@ -49,7 +49,8 @@
 
 fn names(group: &Group, catalogue: &Catalogue, target: Target, load: impl Fn(&str) -> Load) -> Vec<String> {
     let tried: &[EndpointName] = &[];
-    candidates(catalogue, group, target, "forest", NOW, tried, |entry| load(entry.name.as_str()))
+    let locality = Locality { domain: "forest".into(), near: ["royal".into()].into_iter().collect() };
+    candidates(catalogue, group, target, &locality, NOW, tried, |entry| load(entry.name.as_str()))
         .into_iter()
         .map(|entry| entry.name.to_string())
         .collect()
@@ -64,6 +65,16 @@
     assert_eq!(reads(|_| idle())[0], "db-2");
 }
 
+/// Pattern: failure domains without an endpoint of their own, beside one of the same region that has one.
+#[test]
+fn a_read_goes_to_the_own_region_where_the_own_failure_domain_has_no_endpoint() {
+    let mut group = group();
+    group.endpoints =
+        [entry("db-1", "quay"), entry("db-2", "mill"), entry("db-3", "royal")].into_iter().collect();
+    let served = names(&group, &Catalogue::default(), Target::Anywhere(point(100)), |_| idle());
+    assert_eq!(served[0], "db-3");
+}
+
 /// Pattern: an uneven share of clients per instance.
 #[test]
 fn a_read_goes_elsewhere_when_the_near_endpoint_is_full() {
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -12,12 +12,12 @@
     },
     cumincart_core::{
         entry::{self, Input, Settings, membership},
-        interactive::{authority::Authority, command::Rows},
+        interactive::{authority::Authority, command::Rows, routing::Locality},
     },
     cumincart_entry::control_link::ControlLinks,
     cumincart_protocol::{
         catalogue::Catalogue,
-        name::{EndpointName, InstanceName, ServiceName},
+        name::{DomainName, EndpointName, InstanceName, ServiceName},
         sorted::SortedVec,
         time::Instant,
     },
@@ -44,6 +44,8 @@
 pub struct EngineOptions {
     /// The core's settings.
     pub core: Settings,
+    /// The other failure domains of this instance's region.
+    pub near_domains: SortedVec<DomainName>,
     /// Peer addresses of control instances to begin with, as `ip:port`.
     pub control_addresses: Vec<Arc<str>>,
     /// The fleet secret.
@@ -81,6 +83,7 @@
     phase: watch::Sender<StopPhase>,
     sessions: watch::Sender<usize>,
     me: InstanceName,
+    locality: Locality,
     fleet_secret: FleetSecret,
     links: Mutex<Vec<InstanceLink>>,
     kept: Mutex<SortedVec<KeptPlace>>,
@@ -104,8 +107,10 @@
             options.logger.clone(),
         );
         let me = options.core.instance.clone();
+        let locality = Locality { domain: options.core.domain.clone(), near: options.near_domains };
         let shared = Shared {
             me,
+            locality,
             fleet_secret: options.fleet_secret,
             links: Mutex::default(),
             kept: Mutex::default(),
@@ -226,6 +231,10 @@
         &self.shared.me
     }
 
+    pub(crate) fn locality(&self) -> &Locality {
+        &self.shared.locality
+    }
+
     pub(crate) fn fleet_secret(&self) -> &FleetSecret {
         &self.shared.fleet_secret
     }
--- a/crates/cumincart-session/src/placing.rs
+++ b/crates/cumincart-session/src/placing.rs
@@ -103,12 +103,11 @@
         if request.target == Target::Primary && held == Authority::None {
             return Asked::NoEndpoint;
         }
-        let domain = state.fleet.settings.domain.clone();
         let load = |entry: &EndpointEntry| {
             state.endpoints.get(&entry.name).map_or_else(Load::default, |known| known.load())
         };
         let candidates =
-            routing::candidates(&catalogue, group, request.target, domain.as_str(), now, request.tried, load);
+            routing::candidates(&catalogue, group, request.target, self.locality(), now, request.tried, load);
         let Some(best) = candidates.first() else { return Asked::NoEndpoint };
         let is_up = |home: &InstanceEntry| self.link(&home.peer_address).is_up();
         let homes_of = |entry: &EndpointEntry| state.homes(now, entry, request.organisation, is_up);
