Send the list of entry instances as what differs from the one that a holder has

Ruled out: the catalogue's patches (13.9 MB), shares (7.6 MB), relayed exchanges (40 MB, most within a region). Change: a heartbeat names the holder's list by a digest; the answer carries what differs, or nothing. A new leader changes no list before it knows of all holders, so homes stay where they are.

--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -10,6 +10,7 @@
     crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
     cumincart_protocol::{
         heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
+        instances::{self, InstancesUpdate},
         name::DomainName,
         number::{Incarnation, Revision},
         peer::PeerBody,
@@ -17,11 +18,11 @@
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
-    std::{sync::Arc, time::Duration},
+    std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
-/// How long the list of instances is repeated after a change, in milliseconds, so that a lost answer does no harm.
-pub const INSTANCES_REPEAT_MS: u64 = 2_000;
+/// How many earlier lists of instances are kept, to tell what differs: a few seconds of changes one by one.
+const LISTS_KEPT: usize = 16;
 
 /// How long an instance is still listed after its lease has run out, in milliseconds.
 pub const LISTED_AFTER_END_MS: u64 = 60_000;
@@ -68,7 +69,16 @@
     holders: SortedVec<Holder>,
     earlier_terms_until: Instant,
     earlier_until: Instant,
-    instances_changed_at: Instant,
+    /// The list of instances and earlier ones, the newest last.
+    lists: VecDeque<InstancesList>,
+    is_list_outdated: bool,
+}
+
+/// The list of instances as it once was.
+#[derive(Debug)]
+struct InstancesList {
+    digest: u64,
+    instances: SortedVec<InstanceEntry>,
 }
 
 impl Leases {
@@ -87,8 +97,32 @@
         self.earlier_until
     }
 
-    fn instances(&self) -> Vec<InstanceEntry> {
-        self.holders.iter().filter(|holder| !holder.is_ended).map(|holder| holder.entry.clone()).collect()
+    /// Takes the list of instances anew where it has changed.
+    fn follow_instances(&mut self) {
+        if !std::mem::take(&mut self.is_list_outdated) {
+            return;
+        }
+        let live = self.holders.iter().filter(|holder| !holder.is_ended);
+        let instances: SortedVec<InstanceEntry> = live.map(|holder| holder.entry.clone()).collect();
+        let digest = instances::digest(&instances);
+        self.lists.retain(|list| list.digest != digest);
+        if self.lists.len() == LISTS_KEPT {
+            self.lists.pop_front();
+        }
+        self.lists.push_back(InstancesList { digest, instances });
+    }
+
+    /// What brings a holder's list forward. A new leader that has not heard of all holders yet changes no list.
+    fn instances_update(&self, now: Instant, held: u64) -> Option<InstancesUpdate> {
+        let newest = self.lists.back()?;
+        if newest.digest == held || (held != 0 && now < self.earlier_until) {
+            return None;
+        }
+        let known = self.lists.iter().find(|list| list.digest == held);
+        Some(match known {
+            Some(known) => InstancesUpdate::between(&known.instances, &newest.instances),
+            None => InstancesUpdate::Whole(newest.instances.iter().cloned().collect()),
+        })
     }
 }
 
@@ -129,7 +163,6 @@
     *leases = Leases::default();
     leases.earlier_terms_until = now + Duration::from_millis(grantor_lease_ms(TERM_LEASE_MS));
     leases.earlier_until = now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
-    leases.instances_changed_at = now;
 }
 
 /// Ends the wait for earlier leaders' leases. Tells whether there was one.
@@ -159,19 +192,16 @@
     let permits = permits::on_heartbeat(&mut board.permits, now, &board.catalogue, heartbeat);
     runs::on_heartbeat(board, now, heartbeat, out);
     let parked = Parked { ticket, asked_at: heartbeat.asked_at, told };
-    let is_new = renew(&mut board.leases, now, heartbeat, parked);
-    if is_new {
-        board.leases.instances_changed_at = now;
-    }
+    renew(&mut board.leases, now, heartbeat, parked);
+    board.leases.follow_instances();
     let mut answer = answer_base(board, heartbeat.incarnation, heartbeat.asked_at);
     answer.update = board.recent.update(&board.catalogue, heartbeat.revision);
     answer.shares = shares;
     answer.permits = permits;
-    let repeat = Duration::from_millis(INSTANCES_REPEAT_MS);
-    let changed_lately = now.saturating_since(board.leases.instances_changed_at) < repeat;
-    answer.instances = changed_lately.then(|| board.leases.instances());
+    answer.instances = board.leases.instances_update(now, heartbeat.instances_digest);
+    let is_first = heartbeat.instances_digest == 0;
     let members_changed = heartbeat.revision < revision_of(board.log.members_index());
-    answer.control_addresses = (changed_lately || members_changed).then(|| control_addresses(board));
+    answer.control_addresses = (is_first || members_changed).then(|| control_addresses(board));
     out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
 }
 
@@ -224,16 +254,15 @@
         holder.is_ended = true;
         holder.parked = None;
     }
-    board.leases.instances_changed_at = now;
+    board.leases.is_list_outdated = true;
     board.failover.reports.forget(&key.instance);
     shares::on_lease_end(&mut board.shares, now, &key.instance, key.incarnation);
     permits::on_lease_end(&mut board.permits, now, &key.instance, key.incarnation);
 }
 
-/// Renews a lease; tells whether its holder is new.
-fn renew(leases: &mut Leases, now: Instant, heartbeat: &Heartbeat, parked: Parked) -> bool {
+fn renew(leases: &mut Leases, now: Instant, heartbeat: &Heartbeat, parked: Parked) {
     let key = HolderKey::of(heartbeat);
-    let is_new = leases.holders.get(&key).is_none_or(|holder| holder.is_ended);
+    leases.is_list_outdated |= leases.holders.get(&key).is_none_or(|holder| holder.is_ended);
     let holder = leases.holders.get_or_insert_with(&key, || Holder {
         key: key.clone(),
         domain: heartbeat.domain.clone(),
@@ -251,7 +280,6 @@
     holder.term_until = now + Duration::from_millis(grantor_lease_ms(TERM_LEASE_MS));
     holder.fresh_until = now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
     holder.parked = Some(parked);
-    is_new
 }
 
 fn entry(heartbeat: &Heartbeat) -> InstanceEntry {
--- a/crates/cumincart-core/src/entry/freshness.rs
+++ b/crates/cumincart-core/src/entry/freshness.rs
@@ -95,8 +95,8 @@
     }
     freshness.control_term = answer.control_term;
     apply_update(freshness, &answer.update);
-    if let Some(instances) = &answer.instances {
-        freshness.instances = instances.iter().cloned().collect();
+    if let Some(update) = &answer.instances {
+        update.apply(&mut freshness.instances);
     }
     if freshness.revision() < answer.revision {
         return AnswerOutcome::Behind;
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -10,6 +10,7 @@
     crate::timing::HEARTBEAT_INTERVAL_MS,
     cumincart_protocol::{
         heartbeat::{EndpointReport, Heartbeat, HeartbeatAnswer},
+        instances,
         number::{ControlTerm, Revision},
         sorted::SortedVec,
         time::Instant,
@@ -99,6 +100,7 @@
         revision: board.freshness.revision(),
         leaving: board.membership.leaving,
         complete: told.is_none(),
+        instances_digest: instances::digest(&board.freshness.instances),
         endpoints,
         shares: quota::report(&mut board.quota, now, told),
         permits: permits::report(&mut board.permits, now, told, uses),
--- a/crates/cumincart-core/src/interactive/homes.rs
+++ b/crates/cumincart-core/src/interactive/homes.rs
@@ -6,6 +6,7 @@
 
 use cumincart_protocol::{
     catalogue::EndpointEntry,
+    fnv::Fnv,
     heartbeat::InstanceEntry,
     name::{DomainName, InstanceName, OrganisationName},
     sorted::SortedVec,
@@ -14,12 +15,6 @@
 /// How many instances are named: the first, and those that stand in for it.
 pub const HOMES: usize = 3;
 
-/// The offset basis of 64-bit FNV-1a.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-
-/// The prime of 64-bit FNV-1a.
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// The instances that hold the organisation's connections, best first: those of the endpoint's failure domain, or where it
 /// has none, all.
 pub fn homes<'a>(
@@ -59,13 +54,10 @@
 }
 
 fn score(instance: &InstanceName, subject: &str, organisation: &OrganisationName) -> u64 {
-    let parts = [instance.as_str(), subject, organisation.as_str()];
-    let mut hash = FNV_OFFSET;
-    for byte in parts.iter().flat_map(|part| part.bytes().chain([0])) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    let mut hash = Fnv::default();
+    for part in [instance.as_str(), subject, organisation.as_str()] {
+        hash.write(part.as_bytes());
+        hash.write(&[0]);
     }
-    // FNV's upper bits depend little on the last bytes; a finalizer spreads them.
-    hash ^= hash >> 33;
-    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash ^ (hash >> 33)
+    hash.finish()
 }
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -67,6 +67,7 @@
             revision: Revision(0),
             leaving: false,
             complete,
+            instances_digest: 0,
             endpoints: Vec::new(),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -5,11 +5,13 @@
     cumincart_protocol::{
         announcement::{Announcement, Role},
         change::{Action, Change, ChangeId, Outcome},
-        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer},
+        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
+        instances::{self, InstancesUpdate},
         lists::Lists,
         number::{Incarnation, ListsRevision, LogPosition, Revision, Term, Timeline},
         peer::PeerBody,
         replication::{DiskId, Member, Members},
+        sorted::SortedVec,
         time::Instant,
     },
     rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
@@ -60,6 +62,7 @@
         revision,
         leaving: false,
         complete: true,
+        instances_digest: 0,
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: Vec::new(),
@@ -67,7 +70,11 @@
 }
 
 fn beat(board: &mut Board, at_ms: u64, revision: Revision) -> HeartbeatAnswer {
-    let effects = run(board, at_ms, Input::Heartbeat(Ticket(9), Box::new(heartbeat(revision))));
+    beat_with(board, at_ms, heartbeat(revision))
+}
+
+fn beat_with(board: &mut Board, at_ms: u64, heartbeat: Heartbeat) -> HeartbeatAnswer {
+    let effects = run(board, at_ms, Input::Heartbeat(Ticket(9), Box::new(heartbeat)));
     let found = effects.into_iter().find_map(|effect| match effect {
         Effect::AnswerHeartbeat(Ticket(9), PeerBody::HeartbeatAnswer(answer)) => Some(*answer),
         _ => None,
@@ -109,7 +116,10 @@
     let first = beat(&mut board, 20, Revision(0));
     assert_eq!(first.asked_at, Instant::from_millis(3));
     assert!(first.term_lease_ms > 0 && first.freshness_lease_ms > 0);
-    assert_eq!(first.instances.map(|instances| instances.len()), Some(1));
+    let Some(InstancesUpdate::Whole(instances)) = first.instances else {
+        panic!("a holder without a list gets the whole one: {:?}", first.instances)
+    };
+    assert_eq!(instances.len(), 1);
     run(&mut board, 30, Input::Operator(Ticket(1), apply(0, "a")));
     let second = beat(&mut board, 40, first.revision);
     assert!(matches!(second.update, CatalogueUpdate::Deltas(_)), "{:?}", second.update);
@@ -196,3 +206,27 @@
     assert_eq!((group.term, group.writable, promoted), (Term(2), true, 1));
     assert_eq!(group.primary, Some("pbx-2".into()));
 }
+
+#[test]
+fn a_holder_gets_what_differs_from_the_list_of_instances_that_it_holds() {
+    let mut board = open_board(Stored::default());
+    run(&mut board, 10, Input::Tick);
+    let first = beat(&mut board, 20, Revision(0));
+    let mut held = SortedVec::new();
+    first.instances.expect("a holder without a list gets one").apply(&mut held);
+    let with_list = |held: &SortedVec<InstanceEntry>| Heartbeat {
+        instances_digest: instances::digest(held),
+        ..heartbeat(first.revision)
+    };
+    assert_eq!(beat_with(&mut board, 30, with_list(&held)).instances, None, "it is current");
+    let joining = Heartbeat { instance: "entry-2".into(), ..heartbeat(Revision(0)) };
+    let joined = beat_with(&mut board, 40, joining).instances;
+    assert!(matches!(joined, Some(InstancesUpdate::Whole(_))), "{joined:?}");
+    for at_ms in [50, 60] {
+        let update = beat_with(&mut board, at_ms, with_list(&held)).instances;
+        let Some(InstancesUpdate::Changes { ended, joined }) = update else {
+            panic!("a lost answer is sent again, as what differs: {update:?}")
+        };
+        assert_eq!((ended.len(), joined.len()), (0, 1));
+    }
+}
--- a/crates/cumincart-core/tests/entry_data_path/fixture.rs
+++ b/crates/cumincart-core/tests/entry_data_path/fixture.rs
@@ -13,6 +13,7 @@
             CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry, PermitGrant, Share, ShareGrant,
             first_grant_number,
         },
+        instances::InstancesUpdate,
         lists::{
             Access, KeyDigest, Lists, Organisation, OrganisationList, Plan, PlanList, Route, RouteReference,
             Service,
@@ -204,7 +205,7 @@
             update,
             shares: if first { shares() } else { Vec::new() },
             permits: if first { permits(&self.catalogue) } else { Vec::new() },
-            instances: Some(vec![other_instance()]),
+            instances: Some(InstancesUpdate::Whole(vec![other_instance()])),
             control_addresses: None,
         };
         self.input(Input::HeartbeatAnswer(Box::new(answer)));
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -703,6 +703,7 @@
             revision: node.catalogue.revision,
             leaving: false,
             complete: true,
+            instances_digest: 0,
             endpoints: std::mem::take(&mut node.reached),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         catalogue::{Catalogue, Group},
+        instances::InstancesUpdate,
         lists::{Lists, Plan},
         name::{DomainName, EndpointName, InstanceName, OrganisationName},
         number::{ControlTerm, Incarnation, ListsRevision, Revision},
@@ -57,6 +58,9 @@
     /// Whether the sender tells all that it holds, and not only what has changed.
     #[serde(rename = "c", default, skip_serializing_if = "is_false")]
     pub complete: bool,
+    /// The digest of the list of entry instances that the sender holds; see [`crate::instances::digest`].
+    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
+    pub instances_digest: u64,
     /// What the sender saw of endpoints since its last heartbeat; only the ones with news.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub endpoints: Vec<EndpointReport>,
@@ -245,9 +249,9 @@
     /// Permits that change.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub permits: Vec<PermitGrant>,
-    /// Other entry instances, where the list changed.
+    /// What brings the holder's list of entry instances forward; none where it is current.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
-    pub instances: Option<Vec<InstanceEntry>>,
+    pub instances: Option<InstancesUpdate>,
     /// The control instances' peer addresses, as `ip:port`, where the list changed.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub control_addresses: Option<Vec<Arc<str>>>,
