Fence a term as soon as every earlier holder has confirmed it

Cause: a fence kept the end of earlier leaders' leases as of when it began. Ruled out: the survey's wait for a majority, and the entry instances' confirmations (all by 11.2 s). Change: once all earlier holders are known, their confirmations end the fence. Test: control_runs, which failed first.

--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -154,7 +154,15 @@
         let confirmed =
             |key: &HolderKey| leases.holders.get(key).is_some_and(|holder| holder.revision >= self.revision);
         let is_free = |awaited: &Awaited| awaited.until <= now || confirmed(&awaited.key);
-        self.earlier_until <= now && self.waiting.iter().all(is_free)
+        self.are_earlier_over(leases, now) && self.waiting.iter().all(is_free)
+    }
+
+    /// Whether no lease of an earlier leader allows what the fence ends: they have run out, or all their holders are known by
+    /// now and have confirmed the revision.
+    fn are_earlier_over(&self, leases: &Leases, now: Instant) -> bool {
+        let is_awaited = |key: &HolderKey| self.waiting.iter().any(|awaited| awaited.key == *key);
+        let is_over = |holder: &Holder| holder.revision >= self.revision || is_awaited(&holder.key);
+        self.earlier_until <= now || (leases.earlier_terms_until <= now && leases.holders.iter().all(is_over))
     }
 }
 
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -3,6 +3,7 @@
 use {
     cumincart_core::control::{
         Board, Effect, Input, Settings, Stored, Ticket,
+        leases::Fence,
         runs::{self, Runs},
         step,
     },
@@ -57,6 +58,16 @@
     }
 
     fn beat(&mut self, instance: &str, incarnation: u64, complete: bool) -> Vec<Effect> {
+        self.beat_at(instance, incarnation, complete, Revision(0))
+    }
+
+    fn beat_at(
+        &mut self,
+        instance: &str,
+        incarnation: u64,
+        complete: bool,
+        revision: Revision,
+    ) -> Vec<Effect> {
         self.now_ms += 1;
         let heartbeat = Heartbeat {
             instance: instance.into(),
@@ -64,7 +75,7 @@
             domain: "quay".into(),
             peer_address: instance.into(),
             asked_at: Instant::from_millis(self.now_ms),
-            revision: Revision(0),
+            revision,
             leaving: false,
             complete,
             instances_digest: 0,
@@ -146,3 +157,17 @@
     let known = std::mem::take(&mut node.board.runs).known;
     assert_eq!(Runs::open(known).known.len(), 1);
 }
+
+/// A primary that dies beside the leader: the next leader fences its term while earlier leases may run.
+#[test]
+fn a_fence_waits_no_longer_than_until_every_earlier_holder_has_confirmed_it() {
+    let mut node = Node::restarted(&[run("entry-1", 7), run("entry-2", 7)]);
+    let fence = Fence::begin(&node.board.leases, Revision(1));
+    let is_done = |node: &Node| fence.is_done(&node.board.leases, Instant::from_millis(node.now_ms));
+    node.beat_at("entry-1", 7, true, Revision(1));
+    assert!(!is_done(&node), "entry-2 may hold a lease");
+    node.beat_at("entry-2", 7, true, Revision(0));
+    assert!(!is_done(&node), "entry-2 may act on what it held before");
+    node.beat_at("entry-2", 7, true, Revision(1));
+    assert!(is_done(&node));
+}
