Name what a refusal for load rests on, and log exchanges of other instances that are refused

Cause: an exchange that another instance refused was logged as 'nothing could be sent', without why. Change: refusals carry the places in use, at rest, allowed and waited for; the instance that refuses writes a line with the same request. No behaviour changes.

--- a/crates/cumincart-core/src/interactive/admission.rs
+++ b/crates/cumincart-core/src/interactive/admission.rs
@@ -6,7 +6,7 @@
 
 use {
     cumincart_protocol::{name::OrganisationName, time::Instant},
-    std::{cmp::Ordering, time::Duration},
+    std::{cmp::Ordering, fmt, time::Duration},
 };
 
 /// The weight of the newest service time in the average, in thousandths.
@@ -71,9 +71,38 @@
     Refused {
         /// When a place is likely, in milliseconds.
         retry_after_ms: u64,
+        /// How full the places were.
+        occupancy: Occupancy,
     },
 }
 
+/// How full an endpoint's places are: what a refusal rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Occupancy {
+    /// Places in use.
+    pub running: u32,
+    /// Places of transactions at rest.
+    pub resting: u32,
+    /// Places that may be in use at once.
+    pub window: u32,
+    /// Places in all.
+    pub limit: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// The average time for which a place is taken, in milliseconds.
+    pub service_ms: u64,
+}
+
+impl fmt::Display for Occupancy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { running, resting, window, limit, waiting, service_ms } = self;
+        write!(
+            f,
+            "{running} of {window} places in use, {resting} at rest, limit {limit}, {waiting} waiting, {service_ms} ms each"
+        )
+    }
+}
+
 /// The places at one endpoint.
 ///
 /// Two bounds hold: connections for all that has a place, and a window for what uses the endpoint at this moment. The
@@ -125,6 +154,18 @@
         self.limit
     }
 
+    /// How full it is.
+    pub fn occupancy(&self) -> Occupancy {
+        Occupancy {
+            running: self.running,
+            resting: self.resting,
+            window: self.window(),
+            limit: self.limit,
+            waiting: self.waiting.len(),
+            service_ms: self.service_us / 1_000,
+        }
+    }
+
     /// How many wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -163,7 +204,7 @@
         let wait = self.expected_wait(arrival.priority);
         if now + wait > arrival.start_by || self.waiting.len() >= QUEUE_MAX {
             let retry_after_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
-            return Admission::Refused { retry_after_ms };
+            return Admission::Refused { retry_after_ms, occupancy: self.occupancy() };
         }
         let place = self.waiting.partition_point(|other| other.order(&arrival).is_lt());
         self.waiting.insert(place, arrival);
--- a/crates/cumincart-core/tests/interactive/admission.rs
+++ b/crates/cumincart-core/tests/interactive/admission.rs
@@ -37,7 +37,7 @@
     assert_eq!(admitted, 2);
     // Two places of 40 ms each give 10 starts within 200 ms.
     assert_eq!(waiting, 10);
-    assert!(matches!(decisions[39], Admission::Refused { retry_after_ms } if retry_after_ms > 200));
+    assert!(matches!(decisions[39], Admission::Refused { retry_after_ms, .. } if retry_after_ms > 200));
 }
 
 /// Pattern: a burst of low priority ahead of work that matters more.
--- a/crates/cumincart-protocol/src/exchange.rs
+++ b/crates/cumincart-protocol/src/exchange.rs
@@ -118,12 +118,21 @@
 pub enum LinkFailure {
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent: the instance that holds the connections had no place in time.
+    NoPlace,
     /// The connection broke after something was sent.
     Broken,
     /// No answer came in time.
     TimedOut,
 }
 
+impl LinkFailure {
+    /// Whether it is certain that nothing was sent.
+    pub fn is_not_sent(self) -> bool {
+        matches!(self, Self::NotSent | Self::NoPlace)
+    }
+}
+
 /// One command to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -198,6 +207,16 @@
     },
 }
 
+impl Command {
+    /// The client's identifier of its statement; none for the system's own commands.
+    pub fn client_id(&self) -> Option<&str> {
+        match self {
+            Self::Run { id, .. } | Self::Execute { id, .. } | Self::Commit { id } => Some(id),
+            _ => None,
+        }
+    }
+}
+
 /// An endpoint's answer to one command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
--- a/crates/cumincart-session/src/place.rs
+++ b/crates/cumincart-session/src/place.rs
@@ -265,7 +265,7 @@
             }
             Err(failure) => {
                 self.close();
-                if failure != LinkFailure::NotSent {
+                if !failure.is_not_sent() {
                     self.note_contact(false);
                 }
                 Err(failure)
--- a/crates/cumincart-session/src/placing.rs
+++ b/crates/cumincart-session/src/placing.rs
@@ -8,7 +8,7 @@
         state::State,
     },
     cumincart_core::interactive::{
-        admission::{Admission, Arrival},
+        admission::{Admission, Arrival, Occupancy},
         authority::{self, Authority},
         routing::{self, Load, Target},
     },
@@ -32,6 +32,8 @@
     Busy {
         /// When a place is likely, in milliseconds.
         retry_after_ms: u64,
+        /// How full the places were.
+        occupancy: Occupancy,
     },
     /// A place did not come in time.
     Late,
@@ -173,7 +175,9 @@
                 let place = Place::new(self.clone(), service, entry.name.clone(), address, is_primary);
                 Asked::Place(Box::new(place))
             }
-            Admission::Refused { retry_after_ms } => Asked::Refused(NoPlace::Busy { retry_after_ms }),
+            Admission::Refused { retry_after_ms, occupancy } => {
+                Asked::Refused(NoPlace::Busy { retry_after_ms, occupancy })
+            }
             Admission::Waiting => {
                 let place =
                     Waiting { endpoint: entry.name.clone(), address: entry.address.clone(), is_primary };
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -6,6 +6,7 @@
         engine::Engine,
         place::{ConnectFailure, Place},
         placing::{NoPlace, PlaceAt},
+        session::no_place,
     },
     cumincart_core::interactive::session::{Prepared, SessionState},
     cumincart_protocol::{
@@ -20,6 +21,7 @@
     },
     cumincart_runtime::link::{LinkError, server::Received},
     rand::RngExt,
+    slog::warn,
     std::time::Duration,
     tokio::sync::mpsc,
 };
@@ -121,7 +123,10 @@
                 Ok(RelayAnswer::Unreachable) => {
                     return Err(RelayFailure { failure: LinkFailure::NotSent, is_endpoint: true });
                 }
-                Ok(RelayAnswer::Busy { .. } | RelayAnswer::NotKept) => return Err(RelayFailure::NOT_SENT),
+                Ok(RelayAnswer::Busy { .. }) => {
+                    return Err(RelayFailure { failure: LinkFailure::NoPlace, is_endpoint: false });
+                }
+                Ok(RelayAnswer::NotKept) => return Err(RelayFailure::NOT_SENT),
                 Ok(RelayAnswer::NotServed) => {
                     engine.avoid(&home.name);
                     if is_kept {
@@ -267,10 +272,13 @@
         arrived_at: now,
         start_by: now + Duration::from_millis(request.start_within_ms),
     };
-    let mut place = engine.place_at(&at).await.map_err(|refusal| match refusal {
-        NoPlace::NoEndpoint => RelayAnswer::NotServed,
-        NoPlace::Busy { retry_after_ms } => RelayAnswer::Busy { retry_after_ms },
-        NoPlace::Late => RelayAnswer::Busy { retry_after_ms: request.start_within_ms },
+    let mut place = engine.place_at(&at).await.map_err(|refusal| {
+        note_refusal(engine, request, refusal);
+        match refusal {
+            NoPlace::NoEndpoint => RelayAnswer::NotServed,
+            NoPlace::Busy { retry_after_ms, .. } => RelayAnswer::Busy { retry_after_ms },
+            NoPlace::Late => RelayAnswer::Busy { retry_after_ms: request.start_within_ms },
+        }
     })?;
     match place.connect(&request.organisation, session, deadline).await {
         Ok(()) => Ok(place),
@@ -280,6 +288,15 @@
     }
 }
 
+/// Writes why another instance's exchange got no place here; the asker's line names the same request.
+fn note_refusal(engine: &Engine, request: &RelayRequest, refusal: NoPlace) {
+    let Some(left_out) = engine.decisions().takes_failure(engine.now()) else { return };
+    let id = request.commands.iter().find_map(Command::client_id).unwrap_or("-");
+    warn!(engine.logger(), "exchange of another instance refused";
+        "request" => id, "endpoint" => request.endpoint.as_str(), "why" => &*no_place(refusal).text,
+        "start_within_ms" => request.start_within_ms, "lines_left_out" => left_out);
+}
+
 /// Keeps the place for the next statement of the transaction.
 fn keep(engine: &Engine, key: KeptKey, mut place: Place) {
     place.rest();
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -297,7 +297,7 @@
                 let text = format!("{}: {}", place.endpoint, link_text(failure));
                 let failed = Failure::new(verdict::of_link_failure(asked, failure), text);
                 let may_repeat = asked == Asked::Read && failure != LinkFailure::TimedOut;
-                if may_repeat || failure == LinkFailure::NotSent {
+                if may_repeat || failure.is_not_sent() {
                     return Attempt::TryAgain(failed);
                 }
                 Attempt::Answered(self.fail(failed))
@@ -557,8 +557,9 @@
 pub(crate) fn no_place(refusal: NoPlace) -> Failure {
     match refusal {
         NoPlace::NoEndpoint => Failure::new(FailureCode::Busy, "no endpoint can serve the statement now"),
-        NoPlace::Busy { retry_after_ms } => {
-            Failure::new(FailureCode::Busy, format!("overloaded, retry after {retry_after_ms} ms"))
+        NoPlace::Busy { retry_after_ms, occupancy } => {
+            let text = format!("overloaded ({occupancy}), retry after {retry_after_ms} ms");
+            Failure::new(FailureCode::Busy, text)
         }
         NoPlace::Late => Failure::new(FailureCode::Busy, "no place came in time"),
     }
@@ -576,6 +577,7 @@
 pub(crate) fn link_text(failure: LinkFailure) -> &'static str {
     match failure {
         LinkFailure::NotSent => "nothing could be sent",
+        LinkFailure::NoPlace => "the instance that holds the connections has no place in time",
         LinkFailure::Broken => "the connection was lost before the answer came",
         LinkFailure::TimedOut => "no answer came in time",
     }
