Keep each instance's part of an endpoint's slots in its window

Cause: after a failover late first answers and new connections shrank the window of every instance at the new primary to one place, while its slots were free; it grew back over two seconds. Ruled out: connection permits (limit 11 to 30 places), the endpoint's own refusals. Change: a window holds at least the instance's part of twice the endpoint's slots. Test: interactive/admission.

--- a/crates/cumincart-core/src/interactive/admission.rs
+++ b/crates/cumincart-core/src/interactive/admission.rs
@@ -33,6 +33,10 @@
 /// One place of the window.
 const PLACE_MILLI: u64 = 1_000;
 
+/// How many statements an endpoint may have of all instances for each of its slots before they count as a queue: one that
+/// runs and one that is on its way.
+const STATEMENTS_PER_SLOT: u32 = 2;
+
 /// How long the first that waits may be passed over by one whose connection is there, in milliseconds.
 const PASSED_OVER_MS: u64 = 100;
 
@@ -60,6 +64,14 @@
     }
 }
 
+/// How many places an instance may always use at once at an endpoint that it shares with others: its part of what keeps the
+/// endpoint's slots busy. Answers the wave of new connections and late answers after a failover, from which a smaller
+/// window would take seconds to grow back while slots are free.
+pub fn fair_window(slots: u32, holders: usize) -> u32 {
+    let holders = u32::try_from(holders).unwrap_or(u32::MAX).max(1);
+    (STATEMENTS_PER_SLOT * slots).div_ceil(holders).max(1)
+}
+
 /// What becomes of a request for a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -116,6 +128,8 @@
     resting: u32,
     /// Places in use at once, in thousandths.
     window_milli: u64,
+    /// Places in use at once that are left at the least.
+    floor: u32,
     latency_us: u64,
     base_us: u64,
     service_us: u64,
@@ -130,6 +144,7 @@
             running: 0,
             resting: 0,
             window_milli: u64::MAX,
+            floor: 1,
             latency_us: INITIAL_SERVICE_US,
             base_us: INITIAL_SERVICE_US,
             service_us: INITIAL_SERVICE_US,
@@ -146,7 +161,8 @@
 
     /// How many places may be in use at once.
     pub fn window(&self) -> u32 {
-        u32::try_from(self.window_milli / PLACE_MILLI).unwrap_or(u32::MAX).min(self.limit).max(1)
+        let window = u32::try_from(self.window_milli / PLACE_MILLI).unwrap_or(u32::MAX);
+        window.max(self.floor).min(self.limit).max(1)
     }
 
     /// How many places there are.
@@ -253,7 +269,7 @@
         let window = self.window_milli.min(most);
         let is_overloaded = is_refusal || self.latency_us > OVERLOAD_FACTOR * self.base_us;
         self.window_milli = if is_overloaded {
-            (window * WINDOW_DECREASE_PER_MILLE / 1_000).max(PLACE_MILLI)
+            (window * WINDOW_DECREASE_PER_MILLE / 1_000).max(u64::from(self.floor) * PLACE_MILLI)
         } else {
             (window + WINDOW_INCREASE_MILLI * PLACE_MILLI / window.max(1)).min(most)
         };
@@ -264,6 +280,11 @@
         self.limit = limit;
     }
 
+    /// Changes how many places in use at once are left at the least, however slow the answers are.
+    pub fn set_floor(&mut self, floor: u32) {
+        self.floor = floor.max(1);
+    }
+
     /// Gives the next free place to the first that waits and can still start in time; the others are named as late. Of
     /// the same priority one goes first whose organisation `has_connection`, since opening one takes a slot's time.
     pub fn next(&mut self, now: Instant, has_connection: impl Fn(&OrganisationName) -> bool) -> Option<Next> {
--- a/crates/cumincart-core/src/interactive/homes.rs
+++ b/crates/cumincart-core/src/interactive/homes.rs
@@ -21,10 +21,21 @@
     instances: &'a SortedVec<InstanceEntry>,
     endpoint: &EndpointEntry,
     organisation: &OrganisationName,
+) -> Vec<&'a InstanceEntry> {
+    ranked(candidates(instances, endpoint), endpoint.name.as_str(), organisation)
+}
+
+/// How many instances hold connections to an endpoint, each some organisations'.
+pub fn holders(instances: &SortedVec<InstanceEntry>, endpoint: &EndpointEntry) -> usize {
+    candidates(instances, endpoint).len()
+}
+
+fn candidates<'a>(
+    instances: &'a SortedVec<InstanceEntry>,
+    endpoint: &EndpointEntry,
 ) -> Vec<&'a InstanceEntry> {
     let near = of_domain(instances, &endpoint.domain);
-    let candidates = if near.is_empty() { instances.iter().collect() } else { near };
-    ranked(candidates, endpoint.name.as_str(), organisation)
+    if near.is_empty() { instances.iter().collect() } else { near }
 }
 
 /// The instances that hold a failure domain's share of a small organisation's rate, best first.
--- a/crates/cumincart-core/tests/interactive/admission.rs
+++ b/crates/cumincart-core/tests/interactive/admission.rs
@@ -1,9 +1,10 @@
 //! Admission under a burst, at a slow endpoint and in a failover queue.
 
 use {
-    cumincart_core::interactive::admission::{Admission, Arrival, Gate, Next, QUEUE_MAX},
+    cumincart_core::interactive::admission::{Admission, Arrival, Gate, Next, QUEUE_MAX, fair_window},
     cumincart_protocol::time::Instant,
     std::time::Duration,
+    test_case::test_case,
 };
 
 fn at(ms: u64) -> Instant {
@@ -129,6 +130,27 @@
     assert_eq!(gate.window(), 8);
 }
 
+/// Pattern: a failover, whose first answers from the new primary are late and whose connections are all new.
+#[test]
+fn an_instance_keeps_its_part_of_the_slots_however_late_answers_are() {
+    let mut gate = gate(30);
+    gate.set_floor(fair_window(5, 2));
+    for _ in 0..20 {
+        gate.observe(Duration::from_millis(20), false);
+    }
+    for _ in 0..200 {
+        gate.observe(Duration::from_millis(900), false);
+    }
+    assert_eq!(gate.window(), 5);
+}
+
+#[test_case(5, 1, 10; "alone")]
+#[test_case(5, 3, 4; "one of three")]
+#[test_case(6, 60, 1; "one of many")]
+fn a_fair_window_keeps_the_slots_busy(slots: u32, holders: usize, expected: u32) {
+    assert_eq!(fair_window(slots, holders), expected);
+}
+
 /// Pattern: an endpoint that sheds load.
 #[test]
 fn refusals_of_the_endpoint_shrink_the_window() {
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -5,7 +5,7 @@
     cumincart_core::{
         entry::{self, Ticket, permits, permits::ConnectionUse, quota, quota::QuotaDecision},
         interactive::{
-            admission::{Gate, Next},
+            admission::{self, Gate, Next},
             authority::{self, Authority},
             homes,
             pool::Idle,
@@ -324,6 +324,11 @@
         for endpoint in self.endpoints.iter_mut() {
             let allowed = permits::allowed(&self.fleet.permits, now, &endpoint.name);
             endpoint.gate.set_limit(allowed);
+            let mut entries = catalogue.groups.iter().filter_map(|group| group.endpoints.get(&endpoint.name));
+            if let Some(entry) = entries.next() {
+                let holders = homes::holders(&self.fleet.freshness.instances, entry);
+                endpoint.gate.set_floor(admission::fair_window(entry.slots, holders));
+            }
             if !is_entered(&endpoint.name) {
                 endpoint.open -= u32::try_from(endpoint.idle.len()).unwrap_or_default();
                 endpoint.idle.clear();
