Report that a primary answers only where it did, and by few observers

Cause: every instance repeated every 0.4 s that each endpoint had been reached last, also without any new answer: most of what heartbeats carry of endpoints, and evidence for a primary that nobody had reached since. Change: only two instances of each failure domain repeat it, only of primaries, and only after a new answer. Test: interactive/homes.

--- a/crates/cumincart-core/src/interactive/homes.rs
+++ b/crates/cumincart-core/src/interactive/homes.rs
@@ -1,4 +1,4 @@
-//! Which entry instances hold an organisation's connections to an endpoint, and which its tokens.
+//! Which entry instances hold an organisation's connections to an endpoint, which its tokens, and which observe a primary.
 //!
 //! Answers many organisations over few connections: each organisation's work at an endpoint goes by one instance of the
 //! endpoint's failure domain, so its connections are used again and again. Rendezvous hashing moves only what an instance
@@ -8,13 +8,16 @@
     catalogue::EndpointEntry,
     fnv::Fnv,
     heartbeat::InstanceEntry,
-    name::{DomainName, InstanceName, OrganisationName},
+    name::{DomainName, EndpointName, InstanceName, OrganisationName},
     sorted::SortedVec,
 };
 
 /// How many instances are named: the first, and those that stand in for it.
 pub const HOMES: usize = 3;
 
+/// How many instances of each failure domain observe a primary: one, and one that stands in for it.
+pub const OBSERVERS: usize = 2;
+
 /// The instances that hold the organisation's connections, best first: those of the endpoint's failure domain, or where it
 /// has none, all.
 pub fn homes<'a>(
@@ -22,7 +25,7 @@
     endpoint: &EndpointEntry,
     organisation: &OrganisationName,
 ) -> Vec<&'a InstanceEntry> {
-    ranked(candidates(instances, endpoint), endpoint.name.as_str(), organisation)
+    ranked(candidates(instances, endpoint), HOMES, endpoint.name.as_str(), organisation.as_str())
 }
 
 /// How many instances hold connections to an endpoint, each some organisations'.
@@ -47,7 +50,20 @@
     domain: &DomainName,
     organisation: &OrganisationName,
 ) -> Vec<&'a InstanceEntry> {
-    ranked(of_domain(instances, domain), "tokens", organisation)
+    ranked(of_domain(instances, domain), HOMES, "tokens", organisation.as_str())
+}
+
+/// Whether an instance is one of the few of its failure domain that tell the leader again and again that an endpoint answers.
+///
+/// Answers many instances: the leader needs a word from each failure domain, not from each instance.
+pub fn is_observer(
+    instances: &SortedVec<InstanceEntry>,
+    instance: &InstanceName,
+    domain: &DomainName,
+    endpoint: &EndpointName,
+) -> bool {
+    let observers = ranked(of_domain(instances, domain), OBSERVERS, endpoint.as_str(), "observers");
+    observers.iter().any(|observer| observer.name == *instance)
 }
 
 fn of_domain<'a>(instances: &'a SortedVec<InstanceEntry>, domain: &DomainName) -> Vec<&'a InstanceEntry> {
@@ -56,17 +72,18 @@
 
 fn ranked<'a>(
     mut instances: Vec<&'a InstanceEntry>,
+    count: usize,
     subject: &str,
-    organisation: &OrganisationName,
+    object: &str,
 ) -> Vec<&'a InstanceEntry> {
-    instances.sort_by_key(|instance| std::cmp::Reverse(score(&instance.name, subject, organisation)));
-    instances.truncate(HOMES);
+    instances.sort_by_key(|instance| std::cmp::Reverse(score(&instance.name, subject, object)));
+    instances.truncate(count);
     instances
 }
 
-fn score(instance: &InstanceName, subject: &str, organisation: &OrganisationName) -> u64 {
+fn score(instance: &InstanceName, subject: &str, object: &str) -> u64 {
     let mut hash = Fnv::default();
-    for part in [instance.as_str(), subject, organisation.as_str()] {
+    for part in [instance.as_str(), subject, object] {
         hash.write(part.as_bytes());
         hash.write(&[0]);
     }
--- a/crates/cumincart-core/tests/interactive/homes.rs
+++ b/crates/cumincart-core/tests/interactive/homes.rs
@@ -1,7 +1,7 @@
 //! Where an organisation's connections are held, as instances come and go.
 
 use {
-    cumincart_core::interactive::homes::{homes, token_homes},
+    cumincart_core::interactive::homes::{OBSERVERS, homes, is_observer, token_homes},
     cumincart_protocol::{
         catalogue::EndpointEntry, heartbeat::InstanceEntry, name::OrganisationName, number::Incarnation,
         sorted::SortedVec,
@@ -96,3 +96,16 @@
         assert!((100..170).contains(&held), "{instance} holds {held} of 400");
     }
 }
+
+/// Pattern: many instances, each of which could report on each endpoint.
+#[test]
+fn few_instances_of_each_failure_domain_observe_a_primary() {
+    let fleet = instances(&FLEET);
+    for domain in ["quay", "forest"] {
+        let observes = |instance: &&InstanceEntry| {
+            instance.domain.as_str() == domain
+                && is_observer(&fleet, &instance.name, &instance.domain, &"db".into())
+        };
+        assert_eq!(fleet.iter().filter(observes).count(), OBSERVERS);
+    }
+}
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -41,9 +41,11 @@
     since: Instant,
     reported_at: Option<Instant>,
     is_news: bool,
+    /// Whether it was reached or not again since the last report.
+    is_confirmed: bool,
 }
 
-/// How often an endpoint that can't be reached is reported again, in milliseconds.
+/// How often what was seen of an endpoint is reported again, in milliseconds.
 const REPORT_AGAIN_MS: u64 = 400;
 
 /// An idle connection.
@@ -111,7 +113,11 @@
             if is_reachable { Instant::ZERO } else { now + Duration::from_millis(UNREACHABLE_PAUSE_MS) };
         let changed = self.contact.is_none_or(|contact| contact.is_reachable != is_reachable);
         if changed {
-            self.contact = Some(Contact { is_reachable, since: now, reported_at: None, is_news: true });
+            let is_confirmed = false;
+            self.contact =
+                Some(Contact { is_reachable, since: now, reported_at: None, is_news: true, is_confirmed });
+        } else if let Some(contact) = &mut self.contact {
+            contact.is_confirmed = true;
         }
         changed
     }
@@ -124,14 +130,22 @@
         self.gate.taken() + u32::try_from(used + waiting).unwrap_or(u32::MAX)
     }
 
-    fn report(&mut self, now: Instant) -> Option<EndpointReport> {
+    /// What the next heartbeat reports: news, and of observers again that the endpoint answers, while it does.
+    fn report(
+        &mut self,
+        now: Instant,
+        is_observer: impl Fn(&EndpointName) -> bool,
+    ) -> Option<EndpointReport> {
         let contact = self.contact.as_mut()?;
         let again = Duration::from_millis(REPORT_AGAIN_MS);
         let is_due = contact.reported_at.is_none_or(|at| now.saturating_since(at) >= again);
-        if !contact.is_news && !is_due {
+        let is_repeated =
+            is_due && (!contact.is_reachable || (contact.is_confirmed && is_observer(&self.name)));
+        if !contact.is_news && !is_repeated {
             return None;
         }
         contact.is_news = false;
+        contact.is_confirmed = false;
         contact.reported_at = Some(now);
         Some(EndpointReport {
             endpoint: self.name.clone(),
@@ -394,9 +408,16 @@
 
     /// What the next heartbeat reports of endpoints.
     pub(crate) fn reports(&mut self, now: Instant) -> (Vec<EndpointReport>, SortedVec<ConnectionUse>) {
-        let reports = self.endpoints.iter_mut().filter_map(|endpoint| endpoint.report(now)).collect();
         let catalogue = self.catalogue();
-        let own_domain = &self.fleet.settings.domain;
+        let settings = &self.fleet.settings;
+        let own_domain = &settings.domain;
+        let instances = &self.fleet.freshness.instances;
+        let is_observer = |name: &EndpointName| {
+            catalogue.groups.iter().any(|group| group.primary.as_ref() == Some(name))
+                && homes::is_observer(instances, &settings.instance, own_domain, name)
+        };
+        let reports =
+            self.endpoints.iter_mut().filter_map(|endpoint| endpoint.report(now, is_observer)).collect();
         let is_near = |name: &EndpointName| {
             let entries = catalogue.groups.iter().filter_map(|group| group.endpoints.get(name));
             entries.into_iter().any(|entry| entry.domain == *own_domain)
