Add explain: one request's lines from many logs, among what changed around them

Cause: to follow a request from its id meant grepping each process's log and lining up times by hand. Change: a command that reads logs as JSON lines, marks the request's lines and shows the changes of state within a second of them; lines cut by a kill are counted. The programs that serve are untouched. Tests: commands/explain, and its example.

--- a/crates/cumincart-cli/src/commands.rs
+++ b/crates/cumincart-cli/src/commands.rs
@@ -7,6 +7,7 @@
 pub mod diff;
 pub mod domain;
 pub mod dump;
+pub mod explain;
 pub mod instance;
 pub mod key;
 pub mod status;
@@ -34,7 +35,7 @@
 }
 
 /// All commands, in the order of the help.
-pub const COMMANDS: [CommandEntry; 10] = [
+pub const COMMANDS: [CommandEntry; 11] = [
     CommandEntry { signature: check::signature, examples: check::EXAMPLES },
     CommandEntry { signature: diff::signature, examples: diff::EXAMPLES },
     CommandEntry { signature: apply::signature, examples: apply::EXAMPLES },
@@ -43,6 +44,7 @@
     CommandEntry { signature: instance::signature, examples: instance::EXAMPLES },
     CommandEntry { signature: key::signature, examples: key::EXAMPLES },
     CommandEntry { signature: dump::signature, examples: dump::EXAMPLES },
+    CommandEntry { signature: explain::signature, examples: explain::EXAMPLES },
     CommandEntry { signature: completions::signature, examples: completions::EXAMPLES },
     CommandEntry { signature: demo::signature, examples: demo::EXAMPLES },
 ];
--- /dev/null
+++ b/crates/cumincart-cli/src/commands/explain.rs
@@ -0,0 +1,149 @@
+//! `cumincart explain`: one request's lines from many processes' logs, among what changed around them.
+
+use {
+    super::Example,
+    crate::{error::CliError, exit, report::Report},
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    serde::Serialize,
+    serde_json::{Map, Value},
+    std::{
+        fs::File,
+        io::{BufRead, BufReader},
+        path::{Path, PathBuf},
+        time::{Duration, SystemTime},
+    },
+};
+
+/// The command's name.
+pub const NAME: &str = "explain";
+
+const REQUEST: &str = "request";
+const FILES: &str = "files";
+const AROUND_MS: &str = "around-ms";
+
+/// Examples of its use.
+pub const EXAMPLES: &[Example] = &[Example {
+    does: "Show a request's lines, and what changed within a second of them",
+    arguments: "explain 88997cdf9c28f93d examples/logs/entry-1.log examples/logs/control-1.log",
+    code: exit::DONE,
+}];
+
+/// The command's signature.
+pub fn signature() -> Command {
+    Command::new(NAME)
+        .about("Show one request's lines from many processes' logs, among the changes of state around them")
+        .arg(Arg::new(REQUEST).value_name("ID").required(true).help("The request's id, as the client had it"))
+        .arg(
+            Arg::new(FILES)
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of entry and control instances, one process each, as JSON lines"),
+        )
+        .arg(
+            Arg::new(AROUND_MS)
+                .long(AROUND_MS)
+                .value_name("MS")
+                .default_value("1000")
+                .value_parser(value_parser!(u64))
+                .help("How long before and after the request's lines changes of state are shown"),
+        )
+}
+
+/// A line of the timeline.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+struct Entry {
+    #[serde(skip)]
+    at: SystemTime,
+    time: String,
+    process: String,
+    is_request: bool,
+    fields: Map<String, Value>,
+}
+
+/// What was found, for programs.
+#[derive(Debug, Default, Serialize)]
+struct Timeline {
+    entries: Vec<Entry>,
+    /// Lines that are no log lines, as a process that is killed leaves them.
+    unreadable_lines: u64,
+}
+
+/// Runs the command. Ends with exit code 1 where no log names the request.
+pub fn run(matches: &ArgMatches) -> Result<Report, CliError> {
+    let request: &String = matches.get_one(REQUEST).expect("clap requires it");
+    let files: Vec<&PathBuf> = matches.get_many(FILES).into_iter().flatten().collect();
+    let around = Duration::from_millis(*matches.get_one(AROUND_MS).expect("it has a default"));
+    let mut timeline = Timeline::default();
+    for path in &files {
+        timeline.unreadable_lines += scan(path, |entry| {
+            if entry.fields.get(REQUEST).and_then(Value::as_str) == Some(request) {
+                timeline.entries.push(Entry { is_request: true, ..entry });
+            }
+        })?;
+    }
+    let first = timeline.entries.iter().map(|entry| entry.at).min();
+    let last = timeline.entries.iter().map(|entry| entry.at).max();
+    let (Some(first), Some(last)) = (first, last) else {
+        let text = format!("no log names the request {request}; {}", left_out_hint());
+        return Ok(Report::done(text, &timeline).with_code(exit::FAILED));
+    };
+    let from = first.checked_sub(around).unwrap_or(SystemTime::UNIX_EPOCH);
+    let until = last + around;
+    for path in &files {
+        scan(path, |entry| {
+            if !entry.fields.contains_key(REQUEST) && (from..=until).contains(&entry.at) {
+                timeline.entries.push(entry);
+            }
+        })?;
+    }
+    timeline.entries.sort_by_key(|entry| entry.at);
+    let mut lines: Vec<String> = timeline.entries.iter().map(line_of).collect();
+    if timeline.unreadable_lines > 0 {
+        lines.push(format!("{} lines can't be read and are left out", timeline.unreadable_lines));
+    }
+    Ok(Report::done(lines.join("\n"), &timeline))
+}
+
+fn left_out_hint() -> &'static str {
+    "lines are bounded under load: look for `lines_left_out` in the second it failed"
+}
+
+/// Gives every log line of a file to `take`. Returns how many lines are none.
+fn scan(path: &Path, mut take: impl FnMut(Entry)) -> Result<u64, CliError> {
+    let unreadable = |source: std::io::Error| CliError::LogFile {
+        path: path.display().to_string(),
+        reason: source.to_string(),
+    };
+    let process = path.file_stem().unwrap_or(path.as_os_str()).to_string_lossy();
+    let mut reader = BufReader::new(File::open(path).map_err(unreadable)?);
+    let (mut unreadable_lines, mut line) = (0, Vec::new());
+    loop {
+        line.clear();
+        if reader.read_until(b'\n', &mut line).map_err(unreadable)? == 0 {
+            return Ok(unreadable_lines);
+        }
+        match parse(&line, &process) {
+            Some(entry) => take(entry),
+            None => unreadable_lines += u64::from(!line.trim_ascii().is_empty()),
+        }
+    }
+}
+
+fn parse(line: &[u8], process: &str) -> Option<Entry> {
+    let mut fields: Map<String, Value> = serde_json::from_slice(line).ok()?;
+    let time = fields.remove("ts")?.as_str()?.to_owned();
+    let at = humantime::parse_rfc3339(&time).ok()?;
+    fields.remove("level");
+    Some(Entry { at, time, process: process.to_owned(), is_request: false, fields })
+}
+
+fn line_of(entry: &Entry) -> String {
+    let mark = if entry.is_request { '>' } else { ' ' };
+    let message = entry.fields.get("msg").and_then(Value::as_str).unwrap_or_default();
+    let others = entry.fields.iter().filter(|(name, _)| *name != "msg" && *name != REQUEST);
+    let others: Vec<String> = others.map(|(name, value)| format!("{name}={value}")).collect();
+    format!("{mark} {} {}: {message} {}", entry.time, entry.process, others.join(" ")).trim_end().to_owned()
+}
--- a/crates/cumincart-cli/src/error.rs
+++ b/crates/cumincart-cli/src/error.rs
@@ -36,6 +36,16 @@
         reason: String,
     },
 
+    /// A log can't be read.
+    #[error("the log {path} can't be read: {reason}")]
+    #[diagnostic(code(cumincart::cli::log_file), help("name files with the processes' standard output"))]
+    LogFile {
+        /// The file.
+        path: String,
+        /// Why.
+        reason: String,
+    },
+
     /// The control instance refused the token.
     #[error("{url} refused the operator token")]
     #[diagnostic(
@@ -126,6 +136,7 @@
             | Self::Fleet(_)
             | Self::Signal(_)
             | Self::TokenFile { .. }
+            | Self::LogFile { .. }
             | Self::BadAnswer { .. }
             | Self::UnknownName { .. } => exit::FAILED,
             Self::TokenRefused { .. } => exit::TOKEN_REFUSED,
--- a/crates/cumincart-cli/src/lib.rs
+++ b/crates/cumincart-cli/src/lib.rs
@@ -76,6 +76,7 @@
         commands::diff::NAME => commands::diff::run(matches).await,
         commands::domain::NAME => commands::domain::run(matches).await,
         commands::dump::NAME => commands::dump::run(matches).await,
+        commands::explain::NAME => commands::explain::run(matches),
         commands::instance::NAME => commands::instance::run(matches).await,
         commands::key::NAME => commands::key::run(matches),
         commands::status::NAME => commands::status::run(matches).await,
--- a/crates/cumincart-cli/tests/commands.rs
+++ b/crates/cumincart-cli/tests/commands.rs
@@ -4,6 +4,7 @@
     mod apply;
     mod errors;
     mod examples;
+    mod explain;
     mod fake_control;
     mod files;
     mod service_state;
--- /dev/null
+++ b/crates/cumincart-cli/tests/commands/explain.rs
@@ -0,0 +1,55 @@
+//! `explain` puts one request's lines of many logs in order.
+
+use {super::fake_control::Files, cumincart_cli::exit};
+
+const ENTRY: &str = r#"{"msg":"statement failed","level":"WARN","ts":"2026-06-01T13:30:53.5Z","request":"aa","why":"no place came in time"}
+{"msg":"statement failed","level":"WARN","ts":"2026-06-01T13:30:53.6Z","request":"bb","why":"another request"}
+{"msg":"lists in force","level":"INFO","ts":"2026-06-01T13:30:53.50031Z","revision":27}
+{"msg":"lists in force","level":"INFO","ts":"2026-06-01T13:31:59Z","revision":28}
+{"msg":"cut by a ki"#;
+
+const CONTROL: &str = r#"{"msg":"the primary is dead","level":"INFO","ts":"2026-06-01T13:30:53.4999999Z"}
+"#;
+
+fn files() -> Files {
+    let files = Files::write();
+    files.put("entry-1.log", ENTRY);
+    files.put("control-1.log", CONTROL);
+    files
+}
+
+#[tokio::test]
+async fn the_request_stands_among_what_changed_around_it_in_the_order_of_time() {
+    let finished = files().run("explain aa FILES/entry-1.log FILES/control-1.log").await;
+    assert_eq!(finished.code, exit::DONE);
+    let lines: Vec<&str> = finished.stdout.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "  2026-06-01T13:30:53.4999999Z control-1: the primary is dead",
+            "> 2026-06-01T13:30:53.5Z entry-1: statement failed why=\"no place came in time\"",
+            "  2026-06-01T13:30:53.50031Z entry-1: lists in force revision=27",
+            "1 lines can't be read and are left out",
+        ]
+    );
+}
+
+#[tokio::test]
+async fn a_wider_span_shows_more() {
+    let finished = files().run("explain --around-ms 70000 aa FILES/entry-1.log").await;
+    assert!(finished.stdout.contains("revision=28"), "{}", finished.stdout);
+}
+
+#[tokio::test]
+async fn a_request_that_no_log_names_fails_and_says_what_may_be_left_out() {
+    let finished = files().run("explain cc FILES/entry-1.log").await;
+    assert_eq!(finished.code, exit::FAILED);
+    assert!(finished.stdout.contains("lines_left_out"), "{}", finished.stdout);
+}
+
+#[tokio::test]
+async fn a_log_that_is_not_there_is_named() {
+    let finished = files().run("explain aa FILES/none.log").await;
+    assert_eq!(finished.code, exit::FAILED);
+    assert!(finished.stderr.contains("none.log"), "{}", finished.stderr);
+}
