--- a/crates/cumincart-session/src/tokens.rs
+++ b/crates/cumincart-session/src/tokens.rs
@@ -44,7 +44,7 @@
             match link.ask(PeerBody::Token(request), within + WAY).await {
                 Ok(PeerBody::TokenAnswer(TokenAnswer::Granted)) => return true,
                 Ok(PeerBody::TokenAnswer(TokenAnswer::Refused)) => return false,
-                // Its links close when it ends, and this one is told of that; until then another serves.
+                // It is stopping or silent: the next one may serve.
                 Ok(_) | Err(_) => self.avoid(&home.name),
             }
         }
