Let a control group start and lead while its disks are slow

Cause: a sync that takes longer than an election timeout prevented every election and, in a group that had a leader, every record. A candidate gave up before the voters had stored their votes, a leader stepped down while its followers stored a record, time during which an instance waited for its own disk counted as silence of its peers, and each record of the start cost a sync of its own.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -44,6 +44,12 @@
 /// The delay between two attempts to write to a full disk.
 const FULL_DISK_RETRY: Duration = Duration::from_millis(200);
 
+/// See [`control::SLOW_SYNC_MS`].
+const SLOW_SYNC: Duration = Duration::from_millis(control::SLOW_SYNC_MS);
+
+/// The maximum number of messages whose writes share a sync. It bounds how long the first of them waits.
+const MESSAGES_PER_SYNC: usize = 256;
+
 /// The options of an engine.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
@@ -317,36 +323,65 @@
             return;
         }
         while let Some(message) = queue.blocking_recv() {
-            let result = match message {
-                Message::Input(input) => self.step(input),
-                Message::Peer(received) => self.handle_peer_message(received),
+            match self.handle_batch(message, &mut queue) {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(error) => {
+                    crit!(self.logger, "data folder failed; stopping this instance"; "error" => %error);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Handles a message and, if it needs a sync of the data folder, the messages that are queued behind it, so that one
+    /// sync serves all of them. Returns whether the engine goes on.
+    fn handle_batch(
+        &mut self,
+        first: Message,
+        queue: &mut mpsc::UnboundedReceiver<Message>,
+    ) -> Result<bool, DataFolderError> {
+        let mut effects = Vec::new();
+        let mut next = Some(first);
+        let mut handled = 0;
+        while let Some(message) = next {
+            match message {
+                Message::Input(input) => self.step(input, &mut effects),
+                Message::Peer(received) => self.handle_peer_message(received, &mut effects),
                 Message::Change(change, answer) => {
                     let ticket = Ticket(self.changes.add(answer));
-                    self.step(Input::Operator(ticket, change))
+                    self.step(Input::Operator(ticket, change), &mut effects);
                 }
                 Message::Status(answer) => {
                     let ticket = Ticket(self.statuses.add(answer));
-                    self.step(Input::Status(ticket))
+                    self.step(Input::Status(ticket), &mut effects);
                 }
                 Message::Inspect(read) => {
+                    // Nothing is shown that a crash could still undo.
+                    self.apply_effects(&mut effects)?;
                     read(&self.core, self.clock.now());
-                    Ok(())
                 }
-                Message::Stop => return,
-            };
-            if let Err(error) = result {
-                crit!(self.logger, "data folder failed; stopping this instance"; "error" => %error);
-                return;
+                Message::Stop => {
+                    self.apply_effects(&mut effects)?;
+                    return Ok(false);
+                }
             }
+            handled += 1;
+            let needs_sync = effects.iter().any(|effect| matches!(effect, Effect::Persist(_)));
+            next = if needs_sync && handled < MESSAGES_PER_SYNC { queue.try_recv().ok() } else { None };
         }
+        self.apply_effects(&mut effects)?;
+        Ok(true)
     }
 
-    fn handle_peer_message(&mut self, received: ReceivedMessage) -> Result<(), DataFolderError> {
+    fn handle_peer_message(&mut self, received: ReceivedMessage, effects: &mut Vec<Effect>) {
         match received.body {
-            PeerBody::Replication(message) => self.step(Input::Replication(received.from, message)),
+            PeerBody::Replication(message) => {
+                self.step(Input::Replication(received.from, message), effects);
+            }
             PeerBody::Heartbeat(heartbeat) if heartbeat.instance == received.from => {
                 let ticket = self.register_heartbeat(received.from, received.reply);
-                self.step(Input::Heartbeat(ticket, heartbeat))
+                self.step(Input::Heartbeat(ticket, heartbeat), effects);
             }
             _ => {
                 let refusal = Refusal::not_run(
@@ -354,16 +389,30 @@
                     "a control instance does not accept this type of message",
                 );
                 received.reply.send(PeerBody::Refused(refusal));
-                Ok(())
             }
         }
     }
 
-    fn step(&mut self, input: Input) -> Result<(), DataFolderError> {
-        let mut effects = Vec::new();
-        control::step(&mut self.core, self.clock.now(), input, &mut effects);
-        for effect in effects {
-            self.apply_effect(effect)?;
+    fn step(&mut self, input: Input, effects: &mut Vec<Effect>) {
+        control::step(&mut self.core, self.clock.now(), input, effects);
+    }
+
+    /// Applies the effects, and reports to the core if its data folder was slow.
+    fn apply_effects(&mut self, effects: &mut Vec<Effect>) -> Result<(), DataFolderError> {
+        while !effects.is_empty() {
+            control::batch_effects(effects);
+            let mut synced = Duration::ZERO;
+            for effect in std::mem::take(effects) {
+                let started_at = self.clock.now();
+                let is_sync = matches!(effect, Effect::Persist(_));
+                self.apply_effect(effect)?;
+                if is_sync {
+                    synced += self.clock.now().saturating_since(started_at);
+                }
+            }
+            if synced >= SLOW_SYNC {
+                self.step(Input::Synced(synced), effects);
+            }
         }
         Ok(())
     }
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -24,6 +24,7 @@
 pub mod promotion;
 pub mod read_index;
 pub mod replicate;
+pub mod response_time;
 pub mod runs;
 pub mod service_state;
 pub mod shares;
@@ -54,9 +55,13 @@
     },
     rand_chacha::ChaCha20Rng,
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// The duration from which on a sync of the data folder is reported to the core, in milliseconds: a good part of the
+/// interval between two messages of a leader.
+pub const SLOW_SYNC_MS: u64 = 20;
+
 /// The start-up settings of a control instance.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -103,6 +108,8 @@
     Present(Presence),
     /// The result of a probe; `None` if the endpoint did not answer.
     Probed(Probe, Option<LogState>),
+    /// The data folder was synced, which took this long. Sent where it took longer than `SLOW_SYNC_MS`.
+    Synced(Duration),
     /// The result of a promotion that was requested with `Effect::Promote`.
     Promoted(Promotion, Result<PromotedState, PromotionError>),
 }
@@ -253,6 +260,7 @@
         Input::Announced(announcement) => announcements::on_announced(core, now, announcement, out),
         Input::Present(presence) => presence::on_present(core, now, presence, out),
         Input::Probed(probe, answer) => probe::on_probed(core, now, &probe, answer, out),
+        Input::Synced(duration) => election::on_synced(core, now, duration),
         Input::Promoted(promotion, result) => promotion::on_promoted(core, now, &promotion, &result, out),
     }
     commit::advance(core, now, out);
@@ -261,6 +269,24 @@
     leases::push(core, out);
 }
 
+/// Orders the effects of one or more inputs so that they need as few syncs of the data folder as possible: writes go
+/// first, in their order, and adjacent ones are merged. An effect may wait for more writes than it requires, never for
+/// fewer.
+pub fn batch_effects(effects: &mut Vec<Effect>) {
+    effects.sort_by_key(|effect| !matches!(effect, Effect::Persist(_)));
+    effects.dedup_by(|later, earlier| match (later, earlier) {
+        (Effect::Persist(Persist::Ballot(later)), Effect::Persist(Persist::Ballot(earlier))) => {
+            std::mem::swap(later, earlier);
+            true
+        }
+        (Effect::Persist(Persist::Append(later)), Effect::Persist(Persist::Append(earlier))) => {
+            earlier.append(later);
+            true
+        }
+        _ => false,
+    });
+}
+
 fn on_tick(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
     election::on_tick(core, now, out);
     members::join_if_not_member(core, now, out);
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -4,7 +4,8 @@
 use {
     super::{
         Core, Effect, announcements::Announcements, failover, leases, members, operators, permits, presence,
-        probe, read_index, replicate, replicate::LEADER_HEARTBEAT_MS, runs, shares,
+        probe, read_index, replicate, replicate::LEADER_HEARTBEAT_MS, response_time::ResponseTime, runs,
+        shares,
     },
     cumincart_protocol::{
         name::InstanceName,
@@ -57,12 +58,23 @@
     leader: Option<InstanceName>,
     leader_heard_at: Option<Instant>,
     timeout_at: Option<Instant>,
+    /// The last term that this instance campaigned in, and when it sent its vote requests.
+    campaign: Option<(ControlTerm, Instant)>,
+    response_time: ResponseTime,
 }
 
 impl Election {
     /// Returns the state after a start.
     pub fn open(ballot: Ballot) -> Self {
-        Self { ballot, role: Role::Follower, leader: None, leader_heard_at: None, timeout_at: None }
+        Self {
+            ballot,
+            role: Role::Follower,
+            leader: None,
+            leader_heard_at: None,
+            timeout_at: None,
+            campaign: None,
+            response_time: ResponseTime::default(),
+        }
     }
 
     /// Returns whether this instance considers itself the leader.
@@ -117,6 +129,24 @@
     }
 }
 
+/// Handles the end of a sync during which this instance could not read messages: the time doesn't count as silence of
+/// its peers.
+pub fn on_synced(core: &mut Core, now: Instant, duration: Duration) {
+    core.election.response_time.observe(now, duration);
+    if let Some(timeout_at) = &mut core.election.timeout_at {
+        *timeout_at = *timeout_at + duration;
+    }
+    if let Some((_, campaigned_at)) = &mut core.election.campaign {
+        // The vote requests are sent after the sync.
+        *campaigned_at = now;
+    }
+}
+
+/// Records how long a peer took to answer a message.
+pub fn on_peer_answered(core: &mut Core, now: Instant, sent_at: Instant) {
+    core.election.response_time.observe(now, now.saturating_since(sent_at));
+}
+
 /// Handles a term seen in a message: a higher term makes this instance a follower in it.
 pub fn observe_term(core: &mut Core, now: Instant, term: ControlTerm, out: &mut Vec<Effect>) {
     if term > core.election.ballot.term {
@@ -163,6 +193,9 @@
     out: &mut Vec<Effect>,
 ) {
     let term = core.election.ballot.term;
+    if let Some((_, sent_at)) = core.election.campaign.filter(|(campaign, _)| *campaign == answer.term) {
+        on_peer_answered(core, now, sent_at);
+    }
     let Role::Candidate(votes) = &mut core.election.role else { return };
     if !answer.granted || answer.term != term {
         return;
@@ -220,6 +253,7 @@
     core.election.ballot = Ballot { term, voted_for: Some(own.instance.clone()) };
     out.push(Effect::Persist(super::Persist::Ballot(core.election.ballot.clone())));
     core.election.role = Role::Candidate(vec![own]);
+    core.election.campaign = Some((term, now));
     reset_timeout(core, now);
     if has_vote_quorum(core) {
         become_leader(core, now, out);
@@ -254,8 +288,9 @@
     probe::on_elected(core);
     initialise_ledgers(core, now, term);
     replicate::on_elected(core, now);
-    replicate::propose(core, now, Command::Open, out);
-    members::record_voter_disks(core, now, &votes, out);
+    replicate::append(core, Command::Open, out);
+    members::record_voter_disks(core, &votes, out);
+    replicate::broadcast(core, now, out);
 }
 
 fn become_follower(core: &mut Core, now: Instant, term: ControlTerm, out: &mut Vec<Effect>) {
@@ -279,7 +314,7 @@
 }
 
 fn check_quorum(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
-    let timeout = Duration::from_millis(CHECK_QUORUM_MS);
+    let timeout = Duration::from_millis(CHECK_QUORUM_MS) + core.election.response_time.allowance(now);
     let own = &core.settings.member.instance;
     let heard = |member: &Member| {
         member.instance == *own || now.saturating_since(core.replication.heard_at(&member.instance)) < timeout
@@ -320,5 +355,6 @@
 
 pub(super) fn reset_timeout(core: &mut Core, now: Instant) {
     let timeout_ms = core.random.random_range(ELECTION_TIMEOUT_MIN_MS..=ELECTION_TIMEOUT_MAX_MS);
-    core.election.timeout_at = Some(now + Duration::from_millis(timeout_ms));
+    let allowance = core.election.response_time.allowance(now);
+    core.election.timeout_at = Some(now + Duration::from_millis(timeout_ms) + allowance);
 }
--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -184,15 +184,15 @@
     replicate::propose(core, now, Command::Members(changed), out);
 }
 
-/// Records the disks of the voters once all of them have voted.
-pub fn record_voter_disks(core: &mut Core, now: Instant, disks: &[Member], out: &mut Vec<Effect>) {
+/// Records the disks of the voters once all of them have voted. The caller sends the record to the followers.
+pub fn record_voter_disks(core: &mut Core, disks: &[Member], out: &mut Vec<Effect>) {
     if is_bound(core.log.members()) {
         return;
     }
     let mut bound = core.log.members().clone();
     bound.voters =
         bound.voters.iter().map(|voter| with_recorded_disk(voter, disks)).collect::<SortedVec<_>>();
-    replicate::propose(core, now, Command::Members(bound), out);
+    replicate::append(core, Command::Members(bound), out);
 }
 
 fn with_recorded_disk(voter: &Member, disks: &[Member]) -> Member {
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -126,11 +126,17 @@
 
 /// Appends a record to the leader's log and sends it to the followers. Returns the index of the record.
 pub fn propose(core: &mut Core, now: Instant, command: Command, out: &mut Vec<Effect>) -> LogIndex {
+    let index = append(core, command, out);
+    broadcast(core, now, out);
+    index
+}
+
+/// Appends a record to the leader's log without sending it. Returns the index of the record.
+pub fn append(core: &mut Core, command: Command, out: &mut Vec<Effect>) -> LogIndex {
     let index = core.log.last_index().next();
     let record = Record { index, term: core.election.ballot.term, command };
     core.log.push(record.clone());
     out.push(Effect::Persist(Persist::Append(vec![record])));
-    broadcast(core, now, out);
     index
 }
 
@@ -177,6 +183,7 @@
     answer: &AppendAnswer,
     out: &mut Vec<Effect>,
 ) {
+    election::on_peer_answered(core, now, answer.sent_at);
     let known = members::member(core.log.members(), &from.instance, &from.disk).is_some();
     if !core.election.is_leader() || !known {
         return;
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -11,7 +11,7 @@
     cumincart_core::{
         control::{
             ControlRefusal, Core, Effect, Input, Persist, PromotedState, Promotion, PromotionError, Settings,
-            Status, Stored, Ticket, detection::Policy, step,
+            Status, Stored, Ticket, batch_effects, detection::Policy, step,
         },
         timing::{ANNOUNCEMENT_INTERVAL_MS, HEARTBEAT_INTERVAL_MS, TICK_INTERVAL_MS},
     },
@@ -87,6 +87,10 @@
     pub disk: DiskId,
     pub stored: Stored,
     pub frozen: bool,
+    /// How long a sync of the disk takes, in milliseconds. The process handles no input meanwhile.
+    pub sync_ms: u64,
+    /// The end of the current sync.
+    syncing_until: Instant,
     incarnation: u64,
     queued_inputs: Vec<Input>,
     first_members: Members,
@@ -183,6 +187,8 @@
 enum EventKind {
     Tick(usize),
     Input(usize, u64, Box<Input>),
+    /// A disk has completed its syncs.
+    Synced(usize, u64, Duration),
     SendHeartbeat(usize),
     HeartbeatAnswer(usize, Box<HeartbeatAnswer>),
     NotLeader(usize, Option<Arc<str>>),
@@ -412,6 +418,7 @@
     /// Stops the process of a control instance. Its disk is kept.
     pub fn crash(&mut self, control: usize) {
         self.controls[control].core = None;
+        self.controls[control].syncing_until = Instant::ZERO;
         self.controls[control].queued_inputs.clear();
     }
 
@@ -450,8 +457,30 @@
     /// Resumes a paused process, which first handles the queued inputs.
     pub fn unfreeze(&mut self, control: usize) {
         self.controls[control].frozen = false;
-        for input in std::mem::take(&mut self.controls[control].queued_inputs) {
-            self.step(control, input);
+        self.handle_queued(control);
+    }
+
+    /// Handles the inputs that were queued while the process was paused or waited for its disk.
+    fn handle_queued(&mut self, control: usize) {
+        let inputs = std::mem::take(&mut self.controls[control].queued_inputs);
+        self.step(control, inputs);
+    }
+
+    /// Passes an input to the core, or queues it while the process is paused or waits for its disk.
+    fn step_or_queue(&mut self, control: usize, input: Input) {
+        let now = self.now;
+        let node = &mut self.controls[control];
+        if node.frozen || now < node.syncing_until {
+            node.queued_inputs.push(input);
+            return;
+        }
+        self.step(control, vec![input]);
+    }
+
+    /// Sets how long a sync takes on every control instance's disk, in milliseconds.
+    pub fn set_sync_ms(&mut self, sync_ms: u64) {
+        for control in &mut self.controls {
+            control.sync_ms = sync_ms;
         }
     }
 
@@ -512,6 +541,8 @@
             disk: DiskId(format!("{name}-disk").into()),
             stored: Stored::default(),
             frozen: false,
+            sync_ms: 0,
+            syncing_until: Instant::ZERO,
             incarnation: 0,
             queued_inputs: Vec::new(),
             first_members,
@@ -565,6 +596,10 @@
 
     /// Sends a message over the network, which may drop it.
     fn send(&mut self, from: &Arc<str>, to: &Arc<str>, kind: EventKind) {
+        self.send_delayed(from, to, kind, 0);
+    }
+
+    fn send_delayed(&mut self, from: &Arc<str>, to: &Arc<str>, kind: EventKind, delay_us: u64) {
         let is_cut = self.cuts.iter().any(|(one, other)| one == from && other == to);
         let is_lost = self.random.random_range(0..1_000) < self.config.loss_per_mille;
         if is_cut || is_lost {
@@ -572,7 +607,7 @@
         }
         let base = if self.domain_of(from) == self.domain_of(to) { 200 } else { self.config.latency_us };
         let jitter = self.random.random_range(0..=base / 5);
-        self.after_us(base + jitter, kind);
+        self.after_us(delay_us + base + jitter, kind);
     }
 
     fn input(&mut self, control: usize, input: Input) {
@@ -592,19 +627,21 @@
             EventKind::Tick(control) => {
                 self.after_us(TICK_INTERVAL_MS * 1_000, EventKind::Tick(control));
                 if !self.controls[control].frozen {
-                    self.step(control, Input::Tick);
+                    self.step_or_queue(control, Input::Tick);
                 }
             }
             EventKind::Input(control, incarnation, input) => {
-                let node = &mut self.controls[control];
-                if node.incarnation != incarnation {
-                    return;
+                if self.controls[control].incarnation == incarnation {
+                    self.step_or_queue(control, *input);
                 }
-                if node.frozen {
-                    node.queued_inputs.push(*input);
-                    return;
+            }
+            EventKind::Synced(control, incarnation, duration) => {
+                if self.controls[control].incarnation == incarnation {
+                    self.controls[control].queued_inputs.insert(0, Input::Synced(duration));
+                    if !self.controls[control].frozen {
+                        self.handle_queued(control);
+                    }
                 }
-                self.step(control, *input);
             }
             EventKind::SendHeartbeat(entry) => self.send_periodic_heartbeat(entry),
             EventKind::HeartbeatAnswer(entry, answer) => self.on_heartbeat_answer(entry, *answer),
@@ -623,17 +660,33 @@
         }
     }
 
-    fn step(&mut self, control: usize, input: Input) {
+    /// Passes inputs to the core. As in the runtime, their writes share a sync.
+    fn step(&mut self, control: usize, inputs: Vec<Input>) {
         let now = self.now;
         let Some(core) = &mut self.controls[control].core else { return };
         let mut effects = Vec::new();
-        step(core, now, input, &mut effects);
+        for input in inputs {
+            step(core, now, input, &mut effects);
+        }
+        batch_effects(&mut effects);
+        // As in the runtime, the effects after a sync wait for it, and so does the next input.
+        let mut delay_us = 0;
         for effect in effects {
-            self.apply_effect(control, effect);
+            if matches!(effect, Effect::Persist(_)) {
+                delay_us += self.controls[control].sync_ms * 1_000;
+            }
+            self.apply_effect(control, effect, delay_us);
+        }
+        if delay_us > 0 {
+            let incarnation = self.controls[control].incarnation;
+            self.controls[control].syncing_until = now + Duration::from_micros(delay_us);
+            let duration = Duration::from_micros(delay_us);
+            self.after_us(delay_us, EventKind::Synced(control, incarnation, duration));
         }
     }
 
-    fn apply_effect(&mut self, control: usize, effect: Effect) {
+    /// Carries out an effect after a delay.
+    fn apply_effect(&mut self, control: usize, effect: Effect, delay_us: u64) {
         let from = self.controls[control].name.clone();
         match effect {
             // The simulated endpoints announce the state of their logs themselves.
@@ -646,9 +699,9 @@
                 let name = self.controls[index].name.clone();
                 let input = Box::new(Input::Replication((&*from).into(), message));
                 let incarnation = self.controls[index].incarnation;
-                self.send(&from, &name, EventKind::Input(index, incarnation, input));
+                self.send_delayed(&from, &name, EventKind::Input(index, incarnation, input), delay_us);
             }
-            Effect::AnswerHeartbeat(ticket, body) => self.deliver_answer(&from, ticket, body),
+            Effect::AnswerHeartbeat(ticket, body) => self.deliver_answer(&from, ticket, body, delay_us),
             Effect::AnswerOperator(ticket, result) => {
                 self.answers.push(OperatorAnswer { ticket: ticket.0, result });
             }
@@ -657,13 +710,13 @@
             }
             Effect::Promote(promotion) => {
                 let name: Arc<str> = promotion.endpoint.as_str().into();
-                self.send(&from, &name, EventKind::Promote(control, promotion));
+                self.send_delayed(&from, &name, EventKind::Promote(control, promotion), delay_us);
             }
             Effect::Log(line) => self.log_lines.push(format!("{} ms {from}: {line}", self.now.as_millis())),
         }
     }
 
-    fn deliver_answer(&mut self, from: &Arc<str>, ticket: Ticket, body: PeerBody) {
+    fn deliver_answer(&mut self, from: &Arc<str>, ticket: Ticket, body: PeerBody, delay_us: u64) {
         let Some(position) = self.tickets.iter().position(|(known, _)| *known == ticket.0) else { return };
         let entry = self.tickets[position].1;
         if !self.config.push {
@@ -673,11 +726,11 @@
         let name = self.entries[entry].name.clone();
         match body {
             PeerBody::HeartbeatAnswer(answer) => {
-                self.send(from, &name, EventKind::HeartbeatAnswer(entry, answer));
+                self.send_delayed(from, &name, EventKind::HeartbeatAnswer(entry, answer), delay_us);
             }
             PeerBody::NotLeader(leader) => {
                 let hint = leader.map(|leader| leader.instance.as_str().into());
-                self.send(from, &name, EventKind::NotLeader(entry, hint));
+                self.send_delayed(from, &name, EventKind::NotLeader(entry, hint), delay_us);
             }
             _ => {}
         }
