Elect a leader without waiting for a timeout when everything starts at once

Two control instances remained, each asked whether a term may start within 40 ms of the other, each granted the other's pre-vote, both campaigned and split the votes; the next attempt came after an election timeout. Requests sent before the links stood were lost and not repeated, and links were opened only when a message was due. Ruled out: the disks (0.5 ms a sync) and the vote's own round trips (58 ms between regions). Change: of two competing candidates the one with the longer log, then the lower name, goes first for the first 300 ms of a leaderless time, and the other gives up; a candidate repeats its request every 50 ms; links to the members are opened at the start. A line in the log tells when an instance asks for an election.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -322,6 +322,12 @@
             crit!(self.logger, "data folder failed; stopping this instance"; "error" => %error);
             return;
         }
+        // The links are opened before the first election needs them.
+        let own = self.instance.clone();
+        let members: Vec<Member> = control::members::all(self.core.log.members()).cloned().collect();
+        for member in members.iter().filter(|member| member.instance != own) {
+            self.link(member);
+        }
         while let Some(message) = queue.blocking_recv() {
             match self.handle_batch(message, &mut queue) {
                 Ok(true) => {}
@@ -459,6 +465,11 @@
     }
 
     fn send(&mut self, member: &Member, message: ReplicationMessage) {
+        self.link(member).send(PeerBody::Replication(message));
+    }
+
+    /// Returns the link to a member, which is opened on first use.
+    fn link(&mut self, member: &Member) -> &PeerLink {
         let address = &member.peer_address;
         let index = match self.links.binary_search_by(|known| known.address.cmp(address)) {
             Ok(index) => index,
@@ -469,7 +480,7 @@
                 index
             }
         };
-        self.links[index].link.send(PeerBody::Replication(message));
+        &self.links[index].link
     }
 
     /// Stores the reply handle of a heartbeat until the instance's next heartbeat and returns its ticket.
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -32,6 +32,10 @@
 /// elected without waiting for a full election timeout.
 pub const FIRST_ELECTION_MAX_MS: u64 = 200;
 
+/// The interval at which a candidate repeats its request to voters that have not answered, in milliseconds. Requests
+/// are lost while links are still being opened, as after a restart of all instances.
+pub const VOTE_RETRY_MS: u64 = 50;
+
 /// How long a leader stays leader without hearing from a quorum, in milliseconds.
 pub const CHECK_QUORUM_MS: u64 = 600;
 
@@ -58,6 +62,10 @@
     leader: Option<InstanceName>,
     leader_heard_at: Option<Instant>,
     timeout_at: Option<Instant>,
+    /// Until when competing candidates are ordered; `None` while a leader is known. See [`precedence`].
+    contention_until: Option<Instant>,
+    /// When a candidate repeats its requests.
+    retry_at: Instant,
     /// The last term that this instance campaigned in, and when it sent its vote requests.
     campaign: Option<(ControlTerm, Instant)>,
     response_time: ResponseTime,
@@ -72,6 +80,8 @@
             leader: None,
             leader_heard_at: None,
             timeout_at: None,
+            contention_until: None,
+            retry_at: Instant::ZERO,
             campaign: None,
             response_time: ResponseTime::default(),
         }
@@ -125,6 +135,7 @@
             reset_timeout(core, now);
             start_pre_vote(core, now, out);
         }
+        Some(_) if core.election.retry_at <= now => request_votes(core, now, out),
         Some(_) => {}
     }
 }
@@ -160,11 +171,47 @@
         out.push(Effect::Log(format!("{leader} leads in term {}", core.election.ballot.term).into()));
     }
     core.election.role = Role::Follower;
+    core.election.contention_until = None;
     core.election.leader = Some(leader.clone());
     core.election.leader_heard_at = Some(now);
     reset_timeout(core, now);
 }
 
+/// How a candidate treats the pre-vote of a competing one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Precedence {
+    /// There is no competition, or it has lasted for too long to be decided by an order.
+    Undecided,
+    /// The other candidate goes first.
+    Other,
+    /// This instance goes first.
+    Own,
+}
+
+/// Orders this instance and another candidate for the same term: the one with the longer log goes first, among equals
+/// the one with the lower name. Two candidates that grant each other's pre-vote would both campaign and split the
+/// votes.
+///
+/// The order holds only for the start of a leaderless time, since the candidate that goes first may reach no quorum.
+pub fn precedence(core: &Core, now: Instant, from: &Member, request: &VoteRequest) -> Precedence {
+    let is_competing = matches!(core.election.role, Role::PreCandidate(_))
+        && request.term == core.election.ballot.term.next()
+        && core.election.contention_until.is_some_and(|until| now < until);
+    if !is_competing {
+        return Precedence::Undecided;
+    }
+    let other_log = (request.last_term, request.last_index);
+    let own_log = (core.log.last_term(), core.log.last_index());
+    let is_other_first = own_log.cmp(&other_log).then(from.instance.cmp(&core.settings.member.instance));
+    if is_other_first.is_lt() { Precedence::Other } else { Precedence::Own }
+}
+
+/// Gives up a candidacy in favour of another candidate.
+pub fn defer(core: &mut Core, now: Instant) {
+    core.election.role = Role::Follower;
+    reset_timeout(core, now);
+}
+
 /// Counts an answer to a pre-vote.
 pub fn on_pre_vote_answer(
     core: &mut Core,
@@ -243,8 +290,29 @@
         campaign(core, now, out);
         return;
     }
-    let request = vote_request(core, core.election.ballot.term.next());
-    send_to_voters(core, &ReplicationBody::PreVote(request), out);
+    core.election.contention_until.get_or_insert(now + Duration::from_millis(ELECTION_TIMEOUT_MIN_MS));
+    let term = core.election.ballot.term.next();
+    out.push(Effect::Log(format!("no leader is known; asking whether term {term} may start").into()));
+    request_votes(core, now, out);
+}
+
+/// Sends the request of the current candidacy to the voters that have not granted it yet.
+fn request_votes(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
+    let (granted, body) = match &core.election.role {
+        Role::PreCandidate(votes) => {
+            (votes, ReplicationBody::PreVote(vote_request(core, core.election.ballot.term.next())))
+        }
+        Role::Candidate(votes) => {
+            (votes, ReplicationBody::Vote(vote_request(core, core.election.ballot.term)))
+        }
+        Role::Follower | Role::Leader => return,
+    };
+    for voter in core.log.members().voters.iter() {
+        if !granted.iter().any(|vote| vote.instance == voter.instance) {
+            replicate::send(core, voter, body.clone(), out);
+        }
+    }
+    core.election.retry_at = now + Duration::from_millis(VOTE_RETRY_MS);
 }
 
 fn campaign(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
@@ -259,8 +327,7 @@
         become_leader(core, now, out);
         return;
     }
-    let request = vote_request(core, term);
-    send_to_voters(core, &ReplicationBody::Vote(request), out);
+    request_votes(core, now, out);
 }
 
 /// Initialises the quota ledgers for a new leadership. An empty log shows that there was no earlier leader: a
@@ -279,6 +346,7 @@
     let Role::Candidate(votes) = std::mem::replace(&mut core.election.role, Role::Leader) else { return };
     let term = core.election.ballot.term;
     core.election.leader = Some(core.settings.member.instance.clone());
+    core.election.contention_until = None;
     out.push(Effect::Log(format!("this instance leads in term {term}").into()));
     leases::on_elected(&mut core.leases, now);
     failover::on_elected(core);
@@ -345,14 +413,6 @@
     VoteRequest { term, last_index: core.log.last_index(), last_term: core.log.last_term() }
 }
 
-fn send_to_voters(core: &Core, body: &ReplicationBody, out: &mut Vec<Effect>) {
-    for voter in core.log.members().voters.iter() {
-        if voter.instance != core.settings.member.instance {
-            replicate::send(core, voter, body.clone(), out);
-        }
-    }
-}
-
 pub(super) fn reset_timeout(core: &mut Core, now: Instant) {
     let timeout_ms = core.random.random_range(ELECTION_TIMEOUT_MIN_MS..=ELECTION_TIMEOUT_MAX_MS);
     let allowance = core.election.response_time.allowance(now);
--- a/crates/cumincart-core/src/control/voting.rs
+++ b/crates/cumincart-core/src/control/voting.rs
@@ -1,14 +1,18 @@
 //! Answers to pre-votes and vote requests.
 
 use {
-    super::{Core, Effect, Persist, election, replicate},
+    super::{
+        Core, Effect, Persist,
+        election::{self, Precedence},
+        replicate,
+    },
     cumincart_protocol::{
         replication::{Member, ReplicationBody, VoteAnswer, VoteRequest},
         time::Instant,
     },
 };
 
-/// Answers whether this instance would vote for the candidate, without changing any state.
+/// Answers whether this instance would vote for the candidate. Of two competing candidates, one gives up.
 pub fn on_pre_vote(
     core: &mut Core,
     now: Instant,
@@ -20,6 +24,11 @@
         && !core.election.is_leader()
         && !core.election.heard_leader_recently(now)
         && is_up_to_date(core, request);
+    let precedence = election::precedence(core, now, from, request);
+    let granted = granted && precedence != Precedence::Own;
+    if granted && precedence == Precedence::Other {
+        election::defer(core, now);
+    }
     let answer = VoteAnswer { term: request.term, granted };
     replicate::send(core, from, ReplicationBody::PreVoteAnswer(answer), out);
 }
--- a/crates/cumincart-core/tests/control_replication.rs
+++ b/crates/cumincart-core/tests/control_replication.rs
@@ -107,6 +107,82 @@
     fleet.check_writes();
 }
 
+/// The time in which instances that start together have no links to each other yet, in milliseconds: a refused
+/// connection, the pause before the next, and a handshake between regions.
+const LINKS_DOWN_MS: u64 = 280;
+
+/// How long after that a leader must stand, in milliseconds: the repetition of a lost request, a pre-vote and a vote.
+const ELECTION_MS: u64 = 120;
+
+#[test]
+fn a_restart_of_all_instances_does_not_wait_for_an_election_timeout_when_the_first_messages_are_lost() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(FleetConfig::telvara(seed));
+        fleet.wait_until_ready();
+        for control in 0..3 {
+            fleet.crash(control);
+        }
+        fleet.run_ms(100);
+        fleet.config.loss_per_mille = 1_000;
+        for control in 0..3 {
+            fleet.restart(control);
+        }
+        fleet.run_ms(LINKS_DOWN_MS);
+        fleet.config.loss_per_mille = 0;
+        let elected = fleet.run_until(ELECTION_MS, |fleet| fleet.leader().is_some());
+        assert!(elected, "seed {seed}: {:#?}", fleet.log_lines);
+        fleet.run_ms(1_000);
+        fleet.check_writes();
+    }
+}
+
+/// How long an election without an earlier leader may take, in milliseconds: the longest first timeout (200 ms), two
+/// ticks, a pre-vote and a vote, each with a round trip between regions (29 ms with jitter).
+const FIRST_ELECTION_MS: u64 = 280;
+
+#[test]
+fn two_candidates_at_once_do_not_split_the_votes_of_the_first_election() {
+    for seed in 0..30 {
+        let mut fleet = Fleet::start(FleetConfig { latency_us: 12_000, ..FleetConfig::telvara(seed) });
+        fleet.wait_until_ready();
+        for control in 0..3 {
+            fleet.crash(control);
+        }
+        fleet.run_ms(2_000);
+        // The third instance stays down, so that each of the others needs the other's vote.
+        fleet.restart(0);
+        fleet.restart(1);
+        let elected = fleet.run_until(FIRST_ELECTION_MS, |fleet| fleet.leader().is_some());
+        assert!(elected, "seed {seed}: {:#?}", fleet.log_lines);
+        fleet.run_ms(1_000);
+        fleet.check_writes();
+    }
+}
+
+#[test]
+fn a_candidate_that_reaches_no_quorum_does_not_keep_another_from_leading() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(FleetConfig { latency_us: 12_000, ..FleetConfig::telvara(seed) });
+        fleet.wait_until_ready();
+        for control in 0..3 {
+            fleet.crash(control);
+        }
+        fleet.run_ms(2_000);
+        for control in 0..3 {
+            fleet.restart(control);
+        }
+        // The first instance goes before the others by its name, but reaches only the second, which does not hear it
+        // answer.
+        fleet.cut("control-1", "control-3");
+        fleet.cut_one_way("control-2", "control-1");
+        assert!(
+            fleet.run_until(3_000, |fleet| fleet.leader().is_some()),
+            "seed {seed}: {:#?}",
+            fleet.log_lines
+        );
+    }
+}
+
 #[test]
 fn accepted_changes_survive_a_restart_of_all_instances() {
     let mut fleet = Fleet::start(FleetConfig::telvara(5));
