Let new sessions wait for the first lease of an instance that has just started

Cause: after a stop of everything clients reconnect some tenths of a second before a leader stands. Ruled out: waiting where no lease is near: an instance that lost its lease later, or found no leader for 1.5 s, refuses at once; at most 256 sessions wait. Change: first_lease.rs decides, Session::open waits. The first lease wakes waiting sessions also where the catalogue's revision stays.

--- a/crates/cumincart-core/src/entry/freshness.rs
+++ b/crates/cumincart-core/src/entry/freshness.rs
@@ -66,6 +66,11 @@
         now < self.freshness_lease_until
     }
 
+    /// Whether this instance has held a freshness lease since its start.
+    pub fn has_held_lease(&self) -> bool {
+        self.freshness_lease_until > Instant::ZERO
+    }
+
     /// The local revision of the catalogue.
     pub fn revision(&self) -> Revision {
         self.catalogue.revision
--- a/crates/cumincart-core/src/interactive.rs
+++ b/crates/cumincart-core/src/interactive.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod failure;
+pub mod first_lease;
 pub mod ownership;
 pub mod pool;
 pub mod positions;
--- a/crates/cumincart-core/tests/interactive.rs
+++ b/crates/cumincart-core/tests/interactive.rs
@@ -4,6 +4,8 @@
 mod admission;
 #[path = "interactive/failure.rs"]
 mod failure;
+#[path = "interactive/first_lease.rs"]
+mod first_lease;
 #[path = "interactive/ownership.rs"]
 mod ownership;
 #[path = "interactive/pool.rs"]
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -108,6 +108,8 @@
             options.logger.clone(),
         );
         let name = options.core_settings.instance.clone();
+        let clock = Clock::start();
+        let core = entry::Core::open(options.core_settings.clone(), clock::random());
         let locality = Locality { domain: options.core_settings.domain.clone(), near: options.near_domains };
         let shared = Shared {
             name,
@@ -115,8 +117,8 @@
             fleet_secret: options.fleet_secret,
             links: Mutex::default(),
             pinned_slots: Mutex::default(),
-            state: Mutex::new(State::new(entry::Core::open(options.core_settings, clock::random()))),
-            clock: Clock::start(),
+            state: Mutex::new(State::new(core, clock.now())),
+            clock,
             driver: options.driver,
             logger: options.logger,
             metrics: Arc::default(),
@@ -245,6 +247,21 @@
         self.shared.changes.subscribe()
     }
 
+    /// Waits for the first lease of an instance that has just started. Returns at once where no lease is expected soon.
+    pub(crate) async fn await_first_lease(&self) {
+        let mut changes = self.changes();
+        let admitted = {
+            let mut state = self.lock();
+            let has_held_lease = state.core.freshness.has_held_lease();
+            state.first_lease.admit(self.now(), has_held_lease)
+        };
+        let Some(until) = admitted else { return };
+        let has_lease = |_: &u64| self.lock().core.freshness.has_held_lease();
+        // On timeout the session is refused for want of a lease.
+        let _ = timeout_at(self.deadline(until), changes.wait_for(has_lease)).await;
+        self.lock().first_lease.leave();
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         // A poisoned lock is harmless: no panic can leave the state inconsistent.
         self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -330,7 +347,9 @@
         let now = self.now();
         let mut state = self.lock();
         let before = state.catalogue();
+        let had_held_lease = state.core.freshness.has_held_lease();
         membership::on_answer(&mut state.core, now, answer);
+        let is_first_lease = !had_held_lease && state.core.freshness.has_held_lease();
         let after = state.catalogue();
         state.apply_catalogue(now);
         state.answer_token_waiters(now);
@@ -341,6 +360,8 @@
         }
         if before.revision != after.revision {
             self.log_changes(&before, &after);
+        }
+        if is_first_lease || before.revision != after.revision {
             self.shared.changes.send_modify(|count| *count += 1);
         }
     }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -102,8 +102,9 @@
 }
 
 impl Session {
-    /// Opens a session on a database for the organisation that the key belongs to.
-    pub fn open(engine: &Engine, database: &str, key: Option<&str>) -> Result<Self, Failure> {
+    /// Opens a session on a database for the organisation that the key belongs to. On an instance that has just started it
+    /// waits for the first lease on the lists.
+    pub async fn open(engine: &Engine, database: &str, key: Option<&str>) -> Result<Self, Failure> {
         let session = Self {
             engine: engine.clone(),
             database: database.into(),
@@ -112,6 +113,7 @@
             phase: TransactionPhase::None,
         };
         engine.count_session(true);
+        engine.await_first_lease().await;
         let found = if engine.refuses_sessions() {
             Err(Failure::new(FailureCode::Busy, "this instance is stopping"))
         } else {
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -6,6 +6,7 @@
         entry::{self, Ticket, permits, permits::ConnectionUse, quota, quota::QuotaDecision},
         interactive::{
             admission::{self, ConcurrencyLimiter, Dequeued},
+            first_lease::FirstLease,
             ownership,
             pool::IdleInfo,
             positions::{LogPoint, Positions},
@@ -223,12 +224,13 @@
     next_ticket: u64,
     /// Instances that did not serve a relayed request, with the end of their ejection.
     ejected: SortedVec<EjectedInstance>,
+    pub(crate) first_lease: FirstLease,
     /// Whether a heartbeat must be sent at once, because of something that the control leader should know.
     pub(crate) needs_heartbeat: bool,
 }
 
 impl State {
-    pub(crate) fn new(core: entry::Core) -> Self {
+    pub(crate) fn new(core: entry::Core, started_at: Instant) -> Self {
         Self {
             core,
             endpoints: SortedVec::new(),
@@ -236,6 +238,7 @@
             waiters: SortedVec::new(),
             next_ticket: 1,
             ejected: SortedVec::new(),
+            first_lease: FirstLease::open(started_at),
             needs_heartbeat: false,
         }
     }
