--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -32,6 +32,10 @@
 /// elected without waiting for a full election timeout.
 pub const FIRST_ELECTION_MAX_MS: u64 = 200;
 
+/// How long competing candidates are ordered, in milliseconds. Instances that regain power one after the other form a
+/// quorum within this time.
+const CONTENTION_MS: u64 = 1_000;
+
 /// The interval at which a candidate repeats its request to voters that have not answered, in milliseconds. Requests
 /// are lost while links are still being opened, as after a restart of all instances.
 pub const VOTE_RETRY_MS: u64 = 50;
@@ -290,7 +294,7 @@
         campaign(core, now, out);
         return;
     }
-    core.election.contention_until.get_or_insert(now + Duration::from_millis(ELECTION_TIMEOUT_MIN_MS));
+    core.election.contention_until.get_or_insert(now + Duration::from_millis(CONTENTION_MS));
     let term = core.election.ballot.term.next();
     out.push(Effect::Log(format!("no leader is known; asking whether term {term} may start").into()));
     request_votes(core, now, out);
--- a/crates/cumincart-core/tests/control_replication.rs
+++ b/crates/cumincart-core/tests/control_replication.rs
@@ -159,6 +159,30 @@
     }
 }
 
+/// The interval at which the instances of a group of six start after a power failure, in milliseconds.
+const START_INTERVAL_MS: u64 = 110;
+
+#[test]
+fn candidates_that_wait_for_a_quorum_do_not_split_the_votes_when_it_starts() {
+    for seed in 0..30 {
+        let config = FleetConfig { controls: 6, latency_us: 12_000, ..FleetConfig::telvara(seed) };
+        let mut fleet = Fleet::start(config);
+        fleet.wait_until_ready();
+        for control in 0..6 {
+            fleet.crash(control);
+        }
+        fleet.run_ms(2_000);
+        for control in [4, 5, 2, 0] {
+            fleet.run_ms(START_INTERVAL_MS);
+            fleet.restart(control);
+        }
+        let elected = fleet.run_until(FIRST_ELECTION_MS, |fleet| fleet.leader().is_some());
+        assert!(elected, "seed {seed}: {:#?}", fleet.log_lines);
+        fleet.run_ms(1_000);
+        fleet.check_writes();
+    }
+}
+
 #[test]
 fn a_candidate_that_reaches_no_quorum_does_not_keep_another_from_leading() {
     for seed in 0..10 {
