Collect changes of endpoints, and make lists of instances at intervals

Records that change nothing for entry instances were pushed to all of them too. Change: push.rs decides how soon holders learn of a change: what a fence waits for and what operators change at once, changes of endpoints and first terms within 200 ms, the rest with the next heartbeat. An entry instance confirms a revision at once only if it changed something or the leader pushed it. Lists of instances are made every 250 ms at most. Links count messages and bytes by kind, on the metrics and in a line of the log every 10 s.

--- a/crates/cumincart-control/src/http/operations.rs
+++ b/crates/cumincart-control/src/http/operations.rs
@@ -4,7 +4,7 @@
     crate::{engine::Engine, metrics::control_metrics},
     cumincart_core::control::dump::{self, Dump},
     cumincart_http::operator::Operator,
-    cumincart_runtime::metrics,
+    cumincart_runtime::{link::traffic, metrics},
     rocket::{
         Route, State, get,
         http::{ContentType, Status},
@@ -35,7 +35,7 @@
 async fn show_metrics(engine: &State<Engine>) -> Result<(ContentType, String), Status> {
     let dump = engine.inspect(dump::dump).await.ok_or(Status::ServiceUnavailable)?;
     let content_type = ContentType::parse_flexible(metrics::CONTENT_TYPE).unwrap_or(ContentType::Plain);
-    Ok((content_type, metrics::render(&control_metrics(&dump))))
+    Ok((content_type, metrics::render(&[control_metrics(&dump), traffic::metrics()].concat())))
 }
 
 #[get("/v1/dump")]
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -22,6 +22,7 @@
 pub mod presence;
 pub mod probe;
 pub mod promotion;
+pub mod push;
 pub mod read_index;
 pub mod replicate;
 pub mod response_time;
@@ -199,6 +200,8 @@
     pub recent_deltas: catalogue::RecentDeltas,
     /// The leases of entry instances; kept by the leader.
     pub leases: leases::Leases,
+    /// The changes that holders of leases must be sent; kept by the leader.
+    pub pushes: push::Pushes,
     /// The last announcement of each endpoint; kept by the leader.
     pub announcements: announcements::Announcements,
     /// The changes of primary that are in progress; kept by the leader.
@@ -232,6 +235,7 @@
             pending_reads: read_index::PendingReads::default(),
             recent_deltas: catalogue::RecentDeltas::default(),
             leases: leases::Leases::default(),
+            pushes: push::Pushes::default(),
             announcements: announcements::Announcements::default(),
             failover: failover::Failover::default(),
             shares: shares::Ledger::default(),
@@ -266,7 +270,7 @@
     commit::advance(core, now, out);
     failover::on_input(core, now, out);
     commit::advance(core, now, out);
-    leases::push(core, out);
+    leases::push(core, now, out);
 }
 
 /// Orders the effects of one or more inputs so that they need as few syncs of the data folder as possible: writes go
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -1,7 +1,7 @@
 //! Commits records that a quorum holds, and applies them.
 
 use {
-    super::{Core, Effect, catalogue, members, operators, read_index, runs, snapshot},
+    super::{Core, Effect, catalogue, members, operators, push, read_index, runs, snapshot},
     cumincart_protocol::{
         heartbeat::CatalogueDelta, name::InstanceName, number::LogIndex, replication::Command, time::Instant,
     },
@@ -72,6 +72,7 @@
     let (change, outcome) = catalogue::apply(catalogue, &mut core.outcomes, &mut core.document, record);
     let command = record.command.clone();
     let to = core.catalogue.revision;
+    core.pushes.record(now, to, push::urgency(&command, &change));
     core.recent_deltas.push(CatalogueDelta { from, to, change });
     core.log.applied = index;
     match &command {
--- a/crates/cumincart-core/src/control/failover.rs
+++ b/crates/cumincart-core/src/control/failover.rs
@@ -271,6 +271,7 @@
         return change.fenced_at;
     }
     let fence = change.fence.get_or_insert_with(|| Fence::begin(leases, revision_of(change.proposed)));
+    core.pushes.require(fence.revision);
     if fence.is_done(leases, now) {
         change.fenced_at = Some(now);
     }
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -22,10 +22,14 @@
     std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
-/// The number of earlier instance lists that are retained to compute updates: a few seconds of changes, if
-/// they come one by one.
+/// The number of earlier instance lists that are retained to compute updates. With [`LIST_INTERVAL_MS`] they cover
+/// several heartbeats of each holder also while many instances start.
 const RETAINED_LISTS: usize = 16;
 
+/// The minimum interval between two lists of instances, in milliseconds. When hundreds of instances start together, a
+/// list for each of them would outdate the retained ones within one heartbeat, and every update would be a whole list.
+pub const LIST_INTERVAL_MS: u64 = 250;
+
 /// How long an instance is still listed after its lease has expired, in milliseconds.
 pub const LISTED_AFTER_EXPIRY_MS: u64 = 60_000;
 
@@ -74,6 +78,7 @@
     /// The current list of instances and earlier ones, newest last.
     lists: VecDeque<InstancesList>,
     instances_changed: bool,
+    next_list_at: Instant,
 }
 
 /// A version of the list of instances, identified by its digest.
@@ -99,11 +104,13 @@
         self.earlier_leases_until
     }
 
-    /// Appends a new list of instances if it has changed.
-    fn update_instance_lists(&mut self) {
-        if !std::mem::take(&mut self.instances_changed) {
+    /// Appends a new list of instances if it has changed, at most once in [`LIST_INTERVAL_MS`].
+    fn update_instance_lists(&mut self, now: Instant) {
+        if !self.instances_changed || now < self.next_list_at {
             return;
         }
+        self.instances_changed = false;
+        self.next_list_at = now + Duration::from_millis(LIST_INTERVAL_MS);
         let live = self.holders.iter().filter(|holder| !holder.is_ended);
         let instances: SortedVec<InstanceEntry> = live.map(|holder| holder.instance_entry.clone()).collect();
         let digest = instances::digest(&instances);
@@ -210,7 +217,7 @@
     runs::on_heartbeat(core, now, heartbeat, out);
     let last_heartbeat = LastHeartbeat { ticket, asked_at: heartbeat.asked_at, sent_revision };
     renew(&mut core.leases, now, heartbeat, last_heartbeat);
-    core.leases.update_instance_lists();
+    core.leases.update_instance_lists(now);
     let mut answer = answer_base(core, heartbeat.incarnation, heartbeat.asked_at);
     answer.update = core.recent_deltas.update(&core.catalogue, heartbeat.revision);
     answer.shares = shares;
@@ -222,13 +229,14 @@
     out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
 }
 
-/// Sends a new revision to the holders at once by answering their last heartbeats again. Extends no lease.
-pub fn push(core: &mut Core, out: &mut Vec<Effect>) {
+/// Sends a new revision that is due to the holders by answering their last heartbeats again. Extends no lease.
+pub fn push(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
+    let due = core.pushes.due(now);
     let revision = core.catalogue.revision;
     let mut outdated: Vec<(HolderKey, LastHeartbeat)> = Vec::new();
     for holder in core.leases.holders.iter_mut() {
         if let Some(heartbeat) =
-            holder.last_heartbeat.as_mut().filter(|heartbeat| heartbeat.sent_revision < revision)
+            holder.last_heartbeat.as_mut().filter(|heartbeat| heartbeat.sent_revision < due)
         {
             outdated.push((holder.key.clone(), heartbeat.clone()));
             heartbeat.sent_revision = revision;
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -9,7 +9,7 @@
     },
     crate::timing::HEARTBEAT_INTERVAL_MS,
     cumincart_protocol::{
-        heartbeat::{EndpointReport, Heartbeat, HeartbeatAnswer},
+        heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer},
         instances,
         number::{ControlTerm, Revision},
         sorted::SortedVec,
@@ -33,6 +33,8 @@
     pub last_sent_at: Option<Instant>,
     /// The revision that the last heartbeat confirmed.
     pub last_revision: Revision,
+    /// The revision that the next heartbeat must confirm before the regular interval has passed.
+    confirm_revision: Revision,
     /// Whether this instance is stopping and releases all shares and permits.
     pub leaving: bool,
     /// The election term of the leader whose grants are in force.
@@ -71,10 +73,25 @@
         || quota::demand_has_changed(&core.quota, now)
 }
 
-/// Whether the last heartbeat confirmed an older revision than the local one. A change of primary waits for
-/// this confirmation.
+/// Whether the leader may be waiting for the confirmation of a revision, as it does before a change of primary. A
+/// revision that changes nothing here is confirmed with the next regular heartbeat, unless the leader pushes it.
 fn has_unconfirmed_revision(core: &Core) -> bool {
-    core.freshness.revision() > core.membership.last_revision
+    core.membership.confirm_revision > core.membership.last_revision
+}
+
+/// Whether the leader sent this answer to a heartbeat that it has answered before.
+fn is_push(membership: &Membership, answer: &HeartbeatAnswer) -> bool {
+    membership.acknowledged_at.is_some_and(|at| answer.asked_at <= at)
+}
+
+fn changes_catalogue(update: &CatalogueUpdate) -> bool {
+    match update {
+        CatalogueUpdate::None => false,
+        CatalogueUpdate::Snapshot(_) => true,
+        CatalogueUpdate::Deltas(deltas) => {
+            deltas.iter().any(|delta| !matches!(delta.change, CatalogueChange::Nothing))
+        }
+    }
 }
 
 /// Builds the next heartbeat. `endpoints` holds the observations of endpoints since the last one, `uses` the
@@ -117,6 +134,9 @@
     if let AnswerOutcome::Dropped(_) = outcome {
         return outcome;
     }
+    if is_push(&core.membership, answer) || changes_catalogue(&answer.update) {
+        core.membership.confirm_revision = core.freshness.revision();
+    }
     quota::on_lists(&mut core.quota, now, &core.freshness.index);
     if !has_full_report(&mut core.membership, answer) {
         return outcome;
--- a/crates/cumincart-entry/src/http/operations.rs
+++ b/crates/cumincart-entry/src/http/operations.rs
@@ -7,7 +7,7 @@
         is_ready,
     },
     cumincart_http::operator::Operator,
-    cumincart_runtime::metrics,
+    cumincart_runtime::{link::traffic, metrics},
     rocket::{
         Route, State, get,
         http::{ContentType, Status},
@@ -38,7 +38,7 @@
 async fn show_metrics(engine: &State<Engine>) -> Result<(ContentType, String), Status> {
     let dump = engine.inspect(dump::dump).await.ok_or(Status::ServiceUnavailable)?;
     let content_type = ContentType::parse_flexible(metrics::CONTENT_TYPE).unwrap_or(ContentType::Plain);
-    Ok((content_type, metrics::render(&entry_metrics(&dump))))
+    Ok((content_type, metrics::render(&[entry_metrics(&dump), traffic::metrics()].concat())))
 }
 
 #[get("/dump")]
--- a/crates/cumincart-runtime/src/link.rs
+++ b/crates/cumincart-runtime/src/link.rs
@@ -7,6 +7,7 @@
 pub mod codec;
 pub mod handshake;
 pub mod server;
+pub mod traffic;
 
 /// An error of a peer link.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
--- a/crates/cumincart-runtime/src/link/client.rs
+++ b/crates/cumincart-runtime/src/link/client.rs
@@ -5,6 +5,7 @@
         LinkError, codec,
         handshake::{self, Challenge, FleetSecret},
         server::{receive, send, socket_config},
+        traffic::{self, Direction},
     },
     crate::{pending::Pending, socket},
     cumincart_protocol::{
@@ -159,6 +160,7 @@
             message = queue.recv() => {
                 let envelope = envelope(instance, &mut answers, message?);
                 let bytes = codec::encode(&envelope);
+                traffic::count(Direction::Sent, &envelope.body, bytes.len());
                 if sink.send(Message::Binary(bytes.into())).await.is_err() {
                     return Some(());
                 }
@@ -167,6 +169,7 @@
                 let Some(Ok(message)) = message else { return Some(()) };
                 let Message::Binary(bytes) = message else { continue };
                 let Ok(envelope) = codec::decode(&bytes) else { return Some(()) };
+                traffic::count(Direction::Received, &envelope.body, bytes.len());
                 dispatch_answer(&mut answers, envelope, unsolicited);
             }
         }
--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -4,6 +4,7 @@
     super::{
         LinkError, codec,
         handshake::{self, FleetSecret, Hello, Proof},
+        traffic::{self, Direction},
     },
     crate::socket,
     cumincart_protocol::{
@@ -141,6 +142,7 @@
         let Some(Ok(message)) = message else { return };
         let Message::Binary(bytes) = message else { continue };
         let Ok(envelope) = codec::decode(&bytes) else { return };
+        traffic::count(Direction::Received, &envelope.body, bytes.len());
         if envelope.from != from {
             return;
         }
@@ -174,6 +176,7 @@
 ) {
     while let Some(envelope) = outgoing.recv().await {
         let bytes = codec::encode(&envelope);
+        traffic::count(Direction::Sent, &envelope.body, bytes.len());
         if sink.send(Message::Binary(bytes.into())).await.is_err() {
             return;
         }
