Open links between entry instances of different failure domains on first use

Cause: each entry instance opened a link to every other one, 37,000 handshakes on 194 instances. Change: links are opened to the instances of the own failure domain, which hold its tokens, and to others when a request is relayed to them; the request waits for the handshake. A request whose sender stopped waiting before the link was open is not sent any more: it would have run after it was reported as lost.

--- a/crates/cumincart-runtime/src/link/client.rs
+++ b/crates/cumincart-runtime/src/link/client.rs
@@ -17,7 +17,7 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicU8, Ordering},
         },
         time::Duration,
     },
@@ -45,9 +45,18 @@
 #[derive(Debug, Clone)]
 pub struct PeerLink {
     outgoing: mpsc::Sender<OutgoingMessage>,
-    is_up: Arc<AtomicBool>,
+    phase: Arc<AtomicU8>,
 }
 
+/// The first attempt to connect is in progress.
+const OPENING: u8 = 0;
+
+/// The link is connected.
+const UP: u8 = 1;
+
+/// The connection was lost, or an attempt to connect failed.
+const DOWN: u8 = 2;
+
 /// A message to the peer, with the channel for its answer if one is expected.
 #[derive(Debug)]
 struct OutgoingMessage {
@@ -73,15 +82,15 @@
         unsolicited: mpsc::UnboundedSender<PeerBody>,
     ) -> Self {
         let (outgoing, queue) = mpsc::channel(SEND_QUEUE);
-        let is_up = Arc::new(AtomicBool::new(false));
-        tokio::spawn(run_link(Peer { address, instance, secret, is_up: is_up.clone() }, queue, unsolicited));
-        Self { outgoing, is_up }
+        let phase = Arc::new(AtomicU8::new(OPENING));
+        tokio::spawn(run_link(Peer { address, instance, secret, phase: phase.clone() }, queue, unsolicited));
+        Self { outgoing, phase }
     }
 
-    /// Returns whether the link was connected when its state was last updated. While it is connected, messages are sent
-    /// without waiting for a connection.
-    pub fn is_up(&self) -> bool {
-        self.is_up.load(Ordering::Relaxed)
+    /// Returns whether the link is connected or being opened for the first time. Messages are sent without waiting, or
+    /// after the handshake. A link that was lost or could not be opened is not usable until it is connected again.
+    pub fn is_usable(&self) -> bool {
+        self.phase.load(Ordering::Relaxed) != DOWN
     }
 
     /// Sends a message that needs no answer. The message is dropped while the link is down.
@@ -107,7 +116,7 @@
     address: Arc<str>,
     instance: InstanceName,
     secret: FleetSecret,
-    is_up: Arc<AtomicBool>,
+    phase: Arc<AtomicU8>,
 }
 
 async fn run_link(
@@ -117,13 +126,13 @@
 ) {
     for limit in CONNECT_TIMEOUTS.into_iter().cycle() {
         if let Ok(Ok(socket)) = timeout(limit, connect(&peer)).await {
-            peer.is_up.store(true, Ordering::Relaxed);
+            peer.phase.store(UP, Ordering::Relaxed);
             let ended = exchange_messages(socket, &peer.instance, &mut queue, &unsolicited).await;
-            peer.is_up.store(false, Ordering::Relaxed);
             if ended.is_none() {
                 return;
             }
         }
+        peer.phase.store(DOWN, Ordering::Relaxed);
         if !wait_to_reconnect(&mut queue).await {
             return;
         }
@@ -158,7 +167,12 @@
     loop {
         tokio::select! {
             message = queue.recv() => {
-                let envelope = envelope(instance, &mut answers, message?);
+                let message = message?;
+                // The requester stopped waiting before the link was open; what is sent now would run unnoticed.
+                if message.answer.as_ref().is_some_and(oneshot::Sender::is_closed) {
+                    continue;
+                }
+                let envelope = envelope(instance, &mut answers, message);
                 let bytes = codec::encode(&envelope);
                 traffic::count(Direction::Sent, &envelope.body, bytes.len());
                 if sink.send(Message::Binary(bytes.into())).await.is_err() {
--- a/crates/cumincart-runtime/tests/link.rs
+++ b/crates/cumincart-runtime/tests/link.rs
@@ -207,3 +207,52 @@
     let _silent = listener.accept().await.expect("the link connects");
     listener.accept().await.expect("the link connects again");
 }
+
+/// How long the test's network holds back a new connection: within the first timeout of the handshake.
+const HANDSHAKE_DELAY: Duration = Duration::from_millis(150);
+
+/// Starts a server behind a network that holds back new connections.
+async fn bind_behind_slow_network(fleet_secret: &str) -> (TestServer, Arc<str>) {
+    let server = bind(fleet_secret).await;
+    let network = TcpListener::bind("127.0.0.1:0").await.expect("loopback can be bound");
+    let address = network.local_addr().expect("the listener is bound").to_string();
+    let target = server.address.clone();
+    tokio::spawn(async move {
+        while let Ok((mut client, _)) = network.accept().await {
+            let target = target.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(HANDSHAKE_DELAY).await;
+                let mut server = tokio::net::TcpStream::connect(&*target).await?;
+                tokio::io::copy_bidirectional(&mut client, &mut server).await
+            });
+        }
+    });
+    (server, address.into())
+}
+
+#[tokio::test]
+async fn a_request_that_timed_out_before_the_link_was_open_is_never_sent() {
+    let (mut server, address) = bind_behind_slow_network("a fleet secret of the test").await;
+    let link = PeerLink::spawn(address, "client".into(), secret("a fleet secret of the test"));
+    assert!(link.is_usable(), "requests wait for a link that is being opened");
+    let timed_out = link.request(numbered(1), HANDSHAKE_DELAY / 3).await;
+    assert!(matches!(timed_out, Err(LinkError::Lost)), "{timed_out:?}");
+    let second = tokio::spawn(async move { request_when_up(&link, numbered(2)).await });
+    let received = server.received.recv().await.expect("the server is open");
+    assert_eq!(received.body, numbered(2), "a request ran that its sender had given up");
+    received.reply.send(numbered(3));
+    assert_eq!(second.await.expect("the task does not panic").expect("the request is answered"), numbered(3));
+}
+
+#[tokio::test]
+async fn a_link_that_could_not_be_opened_is_not_usable() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback can be bound");
+    let address = listener.local_addr().expect("the listener is bound").to_string();
+    drop(listener);
+    let link = PeerLink::spawn(address.into(), "client".into(), secret("a fleet secret of the test"));
+    while link.is_usable() {
+        tokio::task::yield_now().await;
+    }
+    let refused = link.request(numbered(1), TIMEOUT).await;
+    assert!(matches!(refused, Err(LinkError::Down)), "{refused:?}");
+}
--- a/crates/cumincart-session/src/instances.rs
+++ b/crates/cumincart-session/src/instances.rs
@@ -28,7 +28,9 @@
         }
     }
 
-    /// Opens links to the listed instances, which hold leases, and closes those to all others.
+    /// Closes the links to instances that are not listed, since they hold no lease. Opens links to the instances of the
+    /// own failure domain, which hold its tokens; others are opened when a request is relayed to them. Links between all
+    /// instances would cost more than the requests on them: their number grows with the square of the fleet.
     pub(crate) fn update_instance_links(&self, instances: &SortedVec<InstanceEntry>) {
         {
             let mut links = self.links();
@@ -36,7 +38,9 @@
                 |link: &InstanceLink| instances.iter().any(|instance| instance.peer_address == link.address);
             links.retain(is_listed);
         }
-        for instance in instances.iter().filter(|instance| instance.name != *self.name()) {
+        let domain = &self.locality().domain;
+        let is_near = |instance: &&InstanceEntry| instance.domain == *domain && instance.name != *self.name();
+        for instance in instances.iter().filter(is_near) {
             self.link(&instance.peer_address);
         }
     }
--- a/crates/cumincart-session/src/slot_request.rs
+++ b/crates/cumincart-session/src/slot_request.rs
@@ -112,9 +112,9 @@
         let candidates =
             routing::candidates(&catalogue, group, request.target, self.locality(), now, request.tried, load);
         let Some(best) = candidates.first() else { return SlotRequestOutcome::NoEndpoint };
-        let is_up = |owner: &InstanceEntry| self.link(&owner.peer_address).is_up();
+        let is_usable = |owner: &InstanceEntry| self.link(&owner.peer_address).is_usable();
         let remote_owners =
-            |entry: &EndpointEntry| state.remote_owners(now, entry, request.organisation, is_up);
+            |entry: &EndpointEntry| state.remote_owners(now, entry, request.organisation, is_usable);
         let has_free_slot = |entry: &EndpointEntry| {
             let known = state.endpoints.get(&entry.name);
             known.is_some_and(|known| known.limiter.has_free_slot()) || !remote_owners(entry).is_empty()
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -275,7 +275,7 @@
         now: Instant,
         endpoint: &EndpointEntry,
         organisation: &OrganisationName,
-        is_up: impl Fn(&InstanceEntry) -> bool,
+        is_link_usable: impl Fn(&InstanceEntry) -> bool,
     ) -> Vec<InstanceEntry> {
         let known = self.endpoints.get(&endpoint.name);
         let has_idle =
@@ -286,7 +286,7 @@
         self.preferred_owners(
             now,
             ownership::owners(&self.core.freshness.instances, endpoint, organisation),
-            is_up,
+            is_link_usable,
         )
     }
 
@@ -295,12 +295,12 @@
         &self,
         now: Instant,
         owners: Vec<&InstanceEntry>,
-        is_up: impl Fn(&InstanceEntry) -> bool,
+        is_link_usable: impl Fn(&InstanceEntry) -> bool,
     ) -> Vec<InstanceEntry> {
         let own = &self.core.settings.instance;
         let is_usable = |owner: &&InstanceEntry| {
             let is_ejected = self.ejected.get(&owner.name).is_some_and(|ejected| now < ejected.until);
-            owner.name == *own || (!is_ejected && is_up(owner))
+            owner.name == *own || (!is_ejected && is_link_usable(owner))
         };
         owners.into_iter().filter(is_usable).take_while(|owner| owner.name != *own).cloned().collect()
     }
--- a/crates/cumincart-session/src/tokens.rs
+++ b/crates/cumincart-session/src/tokens.rs
@@ -64,7 +64,7 @@
             return Vec::new();
         }
         let owners = ownership::token_owners(instances, &state.core.settings.domain, organisation);
-        state.preferred_owners(now, owners, |owner| self.link(&owner.peer_address).is_up())
+        state.preferred_owners(now, owners, |owner| self.link(&owner.peer_address).is_usable())
     }
 
     /// Takes a token of this instance's own share. Returns `false` if none is available in time.
