--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -59,6 +59,10 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// The highest election term that is accepted from a peer. Terms grow by one with each election, and grant numbers have
+/// room for 32 bits of them; a group that adopted a higher one could never elect a leader again.
+pub const CONTROL_TERM_MAX: ControlTerm = ControlTerm(u32::MAX as u64);
+
 /// The duration from which on a sync of the data folder is reported to the core, in milliseconds: a good part of the
 /// interval between two messages of a leader.
 pub const SLOW_SYNC_MS: u64 = 20;
@@ -314,6 +318,10 @@
     out: &mut Vec<Effect>,
 ) {
     let Some(sender) = election::resolve_sender(core, from, &message) else { return };
+    if highest_term(&message) > CONTROL_TERM_MAX {
+        out.push(Effect::Log(format!("a message from {from} was dropped: its term is impossible").into()));
+        return;
+    }
     let is_old = message.term < core.election.ballot.term;
     match message.body {
         ReplicationBody::PreVote(request) => voting::on_pre_vote(core, now, &sender, &request, out),
@@ -332,6 +340,16 @@
     }
 }
 
+/// Returns the highest term in a message, which this instance might adopt.
+fn highest_term(message: &ReplicationMessage) -> ControlTerm {
+    let in_body = match &message.body {
+        ReplicationBody::PreVote(request) | ReplicationBody::Vote(request) => request.term,
+        ReplicationBody::PreVoteAnswer(answer) | ReplicationBody::VoteAnswer(answer) => answer.term,
+        _ => ControlTerm::default(),
+    };
+    message.term.max(in_body)
+}
+
 /// Handles the messages that are valid only in the sender's term.
 fn on_message_of_term(
     core: &mut Core,
--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -20,7 +20,7 @@
     },
     cumincart_protocol::{
         catalogue::{Catalogue, EndpointEntry},
-        heartbeat::{Heartbeat, PermitGrant, first_grant_number},
+        heartbeat::{Heartbeat, PermitGrant, PermitReport, first_grant_number},
         name::{EndpointName, InstanceName},
         number::{ControlTerm, Incarnation},
         sorted::{Keyed, SortedVec},
@@ -28,7 +28,7 @@
     },
     holder::{Grant, Holder, Holding},
     std::time::Duration,
-    target::AllocationContext,
+    target::{AllocationContext, CONNECTIONS_MAX},
 };
 
 /// How long an instance may take to close its connections after its lease has expired, in milliseconds.
@@ -144,7 +144,7 @@
             holder.holdings.get_or_insert_with(&report.endpoint, || Holding::new(report.endpoint.clone()));
         let totals = totals_of(&mut ledger.totals, &report.endpoint);
         totals.subtract(holding);
-        holding.apply_report(report, recovering, ledger.control_term);
+        holding.apply_report(&clamped(report), recovering, ledger.control_term);
         totals.add(holding);
     }
     let grants = update_grants(ledger, now, catalogue, &mut holder);
@@ -152,6 +152,16 @@
     grants
 }
 
+/// Returns a report without impossible values: a faulty instance must not make the ledger's sums overflow.
+fn clamped(report: &PermitReport) -> PermitReport {
+    PermitReport {
+        held: report.held.min(CONNECTIONS_MAX),
+        kept: report.kept.min(CONNECTIONS_MAX),
+        wanted: report.wanted.min(CONNECTIONS_MAX),
+        ..report.clone()
+    }
+}
+
 /// Records that the freshness lease of a run has expired or that the run has left. It may still be closing
 /// connections, so its permits are released later: leased permits after a grace period, kept permits after
 /// their own lease.
--- a/crates/cumincart-core/src/control/permits/target.rs
+++ b/crates/cumincart-core/src/control/permits/target.rs
@@ -4,6 +4,10 @@
 /// in thousandths.
 const KEPT_PER_MILLE: u32 = 200;
 
+/// The highest number of connections that is taken from an endpoint's limit or an instance's report. It is far beyond
+/// what an endpoint can serve.
+pub const CONNECTIONS_MAX: u32 = 100_000;
+
 /// The two parts of an endpoint's connection limit.
 #[derive(Debug, Clone, Copy)]
 pub struct Budget {
@@ -29,6 +33,7 @@
 /// Divides an endpoint's connection limit. `allows_kept` is false if no route could be served without a
 /// lease; then all permits are leased.
 pub fn budget(connection_limit: u32, allows_kept: bool) -> Budget {
+    let connection_limit = connection_limit.min(CONNECTIONS_MAX);
     let per_mille = if allows_kept { KEPT_PER_MILLE } else { 0 };
     let kept = connection_limit * per_mille / 1_000;
     Budget { kept, leased: connection_limit - kept }
@@ -59,7 +64,8 @@
     let floor = u32::from(floor_count == context.competing_instances);
     let remainder = budget.leased - floor_count * floor;
     if total_extra_demand > remainder {
-        return floor + remainder * extra_demand / total_extra_demand;
+        let part = u64::from(remainder) * u64::from(extra_demand) / u64::from(total_extra_demand);
+        return floor + u32::try_from(part).unwrap_or(remainder);
     }
     floor + extra_demand + (remainder - total_extra_demand) / context.competing_instances.max(1)
 }
--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -30,6 +30,9 @@
     target::Topology,
 };
 
+/// The highest rate, burst or demand that is taken from a report, in thousandths: the highest rate of a plan.
+const REPORTED_MAX_MILLI: u64 = 1_000_000_000_000;
+
 /// The interval between two checks for expired holders, in milliseconds.
 const EXPIRY_CHECK_INTERVAL_MS: u64 = 100;
 
@@ -119,7 +122,7 @@
     let topology = topology_of(ledger, &holder);
     let has_current_lists = heartbeat.revision >= ledger.lists_known_since;
     for report in &heartbeat.shares {
-        apply_report(ledger, now, &mut holder, report, &topology, has_current_lists);
+        apply_report(ledger, now, &mut holder, &clamped(report), &topology, has_current_lists);
     }
     let grants = update_grants(ledger, now, &mut holder, &topology);
     ledger.holders.insert(holder);
@@ -253,6 +256,20 @@
 }
 
 /// Applies a holder's report on one organisation: the grant in force at the holder, and its demand.
+/// Returns a report without impossible values: a faulty instance must not make the ledger's sums overflow.
+fn clamped(report: &ShareReport) -> ShareReport {
+    let share = |share: Share| Share {
+        rate_milli_per_s: share.rate_milli_per_s.min(REPORTED_MAX_MILLI),
+        burst_milli: share.burst_milli.min(REPORTED_MAX_MILLI),
+    };
+    ShareReport {
+        held: share(report.held),
+        basis: share(report.basis),
+        demand_milli_per_s: report.demand_milli_per_s.min(REPORTED_MAX_MILLI),
+        ..report.clone()
+    }
+}
+
 fn apply_report(
     ledger: &mut Ledger,
     now: Instant,
--- a/crates/cumincart-core/src/control/shares/organisation_quota.rs
+++ b/crates/cumincart-core/src/control/shares/organisation_quota.rs
@@ -181,7 +181,9 @@
     /// reports are compared with.
     pub fn credit_returned_tokens(&mut self, holding: &mut Holding, report: &ShareReport, may_credit: bool) {
         if let Some(before) = holding.returned_milli.filter(|_| may_credit) {
-            let returned_milli = report.returned_milli.saturating_sub(before);
+            // No holder can return more than a whole burst; a faulty report must not create tokens.
+            let returned_milli =
+                report.returned_milli.saturating_sub(before).min(self.allocatable.burst_milli);
             self.reserve_nano += returned_milli * NANO_PER_MILLI;
         }
         holding.returned_milli = Some(report.returned_milli);
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -81,6 +81,8 @@
     metrics: Arc<Metrics>,
     decisions: DecisionLog,
     changes: watch::Sender<u64>,
+    /// Closed when the engine's task has ended.
+    ended: watch::Receiver<()>,
     phase: watch::Sender<StopPhase>,
     sessions: watch::Sender<usize>,
     name: InstanceName,
@@ -108,6 +110,7 @@
             options.logger.clone(),
         );
         let name = options.core_settings.instance.clone();
+        let (running, ended) = watch::channel(());
         let clock = Clock::start();
         let core = entry::Core::open(options.core_settings.clone(), clock::random());
         let locality = Locality { domain: options.core_settings.domain.clone(), near: options.near_domains };
@@ -124,14 +127,27 @@
             metrics: Arc::default(),
             decisions: DecisionLog::default(),
             changes: watch::Sender::new(0),
+            ended,
             phase: watch::Sender::new(StopPhase::Serving),
             sessions: watch::Sender::new(0),
         };
         let engine = Self { shared: Arc::new(shared) };
-        tokio::spawn(engine.clone().run(control, inputs));
+        let task = engine.clone();
+        tokio::spawn(async move {
+            // Dropped on a panic too.
+            let _running = running;
+            task.run(control, inputs).await;
+        });
         engine
     }
 
+    /// Waits until the engine's task has ended. It renews the leases, so that nothing is served after it; a process that
+    /// has not stopped the engine itself should exit and be started again.
+    pub async fn ended(&self) {
+        let mut ended = self.shared.ended.clone();
+        while ended.changed().await.is_ok() {}
+    }
+
     /// Returns the current instant.
     pub fn now(&self) -> Instant {
         self.shared.clock.now()
