Send answers to heartbeats that were replaced within a batch

Cause: the engine keeps the ticket of an instance's last heartbeat only. Since queued messages are handled together, an update in answer to one heartbeat was dropped where the instance's next heartbeat was handled in the same batch, before the effects were applied. Change: the reply handles are a module of their own; tickets of earlier heartbeats are forgotten after the batch. An answer names the heartbeat that it belongs to, so it may go out on the later one's handle.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -4,6 +4,7 @@
 //! It is a separate thread because syncing the data folder blocks: the effects after a `Persist` wait for the sync.
 
 use {
+    crate::heartbeat_replies::HeartbeatReplies,
     cumincart_core::{
         control::{
             self, ControlRefusal, Core, Effect, Input, Persist, Probe, PromotedState, Promotion,
@@ -18,7 +19,7 @@
         peer::PeerBody,
         refusal::{Refusal, RefusalCode},
         replication::{Member, ReplicationMessage},
-        sorted::{Keyed, SortedVec},
+        sorted::SortedVec,
         time::Instant,
     },
     cumincart_runtime::{
@@ -232,27 +233,6 @@
     link: PeerLink,
 }
 
-/// The last heartbeat of an entry instance. The core may answer it more than once.
-struct LastHeartbeat {
-    instance: InstanceName,
-    ticket: u64,
-    reply: Reply,
-}
-
-impl Keyed for LastHeartbeat {
-    type Key = InstanceName;
-
-    fn key(&self) -> &InstanceName {
-        &self.instance
-    }
-}
-
-/// Maps a ticket to the instance whose heartbeat it identifies.
-struct HeartbeatTicket {
-    ticket: u64,
-    instance: InstanceName,
-}
-
 struct EngineThread {
     core: Core,
     /// Whether the data folder contains no snapshot yet.
@@ -263,9 +243,7 @@
     messages: mpsc::WeakUnboundedSender<Message>,
     changes: Pending<ChangeResult>,
     statuses: Pending<StatusResult>,
-    heartbeats: SortedVec<LastHeartbeat>,
-    heartbeat_tickets: Vec<HeartbeatTicket>,
-    next_heartbeat: u64,
+    heartbeats: HeartbeatReplies<Reply>,
     links: Vec<MemberLink>,
     instance: InstanceName,
     fleet_secret: FleetSecret,
@@ -297,9 +275,7 @@
             messages,
             changes: Pending::default(),
             statuses: Pending::default(),
-            heartbeats: SortedVec::new(),
-            heartbeat_tickets: Vec::new(),
-            next_heartbeat: 1,
+            heartbeats: HeartbeatReplies::default(),
             links: Vec::new(),
             instance,
             fleet_secret: options.fleet_secret,
@@ -386,7 +362,7 @@
                 self.step(Input::Replication(received.from, message), effects);
             }
             PeerBody::Heartbeat(heartbeat) if heartbeat.instance == received.from => {
-                let ticket = self.register_heartbeat(received.from, received.reply);
+                let ticket = Ticket(self.heartbeats.register(received.from, received.reply));
                 self.step(Input::Heartbeat(ticket, heartbeat), effects);
             }
             _ => {
@@ -420,6 +396,7 @@
                 self.step(Input::Synced(synced), effects);
             }
         }
+        self.heartbeats.forget_outdated();
         Ok(())
     }
 
@@ -483,30 +460,9 @@
         &self.links[index].link
     }
 
-    /// Stores the reply handle of a heartbeat until the instance's next heartbeat and returns its ticket.
-    fn register_heartbeat(&mut self, instance: InstanceName, reply: Reply) -> Ticket {
-        let ticket = self.next_heartbeat;
-        self.next_heartbeat += 1;
-        // Tickets increase, so the vector stays sorted by ticket.
-        self.heartbeat_tickets.push(HeartbeatTicket { ticket, instance: instance.clone() });
-        if let Some(last) = self.heartbeats.insert(LastHeartbeat { instance, ticket, reply }) {
-            self.remove_ticket(last.ticket);
-        }
-        Ticket(ticket)
-    }
-
-    fn remove_ticket(&mut self, ticket: u64) {
-        if let Ok(index) = self.heartbeat_tickets.binary_search_by_key(&ticket, |known| known.ticket) {
-            self.heartbeat_tickets.remove(index);
-        }
-    }
-
     fn answer_heartbeat(&self, ticket: Ticket, body: PeerBody) {
-        let Ok(index) = self.heartbeat_tickets.binary_search_by_key(&ticket.0, |known| known.ticket) else {
-            return;
-        };
-        if let Some(last) = self.heartbeats.get(&self.heartbeat_tickets[index].instance) {
-            last.reply.send(body);
+        if let Some(reply) = self.heartbeats.reply(ticket.0) {
+            reply.send(body);
         }
     }
 
--- a/crates/cumincart-control/src/lib.rs
+++ b/crates/cumincart-control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 pub mod engine;
+pub mod heartbeat_replies;
 pub mod http;
 pub mod metrics;
 pub mod options;
