Review case 3: a line feed in data ends a client's message

Cause: the adapter's codec ends a line at each line feed; the protocol's lines end with CR LF. Change: a script; a client writes data of two text lines.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -1,9 +1,9 @@
 //! A client's session on the line protocol.
 
 use {
-    crate::util::record,
+    crate::util::{self, record},
     std::{
-        io::{BufRead, BufReader, Write},
+        io::{BufReader, Write},
         net::{SocketAddr, TcpStream},
         time::{Duration, Instant},
     },
@@ -15,7 +15,6 @@
 /// The answer to a statement.
 #[derive(Debug, Clone)]
 pub struct Answer {
-    pub rows: Vec<String>,
     /// The proof, or the error.
     pub result: Result<String, String>,
     pub state: String,
@@ -46,15 +45,13 @@
     }
 
     fn line(&mut self) -> Option<String> {
-        let mut line = String::new();
-        let length = self.reader.read_line(&mut line).ok()?;
-        (length > 0).then(|| line.trim_end().to_owned())
+        util::read_line(&mut self.reader)
     }
 
     /// Sends a statement and waits for its whole answer; `None` if the connection ended or nothing came in time.
     pub fn query(&mut self, id: &str, text: &str) -> Option<Answer> {
         let sent_at = Instant::now();
-        record(&format!("{} sends {id} {text}", self.name));
+        record(&format!("{} sends {id} {text:?}", self.name));
         let answer = self.exchange(id, text);
         let outcome = match &answer {
             None => "no answer".to_owned(),
@@ -67,18 +64,17 @@
 
     fn exchange(&mut self, id: &str, text: &str) -> Option<Answer> {
         self.writer.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).ok()?;
-        let mut rows = Vec::new();
         let mut result = None;
         loop {
             let line = self.line()?;
             let (keyword, rest) = line.split_once(' ').unwrap_or((&line, ""));
             match keyword {
-                "ROW" => rows.push(rest.to_owned()),
+                "ROW" => {}
                 "DONE" => result = Some(Ok(rest.to_owned())),
                 "ERROR" => result = Some(Err(rest.to_owned())),
                 "READY" => {
                     let state = rest.split(' ').next().unwrap_or_default().to_owned();
-                    return Some(Answer { rows, result: result?, state });
+                    return Some(Answer { result: result?, state });
                 }
                 _ => return None,
             }
--- a/review/standin/database.rs
+++ b/review/standin/database.rs
@@ -4,7 +4,7 @@
     crate::util::{self, record},
     std::{
         collections::BTreeMap,
-        io::{BufRead, BufReader, Write},
+        io::{BufReader, Write},
         net::{TcpListener, TcpStream},
         sync::{
             Arc, Mutex, MutexGuard,
@@ -43,6 +43,7 @@
     pub at: Instant,
     pub database: usize,
     pub id: String,
+    pub text: String,
     pub error: Option<String>,
 }
 
@@ -240,8 +241,8 @@
     fn serve(&self, index: usize, stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let mut writer = stream.try_clone().ok()?;
-        let mut lines = BufReader::new(stream).lines();
-        let first = lines.next()?.ok()?;
+        let mut reader = BufReader::new(stream);
+        let first = util::read_line(&mut reader)?;
         if first.starts_with("GET ") {
             let head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCumincart-Instance-Id:";
             return writer.write_all(format!("{head} {}\r\n\r\n", self.databases[index].id).as_bytes()).ok();
@@ -256,8 +257,7 @@
         }
         let mut connection = Connection { index, ..Connection::default() };
         writer.write_all(self.ready(&connection).as_bytes()).ok()?;
-        for line in lines {
-            let line = line.ok()?;
+        while let Some(line) = util::read_line(&mut reader) {
             let Some(query) = line.strip_prefix("QUERY ") else { return None };
             let (id, text) = query.split_once(' ')?;
             thread::sleep(STATEMENT_TIME);
@@ -267,10 +267,11 @@
                     at: Instant::now(),
                     database: index,
                     id: id.to_owned(),
+                    text: text.to_owned(),
                     error: result.as_ref().err().cloned(),
                 };
                 let outcome = result.as_ref().map_or_else(|error| error.as_str(), |_| "DONE");
-                record(&format!("{} ran {id} {text} -> {outcome}", self.databases[index].id));
+                record(&format!("{} ran {id} {text:?} -> {outcome}", self.databases[index].id));
                 self.lock().arrivals.push(arrival);
             }
             let mut answer = String::new();
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -150,21 +150,6 @@
         }
     }
 
-    /// Sends a signal to a process by its id.
-    pub fn signal(&self, process: &Process, signal: &str) {
-        if let Some(child) = process.child.lock().unwrap().as_ref() {
-            let command = format!("kill -{signal} {}", child.id());
-            let _ = Command::new("sh").arg("-c").arg(command).status();
-            record(&format!("{} gets SIG{signal}", process.name));
-        }
-    }
-
-    /// Returns whether a process still runs.
-    pub fn is_running(&self, process: &Process) -> bool {
-        let mut child = process.child.lock().unwrap();
-        child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_none()))
-    }
-
     /// Waits until all entry instances say that they are ready. Returns whether they do.
     pub fn await_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,7 +13,7 @@
         process,
         sync::Arc,
         thread,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     util::record,
 };
@@ -140,25 +140,6 @@
             && run(BOUNDED_DATABASE, format!("r{name}"), "READ 1a4")
     }
 
-    /// Reads with bounded staleness through an entry instance until the database of its zone serves them.
-    fn await_reads_in_zone(&self, zone: usize) -> Result<(), String> {
-        let address = self.fleet.front_address(zone);
-        let mut client = Client::connect("warm-up", &address, BOUNDED_DATABASE, FIRST_KEY)?;
-        for attempt in 0..50 {
-            let id = format!("z{zone}-{attempt}");
-            client.query(&id, "READ 1a4");
-            let state = self.group.lock();
-            let is_here =
-                |arrival: &Arrival| arrival.id == id && arrival.error.is_none() && arrival.database == zone;
-            if state.arrivals.iter().any(is_here) {
-                return Ok(());
-            }
-            drop(state);
-            thread::sleep(Duration::from_millis(200));
-        }
-        Err("reads are not served in the zone".to_owned())
-    }
-
     fn order(&self, method: &str, path: &str, body: &str) -> Result<Instant, String> {
         let limit = Duration::from_secs(6);
         util::order(&self.fleet.control_addresses(), method, path, body, limit)
@@ -183,8 +164,9 @@
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "revoked-key" => revoked_key(fleet.clone()),
         "switchover" => switchover(fleet.clone()),
-        "evacuation" => evacuation(fleet.clone()),
         "prepared" => prepared(fleet.clone()),
+        "foreign-report" => foreign_report(fleet.clone()),
+        "line-feed" => line_feed(fleet.clone()),
         _ => Err(format!("unknown case {case}")),
     });
     let outcome = match result {
@@ -324,47 +306,6 @@
     Ok(if broken > 0 { Outcome::Broken } else { Outcome::Held })
 }
 
-/// A zone is evacuated while a client reads from a replica there in an open transaction. Statements must not reach the
-/// databases of the zone later than `evacuate_ms` after the acknowledgement.
-fn evacuation(fleet: Arc<Fleet>) -> Result<Outcome, String> {
-    const EVACUATE_MS: u64 = 5_000;
-    const PAUSE: Duration = Duration::from_millis(1_500);
-    let world = World::start(fleet, 0, &[("i-a", 0), ("i-b", 1), ("i-c", 2)])?;
-    let address = world.fleet.front_address(1);
-    world.await_reads_in_zone(1)?;
-    let mut client = Client::connect("reader", &address, BOUNDED_DATABASE, FIRST_KEY)?;
-    let begin = client.query("t0", "BEGIN READ").ok_or("no answer to BEGIN READ")?;
-    begin.result.map_err(|error| format!("BEGIN READ failed: {error}"))?;
-    let mut acknowledged_at = None;
-    for number in 1..=10 {
-        if number == 2 {
-            if world.has_trouble {
-                world.order("POST", &format!("/-/evacuations/{}/start", ZONES[1].0), "")?;
-            }
-            acknowledged_at = Some(Instant::now());
-        }
-        if client.query(&format!("t{number}"), "READ 1a4").is_none() {
-            break;
-        }
-        thread::sleep(PAUSE);
-    }
-    client.query("t11", "COMMIT");
-    let acknowledged_at = acknowledged_at.ok_or("the evacuation was not ordered")?;
-    let bound = acknowledged_at + Duration::from_millis(EVACUATE_MS);
-    let state = world.group.lock();
-    let in_zone = |index: usize| world.group.databases[index].zone == ZONES[1].0;
-    if !state.arrivals.iter().any(|arrival| arrival.id == "t1" && in_zone(arrival.database)) {
-        return Err("the transaction did not begin in the zone".to_owned());
-    }
-    let late: Vec<_> =
-        state.arrivals.iter().filter(|arrival| arrival.at > bound && in_zone(arrival.database)).collect();
-    for arrival in &late {
-        let late_ms = arrival.at.duration_since(acknowledged_at).as_millis();
-        record(&format!("{} reached the zone {late_ms} ms after the acknowledgement", arrival.id));
-    }
-    Ok(if world.has_trouble && !late.is_empty() { Outcome::Broken } else { Outcome::Held })
-}
-
 /// A primary is moved by an evacuation while a client has a transaction open on it, and the zone is taken back. A prepared
 /// name whose preparing was acknowledged must be known wherever it is executed.
 fn prepared(fleet: Arc<Fleet>) -> Result<Outcome, String> {
@@ -414,3 +355,67 @@
     ));
     Ok(if unknown > 0 { Outcome::Broken } else { Outcome::Held })
 }
+
+/// A client writes data that contains a line feed. Lines end with CR LF, so it is a part of the statement's last field.
+fn line_feed(fleet: Arc<Fleet>) -> Result<Outcome, String> {
+    let world = World::start(fleet, 0, &[("i-a", 0), ("i-b", 1), ("i-c", 2)])?;
+    let address = world.fleet.front_address(0);
+    let separator = if world.has_trouble { "\n" } else { " " };
+    let notes = [
+        ("u1", format!("WRITE 4d1 caller asks for{separator}a call back")),
+        ("u2", format!("WRITE 4d2 caller said{separator}QUERY u9 WRITE 4d3 paid")),
+    ];
+    for (id, text) in &notes {
+        let mut client = Client::connect("writer", &address, PRIMARY_DATABASE, FIRST_KEY)?;
+        client.query(id, text);
+        thread::sleep(Duration::from_millis(500));
+    }
+    let state = world.group.lock();
+    let mut broken = 0;
+    for arrival in state.arrivals.iter().filter(|arrival| arrival.id.starts_with('u')) {
+        let sent = notes.iter().find(|(id, _)| *id == arrival.id).map(|(_, text)| text.as_str());
+        if sent != Some(arrival.text.as_str()) && arrival.error.is_none() {
+            record(&format!("{} ran as {:?}; the client sent {sent:?}", arrival.id, arrival.text));
+            broken += 1;
+        }
+    }
+    Ok(if broken > 0 { Outcome::Broken } else { Outcome::Held })
+}
+
+/// A status report of a service that the configuration doesn't name arrives, with the address of the primary, which
+/// then drains. Statements must not reach it later than `drain_ms` after its report was acknowledged.
+fn foreign_report(fleet: Arc<Fleet>) -> Result<Outcome, String> {
+    const DRAIN_MS: u64 = 7_000;
+    let world = World::start(fleet, 0, &[("i-a", 0), ("i-b", 1), ("i-c", 2)])?;
+    let address = world.fleet.front_address(0);
+    if world.has_trouble {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let body = format!(
+            "{{\"service\":\"kafi81c\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_left_ms\":0,\"db_role\":\"replica\",\"seq_no\":1,\"born\":{born}}}",
+            world.group.databases[0].address, ZONES[0].0
+        );
+        let controls = world.fleet.control_addresses();
+        let path = "/-/instances/i-7f3a91c2/heartbeat";
+        util::order(&controls, "POST", path, &body, Duration::from_secs(5))
+            .ok_or("no answer to the report")?;
+    }
+    thread::sleep(Duration::from_secs(2));
+    world.group.drain(0);
+    let started_at = Instant::now();
+    let mut client = Client::connect("writer", &address, PRIMARY_DATABASE, FIRST_KEY)?;
+    let mut number = 0;
+    while started_at.elapsed() < Duration::from_millis(DRAIN_MS + 3_000) {
+        number += 1;
+        if client.query(&format!("d{number}"), &format!("WRITE 5e{number} call{number}")).is_none() {
+            client = Client::connect("writer", &address, PRIMARY_DATABASE, FIRST_KEY)?;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    let acknowledged_at = *world.group.databases[0].drain_acknowledged_at.lock().unwrap();
+    let acknowledged_at = acknowledged_at.ok_or("the report that the primary drains was not acknowledged")?;
+    let bound = acknowledged_at + Duration::from_millis(DRAIN_MS);
+    let state = world.group.lock();
+    let late = state.arrivals.iter().filter(|arrival| arrival.database == 0 && arrival.at > bound).count();
+    record(&format!("{late} statements reached i-a later than {DRAIN_MS} ms after the acknowledgement"));
+    Ok(if late > 0 { Outcome::Broken } else { Outcome::Held })
+}
--- a/review/standin/util.rs
+++ b/review/standin/util.rs
@@ -28,7 +28,6 @@
 pub struct Response {
     pub status: u16,
     pub location: Option<String>,
-    pub body: String,
 }
 
 /// Sends one request and reads its response. `None` if no complete response came within the timeout.
@@ -65,7 +64,7 @@
     }
     let mut bytes = vec![0; length.unwrap_or_default()];
     reader.read_exact(&mut bytes).ok()?;
-    Some(Response { status, location, body: String::from_utf8_lossy(&bytes).into_owned() })
+    Some(Response { status, location })
 }
 
 /// Calls one control instance and follows at most two redirects.
@@ -170,3 +169,15 @@
         writer.write_all(answer.as_bytes()).ok()?;
     }
 }
+
+/// Reads a line of the line protocol, which ends with CR LF. A line feed alone is part of the line.
+pub fn read_line(reader: &mut impl BufRead) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n") {
+        if reader.read_until(b'\n', &mut bytes).ok()? == 0 {
+            return None;
+        }
+    }
+    bytes.truncate(bytes.len() - 2);
+    String::from_utf8(bytes).ok()
+}
