Review case 4: a foreign status report hides that a database drains

Cause: a report of a service that isn't configured is stored before the service is checked, and reports of the database at the same address are then taken for outdated, but acknowledged. Change: a script; one such report with the primary's address, then the primary drains.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/cumincart-platform target/review/standin; do
     [ -x "$program" ] || { echo "$program is missing; run the build of the deploy file and review/build.sh"; exit 2; }
 done
-exec target/review/standin evacuation review/4/record.txt
+exec target/review/standin foreign-report review/4/record.txt
