Refuse commits of open transactions once their primary is being replaced

Cause: the fence of a change of primary ends what instances start, and the new primary is chosen by the positions read after it. Statements and commits of open transactions went to the former primary without a look at the catalogue or the lease, also those that the endpoint confirmed after the choice, and single writes that were on their way. An instance out of touch wrote without a lease on the term, where nothing delays the choice at all. Ruled out: the choice itself (it takes a replica with all of the former primary's log as of the fence), the promotion, the stand-in's order of events (in its record the lost commits arrive after the choice).

Change: the term under which a write or commit may be acknowledged is read before it is sent and compared after its answer. Without one nothing is sent, and the answer says so; if it differs afterwards, the answer is in doubt. Services with synchronous replicas need a lease on the term for it. A transaction that wrote is rolled back at its next statement once its primary is being replaced; one that only reads goes on.

Why it works: an instance confirms the end of the term, or loses its lease, before positions are read. What it acknowledges, it acknowledges before that, so the positions cover it.

--- a/crates/cumincart-core/src/interactive/primary_guarantee.rs
+++ b/crates/cumincart-core/src/interactive/primary_guarantee.rs
@@ -4,7 +4,15 @@
 //! Keeps service up during an outage of the control group: term leases expire before the freshness lease, and endpoints
 //! that refuse read-write transactions once they are demoted can be used until the freshness lease expires too.
 
-use {super::positions::LogPoint, crate::entry::freshness::Freshness, cumincart_protocol::time::Instant};
+use {
+    super::positions::LogPoint,
+    crate::entry::freshness::Freshness,
+    cumincart_protocol::{
+        name::{EndpointName, ServiceName},
+        number::Term,
+        time::Instant,
+    },
+};
 
 /// What guarantees that an endpoint is the primary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,3 +57,28 @@
     }
     point.map_or(ReadGuard::ReadWriteTransaction, ReadGuard::AtLeast)
 }
+
+/// Returns the term under which this instance may acknowledge a write or commit of an endpoint; `None` if it may not.
+///
+/// The term must be the same before the command is sent and after its answer has come. Then no other endpoint was chosen
+/// meanwhile: a choice waits until every instance has applied the end of the term or lost its lease on it. Without such a
+/// lease, only a service without synchronous replicas is written to, which accepts that a promotion loses commits.
+pub fn commit_term(
+    freshness: &Freshness,
+    fences_terms: bool,
+    service: &ServiceName,
+    endpoint: &EndpointName,
+    now: Instant,
+) -> Option<Term> {
+    let group = freshness.catalogue.group(service)?;
+    if !group.writable || group.primary.as_ref() != Some(endpoint) {
+        return None;
+    }
+    let limits = freshness.catalogue.lists.interactive.services.get(service);
+    let is_asynchronous = limits.is_some_and(|limits| limits.synchronous_replicas == 0);
+    match primary_guarantee(freshness, fences_terms, now) {
+        PrimaryGuarantee::TermLease => Some(group.term),
+        PrimaryGuarantee::SelfFencing if is_asynchronous => Some(group.term),
+        PrimaryGuarantee::SelfFencing | PrimaryGuarantee::None => None,
+    }
+}
--- a/crates/cumincart-core/tests/interactive/primary_guarantee.rs
+++ b/crates/cumincart-core/tests/interactive/primary_guarantee.rs
@@ -5,13 +5,16 @@
         entry::freshness::Freshness,
         interactive::{
             positions::LogPoint,
-            primary_guarantee::{PrimaryGuarantee, ReadGuard, primary_guarantee, read_guard},
+            primary_guarantee::{PrimaryGuarantee, ReadGuard, commit_term, primary_guarantee, read_guard},
         },
     },
     cumincart_protocol::{
-        number::{LogPosition, Timeline},
+        catalogue::{Catalogue, Group},
+        lists::{InteractiveList, Lists, ServiceLimits},
+        number::{LogPosition, Term, Timeline},
         time::Instant,
     },
+    std::sync::Arc,
     test_case::test_case,
 };
 
@@ -51,3 +54,43 @@
 ) {
     assert_eq!(read_guard(guarantee, is_primary, point), expected);
 }
+
+/// The same leases, and a group whose primary is `db-1` in term 3.
+fn leases_on_group(synchronous_replicas: u32, writable: bool) -> Freshness {
+    let group = Group {
+        service: "ledger".into(),
+        term: Term(3),
+        primary: Some("db-1".into()),
+        writable,
+        endpoints: Default::default(),
+        term_starts: Vec::new(),
+    };
+    let limits = ServiceLimits { service: "ledger".into(), connection_limit: 30, synchronous_replicas };
+    let interactive =
+        InteractiveList { services: [limits].into_iter().collect(), ..InteractiveList::default() };
+    let catalogue = Catalogue {
+        lists: Arc::new(Lists { interactive, ..Lists::default() }),
+        groups: [group].into_iter().collect(),
+        ..Catalogue::default()
+    };
+    Freshness { catalogue: Arc::new(catalogue), ..leases() }
+}
+
+/// Guards against acknowledged commits that a promotion loses, also on an instance without contact to the control group.
+#[test_case(1_400, 1, "db-1", Some(Term(3)); "under a lease on the term")]
+#[test_case(1_600, 1, "db-1", None; "after the lease on the term with synchronous replicas")]
+#[test_case(1_600, 0, "db-1", Some(Term(3)); "after the lease on the term without synchronous replicas")]
+#[test_case(3_000, 0, "db-1", None; "after the freshness lease")]
+#[test_case(1_400, 1, "db-2", None; "at another endpoint")]
+fn a_commit_is_acknowledged(now_ms: u64, synchronous_replicas: u32, endpoint: &str, expected: Option<Term>) {
+    let freshness = leases_on_group(synchronous_replicas, true);
+    let now = Instant::from_millis(now_ms);
+    assert_eq!(commit_term(&freshness, true, &"ledger".into(), &endpoint.into(), now), expected);
+}
+
+#[test]
+fn no_commit_is_acknowledged_while_a_primary_is_being_chosen() {
+    let freshness = leases_on_group(0, false);
+    let now = Instant::from_millis(1_400);
+    assert_eq!(commit_term(&freshness, true, &"ledger".into(), &"db-1".into(), now), None);
+}
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -13,12 +13,17 @@
     },
     cumincart_core::{
         entry::{self, Input, Settings, membership},
-        interactive::{command::Rows, primary_guarantee::PrimaryGuarantee, routing::Locality},
+        interactive::{
+            command::Rows,
+            primary_guarantee::{self, PrimaryGuarantee},
+            routing::Locality,
+        },
     },
     cumincart_entry::control_link::ControlLinks,
     cumincart_protocol::{
         catalogue::Catalogue,
         name::{DomainName, EndpointName, InstanceName, ServiceName},
+        number::Term,
         sorted::SortedVec,
         time::Instant,
     },
@@ -311,6 +316,13 @@
         self.lock().primary_guarantee(service, endpoint, self.shared.driver.fences_terms, now)
     }
 
+    /// Returns the term under which a write or commit of an endpoint may be acknowledged now.
+    pub(crate) fn commit_term(&self, service: &ServiceName, endpoint: &EndpointName) -> Option<Term> {
+        let fences_terms = self.shared.driver.fences_terms;
+        let freshness = &self.lock().core.freshness;
+        primary_guarantee::commit_term(freshness, fences_terms, service, endpoint, self.now())
+    }
+
     /// Converts an instant to the runtime's clock.
     pub(crate) fn deadline(&self, at: Instant) -> tokio::time::Instant {
         tokio::time::Instant::now() + at.saturating_since(self.now())
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -9,7 +9,7 @@
         slot::{ConnectFailure, Slot},
         slot_request::{SlotError, SlotRequest},
         stop,
-        transaction::{Transaction, TransactionPhase},
+        transaction::{Transaction, TransactionPhase, unconfirmed_commit},
     },
     cumincart_core::interactive::{
         command::{Command, EndpointErrorKind, Reply, Rows},
@@ -23,6 +23,7 @@
     cumincart_protocol::{
         lists::Database,
         name::{EndpointName, OrganisationName},
+        number::Term,
         time::Instant,
     },
     rand::RngExt,
@@ -295,6 +296,12 @@
             exclude_unless_primary(tried, &slot);
             return Attempt::Retry(connect_failure(kind, failure, &slot));
         }
+        let term = self.write_term(kind, &slot);
+        if kind == StatementKind::Write && term.is_none() {
+            let text = format!("{}: no longer the primary", slot.endpoint);
+            let code = failure::code_for_link_failure(kind, LinkFailure::NotSent);
+            return Attempt::Retry(Failure::new(code, text));
+        }
         let guard = match kind {
             StatementKind::Read => {
                 primary_guarantee::read_guard(slot.primary_guarantee(), slot.is_primary, point)
@@ -304,6 +311,10 @@
         match self.exchange_guarded(&mut slot, statement, guard, deadline).await {
             Ok(mut replies) => {
                 let reply = replies.pop();
+                let is_confirmed = reply.as_ref().is_some_and(|reply| reply.result.is_ok());
+                if is_confirmed && self.write_term(kind, &slot) != term {
+                    return Attempt::Answered(self.fail(unconfirmed_commit()));
+                }
                 self.finish_attempt(kind, reply, &slot, tried)
             }
             Err(failure) => {
@@ -319,6 +330,13 @@
         }
     }
 
+    /// Returns the term under which a write may be acknowledged now; `None` for a read.
+    fn write_term(&self, kind: StatementKind, slot: &Slot) -> Option<Term> {
+        (kind == StatementKind::Write)
+            .then(|| self.engine.commit_term(&slot.service, &slot.endpoint))
+            .flatten()
+    }
+
     /// Sends a statement together with its guard. The last reply is the statement's, or the guard's if that failed.
     async fn exchange_guarded(
         &self,
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -12,11 +12,12 @@
     cumincart_core::interactive::{
         command::{Command, EndpointErrorKind, Reply},
         failure::{self, FailureCode, LinkFailure, StatementKind},
+        open_transaction::{self, Obstacle, OpenTransaction},
         positions::LogPoint,
         routing::Target,
         statement::{Access, Statement, TransactionState},
     },
-    cumincart_protocol::{name::EndpointName, time::Instant},
+    cumincart_protocol::{name::EndpointName, number::Term, time::Instant},
 };
 
 /// The maximum number of attempts to begin a transaction, each on another endpoint unless it is the primary.
@@ -63,11 +64,16 @@
         let Some(mut transaction) = self.take_transaction() else {
             return self.refuse(FailureCode::Malformed, "no transaction is open");
         };
+        transaction.wrote |= access == Access::Write;
+        if let Err(failure) = self.check_open_transaction(&transaction) {
+            self.phase = TransactionPhase::Failed;
+            roll_back_later(transaction);
+            return self.fail(failure);
+        }
         if let Err(failure) = self.begin_at_endpoint(&mut transaction, arrived_at).await {
             self.phase = TransactionPhase::Failed;
             return self.fail(failure);
         }
-        transaction.wrote |= access == Access::Write;
         match self.forward(&mut transaction, statement, StatementKind::InTransaction, arrived_at).await {
             Ok((reply, rows)) => {
                 transaction.last_active_at = self.engine.now();
@@ -98,11 +104,23 @@
         let Some(mut transaction) = self.take_transaction() else {
             return self.refuse(FailureCode::Malformed, "no transaction is open");
         };
+        if let Err(failure) = self.check_open_transaction(&transaction) {
+            roll_back_later(transaction);
+            return self.fail(failure);
+        }
         if let Err(failure) = self.begin_at_endpoint(&mut transaction, arrived_at).await {
             return self.fail(failure);
         }
+        let term = self.commit_term(&transaction);
+        if transaction.wrote && term.is_none() {
+            roll_back_later(transaction);
+            return self.fail(interruption(Obstacle::PrimaryReplaced));
+        }
         let kind = StatementKind::Commit { wrote: transaction.wrote };
         match self.forward(&mut transaction, statement, kind, arrived_at).await {
+            Ok(_) if transaction.wrote && self.commit_term(&transaction) != term => {
+                self.fail(unconfirmed_commit())
+            }
             Ok((point, rows)) => {
                 if transaction.wrote {
                     self.state.committed = self.state.committed.max(point);
@@ -136,6 +154,24 @@
         }
     }
 
+    /// Checks that nothing that the transaction relies on has changed since it began.
+    fn check_open_transaction(&self, transaction: &Transaction) -> Result<(), Failure> {
+        let operation = &transaction.operation;
+        let open = OpenTransaction {
+            service: &operation.database.service,
+            endpoint: transaction.slot.as_ref().map(|slot| &slot.endpoint),
+            wrote: transaction.wrote,
+        };
+        let obstacle = open_transaction::obstacle(&self.engine.lock().core.freshness, &open);
+        obstacle.map_or(Ok(()), |obstacle| Err(interruption(obstacle)))
+    }
+
+    /// Returns the term under which the transaction's commit may be acknowledged now.
+    fn commit_term(&self, transaction: &Transaction) -> Option<Term> {
+        let slot = transaction.slot.as_ref()?;
+        self.engine.commit_term(&slot.service, &slot.endpoint)
+    }
+
     /// Begins the transaction at an endpoint if it hasn't begun there yet.
     async fn begin_at_endpoint(
         &self,
@@ -257,6 +293,25 @@
     }
 }
 
+/// Returns the answer to the statement at which an open transaction had to be rolled back.
+fn interruption(obstacle: Obstacle) -> Failure {
+    let text = match obstacle {
+        Obstacle::PrimaryReplaced => "the transaction's endpoint is not, or may not be, the primary any more",
+    };
+    Failure::new(FailureCode::Aborted, text)
+}
+
+/// Returns the answer to a write or commit that an endpoint confirmed after another one may have been chosen as the
+/// primary, perhaps without it.
+pub(crate) fn unconfirmed_commit() -> Failure {
+    Failure::new(FailureCode::InDoubt, "the primary has changed, or may have changed, during the commit")
+}
+
+/// Rolls a transaction back without delaying the client's answer.
+fn roll_back_later(transaction: Transaction) {
+    tokio::spawn(roll_back(transaction));
+}
+
 async fn roll_back(mut transaction: Transaction) {
     if let Some(slot) = transaction.slot.take() {
         slot.roll_back().await;
--- /dev/null
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -0,0 +1,108 @@
+//! What an open transaction relies on is checked again with each of its statements, and a commit is acknowledged only
+//! if no other endpoint can have been chosen as the primary meanwhile.
+
+#[path = "transactions/fleet.rs"]
+mod fleet;
+#[path = "transactions/group.rs"]
+mod group;
+
+use {
+    cumincart_core::interactive::failure::FailureCode,
+    cumincart_session::session::{Answer, Session},
+    fleet::{DOMAINS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit, read, write},
+    std::time::Duration,
+    test_case::test_case,
+    tokio::time::sleep,
+};
+
+fn code(answer: &Answer) -> Option<FailureCode> {
+    answer.result.as_ref().err().map(|failure| failure.code)
+}
+
+/// Pauses between the statements of a loop, which would otherwise use up the organisation's rate.
+async fn pause() {
+    sleep(Duration::from_millis(5)).await;
+}
+
+async fn session(fleet: &Fleet, database: &str) -> Session {
+    fleet.open_session(database, KEYS[0]).await.expect("the session is opened")
+}
+
+/// Guards against acknowledged commits that a switchover loses: the new primary was chosen by its position before them.
+#[test_case(0)]
+#[test_case(1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_open_transaction_is_not_committed_once_its_primary_is_being_replaced(synchronous_replicas: u32) {
+    let fleet = Fleet::start(synchronous_replicas).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut session, false).await;
+    assert_eq!(code(&write(&mut session, "w1").await), None);
+    fleet.take_out(DOMAINS[0]).await;
+    await_condition(async || fleet.group.is_promoting()).await;
+    let answer = commit(&mut session, "c1").await;
+    assert_eq!(code(&answer), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
+    assert!(!fleet.group.log().contains(&"w1".to_owned()));
+}
+
+/// Guards against acknowledged commits that a switchover loses: the endpoint confirms them after the choice of another.
+#[test_case(true; "commit of a transaction")]
+#[test_case(false; "single write")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_commit_that_is_confirmed_after_another_primary_was_chosen_is_in_doubt(is_transaction: bool) {
+    let fleet = Fleet::start(1).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    let id = if is_transaction { "c1" } else { "w1" };
+    fleet.group.hold_answer(id);
+    if is_transaction {
+        begin(&mut session, false).await;
+        assert_eq!(code(&write(&mut session, "w1").await), None);
+    }
+    let running = tokio::spawn(async move {
+        if is_transaction { commit(&mut session, "c1").await } else { write(&mut session, "w1").await }
+    });
+    await_condition(async || fleet.group.endpoint_of(id).is_some()).await;
+    fleet.take_out(DOMAINS[0]).await;
+    await_condition(async || fleet.group.is_promoting()).await;
+    fleet.group.release_answer();
+    let answer = running.await.expect("the statement does not panic");
+    assert_eq!(code(&answer), Some(FailureCode::InDoubt));
+}
+
+/// A transaction that only reads goes on at the former primary, which itself refuses it once it is demoted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_read_transaction_ends_at_a_leaving_primary() {
+    let fleet = Fleet::start(1).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut session, false).await;
+    assert_eq!(code(&read(&mut session, "r1").await), None);
+    fleet.announce_leaving(0);
+    await_condition(async || fleet.group.is_promoting()).await;
+    assert_eq!(code(&read(&mut session, "r2").await), None);
+    assert_eq!(code(&commit(&mut session, "c1").await), None);
+}
+
+/// Guards against writes of an instance out of touch that a failover loses: no lease delays the choice of a new primary.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn without_a_lease_on_the_term_nothing_is_written_to_a_service_with_synchronous_replicas() {
+    let mut fleet = Fleet::start(1).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut session, false).await;
+    assert_eq!(code(&write(&mut session, "w1").await), None);
+    fleet.stop_control();
+    let mut single = fleet.open_session(PRIMARY_DATABASE, KEYS[0]).await.expect("the session is opened");
+    let mut count = 0;
+    loop {
+        count += 1;
+        let answer = write(&mut single, &format!("single-{count}")).await;
+        if let Some(code) = code(&answer) {
+            assert_eq!(code, FailureCode::Busy);
+            break;
+        }
+        assert!(fleet.engine.is_ready(), "writes end before the lease on the lists does");
+        pause().await;
+    }
+    assert!(fleet.engine.is_ready(), "the lease on the lists is still valid");
+    assert_eq!(code(&commit(&mut session, "c1").await), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
+}
--- /dev/null
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -0,0 +1,285 @@
+//! A control instance and an entry instance in one process, on loopback addresses, before an in-memory group.
+
+use {
+    crate::group::Group,
+    cumincart_control::engine::{
+        BoxFuture, EndpointOperations, Engine as ControlEngine, EngineOptions as ControlOptions,
+    },
+    cumincart_core::{
+        control, entry,
+        interactive::statement::{Action as StatementAction, Statement},
+    },
+    cumincart_protocol::{
+        announcement::Presence,
+        change::{Action, Change, ChangeId, Configuration, ConfigurationContent},
+        exchange::Access,
+        lists::{
+            Consistency, Database, InteractiveList, KeyDigest, Lists, Organisation, OrganisationList, Plan,
+            PlanList, ServiceLimits,
+        },
+        number::Incarnation,
+        replication::{Member, Members},
+    },
+    cumincart_runtime::{
+        data_folder::DataFolder,
+        link::{handshake::FleetSecret, server::PeerServer},
+    },
+    cumincart_session::{
+        engine::{Engine, EngineOptions},
+        session::{Answer, Failure, Session},
+    },
+    sha2::{Digest, Sha256},
+    slog::{Discard, Logger, o},
+    std::{future::Future, sync::Arc, time::Duration},
+    tempfile::TempDir,
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep},
+    },
+};
+
+/// The database whose statements all run on the primary.
+pub const PRIMARY_DATABASE: &str = "ledger-db";
+
+/// The database whose reads may run on replicas.
+pub const BOUNDED_DATABASE: &str = "lookup-db";
+
+/// The two keys of the organisation.
+pub const KEYS: [&str; 2] = ["key-1", "key-2"];
+
+/// The failure domains, each with the endpoint of the same index. The entry instance is in the second one.
+pub const DOMAINS: [&str; 3] = ["quay", "forest", "bay"];
+
+/// The endpoints; the first is the primary.
+pub const ENDPOINTS: [&str; 3] = ["db-1", "db-2", "db-3"];
+
+/// How long a test waits for a condition: the time within which what operators order must be in force.
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(5);
+
+const FLEET_SECRET: &[u8] = b"a secret of these tests";
+
+pub struct Fleet {
+    pub group: Group,
+    pub engine: Engine,
+    control: ControlEngine,
+    control_links: Option<PeerServer>,
+    synchronous_replicas: u32,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts both instances and waits until writes and reads of both databases succeed.
+    pub async fn start(synchronous_replicas: u32) -> Self {
+        let folder = TempDir::new().expect("a temporary folder can be created");
+        let group = Group::open(ENDPOINTS[0]);
+        let (control, control_links) = start_control(&folder, &group).await;
+        let engine = start_entry(&group, &control_links);
+        let fleet = Self {
+            group,
+            engine,
+            control,
+            control_links: Some(control_links),
+            synchronous_replicas,
+            _folder: folder,
+        };
+        await_condition(|| fleet.try_configure(1, &KEYS)).await;
+        for index in 0..ENDPOINTS.len() {
+            fleet.control.report_presence(presence(index));
+        }
+        await_condition(|| fleet.serves(PRIMARY_DATABASE, Access::Write)).await;
+        await_condition(|| fleet.serves(BOUNDED_DATABASE, Access::Read)).await;
+        fleet
+    }
+
+    async fn try_configure(&self, version: u64, keys: &[&str]) -> bool {
+        let lists = Arc::new(lists(keys, self.synchronous_replicas));
+        let content = ConfigurationContent::Whole { lists, document: format!("{version}").into() };
+        self.change(Action::Replace(Configuration { version, content })).await
+    }
+
+    /// Takes a failure domain out of service, and waits until that is in force at the entry instance.
+    pub async fn take_out(&self, domain: &str) {
+        let action = Action::SetDomain { domain: domain.into(), out: true };
+        assert!(self.change(action).await, "the change is accepted");
+        await_condition(async || {
+            let is_in_force = self.control.inspect(|core, now| {
+                let revision = core.catalogue.revision;
+                core.leases.live(now).all(|holder| holder.revision >= revision)
+            });
+            is_in_force.await == Some(true)
+        })
+        .await;
+    }
+
+    async fn change(&self, action: Action) -> bool {
+        let id = ChangeId(format!("{action:?}").into());
+        self.control.change(Change { id, action }).await.is_ok()
+    }
+
+    /// Announces that an endpoint is about to leave.
+    pub fn announce_leaving(&self, index: usize) {
+        self.control.report_presence(Presence { leaving: true, sequence: 2, ..presence(index) });
+    }
+
+    /// Cuts the entry instance off from the control instance.
+    pub fn stop_control(&mut self) {
+        self.control_links = None;
+        self.control.stop();
+    }
+
+    pub async fn open_session(&self, database: &str, key: &str) -> Result<Session, Failure> {
+        Session::open(&self.engine, database, Some(key)).await
+    }
+
+    async fn serves(&self, database: &str, access: Access) -> bool {
+        let Ok(mut session) = self.open_session(database, KEYS[0]).await else { return false };
+        let answer = match access {
+            Access::Read => read(&mut session, "warm-up-read").await,
+            Access::Write => write(&mut session, "warm-up-write").await,
+        };
+        answer.result.is_ok()
+    }
+}
+
+/// Waits until a condition holds, and fails the test if it doesn't in time.
+pub async fn await_condition<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
+    let deadline = Instant::now() + CONDITION_TIMEOUT;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "the condition does not hold within {CONDITION_TIMEOUT:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+pub async fn run(session: &mut Session, id: &str, action: StatementAction) -> Answer {
+    session.run(Statement { id: id.into(), action }).await
+}
+
+pub async fn read(session: &mut Session, id: &str) -> Answer {
+    run(session, id, StatementAction::Run { access: Access::Read, text: "READ 1a4".into() }).await
+}
+
+pub async fn write(session: &mut Session, id: &str) -> Answer {
+    run(session, id, StatementAction::Run { access: Access::Write, text: "WRITE 1a4 data".into() }).await
+}
+
+pub async fn commit(session: &mut Session, id: &str) -> Answer {
+    run(session, id, StatementAction::Commit).await
+}
+
+/// Begins a transaction.
+pub async fn begin(session: &mut Session, read_only: bool) {
+    let answer = run(session, "begin", StatementAction::Begin { read_only }).await;
+    assert!(answer.result.is_ok(), "{answer:?}");
+}
+
+fn secret() -> FleetSecret {
+    FleetSecret::new(FLEET_SECRET).expect("the secret is long enough")
+}
+
+fn logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+async fn start_control(folder: &TempDir, group: &Group) -> (ControlEngine, PeerServer) {
+    let (data_folder, disk, stored) = DataFolder::open(folder.path()).expect("the folder can be opened");
+    let (received_sender, received) = mpsc::unbounded_channel();
+    let links = PeerServer::bind("127.0.0.1:0", "control-1".into(), secret(), received_sender)
+        .await
+        .expect("the address can be bound");
+    let peer_address: Arc<str> = links.address.to_string().into();
+    let member = Member { instance: "control-1".into(), disk, peer_address };
+    let voters = [member.clone()].into_iter().collect();
+    let options = ControlOptions {
+        core_settings: control::Settings {
+            member,
+            incarnation: Incarnation(1),
+            first_members: Members { voters, ..Members::default() },
+        },
+        fleet_secret: secret(),
+        seeds: Default::default(),
+        endpoints: endpoint_operations(group),
+        logger: logger(),
+    };
+    (ControlEngine::spawn(options, data_folder, stored, received), links)
+}
+
+fn endpoint_operations(group: &Group) -> EndpointOperations {
+    let (promoted, probed) = (group.clone(), group.clone());
+    EndpointOperations {
+        promote: Arc::new(move |_| -> BoxFuture<_> {
+            let group = promoted.clone();
+            Box::pin(async move { Ok(group.promote().await) })
+        }),
+        probe: Some(Arc::new(move |probe| -> BoxFuture<_> {
+            let group = probed.clone();
+            Box::pin(async move { Some(group.probe(&probe.endpoint)) })
+        })),
+    }
+}
+
+fn start_entry(group: &Group, control_links: &PeerServer) -> Engine {
+    Engine::spawn(EngineOptions {
+        core_settings: entry::Settings {
+            instance: "entry-1".into(),
+            incarnation: Incarnation(1),
+            domain: DOMAINS[1].into(),
+            peer_address: "127.0.0.1:1".into(),
+        },
+        near_domains: Default::default(),
+        control_addresses: vec![control_links.address.to_string().into()],
+        fleet_secret: secret(),
+        driver: group.driver(),
+        logger: logger(),
+    })
+}
+
+fn presence(index: usize) -> Presence {
+    Presence {
+        endpoint: ENDPOINTS[index].into(),
+        service: "ledger".into(),
+        address: format!("10.0.0.{index}:5432").into(),
+        domain: DOMAINS[index].into(),
+        slots: 4,
+        leaving: false,
+        ended: false,
+        born_ms: 1,
+        sequence: 1,
+    }
+}
+
+fn lists(keys: &[&str], synchronous_replicas: u32) -> Lists {
+    let digest = |key: &&str| KeyDigest {
+        id: (*key).into(),
+        sha256: hex::encode(Sha256::digest(key.as_bytes())).into(),
+    };
+    let organisation = Organisation {
+        name: "clinic".into(),
+        plan: "clinic".into(),
+        keys: keys.iter().map(digest).collect(),
+    };
+    let plan =
+        Plan { name: "clinic".into(), routes: Vec::new(), rate_per_s: 10_000.0, burst: 10_000, weight: 1 };
+    let database = |name: &str, consistency| Database {
+        name: name.into(),
+        service: "ledger".into(),
+        consistency,
+        statement_timeout_ms: 4_000,
+        objective_ms: 1_000,
+        priority: 1,
+        open: false,
+    };
+    let databases = [
+        database(PRIMARY_DATABASE, Consistency::Linearizable),
+        database(BOUNDED_DATABASE, Consistency::BoundedStaleness { max_staleness_ms: 2_000 }),
+    ];
+    let limits = ServiceLimits { service: "ledger".into(), connection_limit: 32, synchronous_replicas };
+    Lists {
+        organisations: OrganisationList { organisations: vec![organisation] },
+        plans: PlanList { services: Vec::new(), plans: vec![plan] },
+        interactive: InteractiveList {
+            databases: databases.into_iter().collect(),
+            services: [limits].into_iter().collect(),
+            idle_transaction_ms: 0,
+        },
+    }
+}
