Check key, lease and service state with each statement of an open transaction

Reads of an open transaction went on at a replica in a failure domain out of service, and an instance out of touch served open transactions without a lease on the lists.

Cause: only the begin of a transaction was authorised and routed. Its later statements, its commit and its rollback went to the connection that it held, and one that had not begun at an endpoint yet was bound by no later change at all. Ruled out: the spread of the configuration (a new session with the key was refused at once).

Change: each statement and commit is checked against the lists and the catalogue as they are in force; a transaction that may not go on is rolled back in the background and answered at once: unauthorised if its key is gone, else aborted. A connection to an endpoint out of service is closed in place of a rollback, also where another instance holds it. A request that waited for a slot looks again whether the endpoint may serve it and is routed anew if not, since its wait may be longer than the time that a drain or an evacuation allows. A rollback through another instance has one time limit in place of two: when the outer one passed first, the slot released a place of its own that it never had.

--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -15,6 +15,7 @@
         entry::{self, Input, Settings, membership},
         interactive::{
             command::Rows,
+            open_transaction,
             primary_guarantee::{self, PrimaryGuarantee},
             routing::Locality,
         },
@@ -323,6 +324,12 @@
         primary_guarantee::commit_term(freshness, fences_terms, service, endpoint, self.now())
     }
 
+    /// Returns whether nothing may be sent to an endpoint, because its failure domain is out of service.
+    pub(crate) fn is_out_of_service(&self, service: &ServiceName, endpoint: &EndpointName) -> bool {
+        let catalogue = self.lock().catalogue();
+        open_transaction::is_out_of_service(&catalogue, service, endpoint)
+    }
+
     /// Converts an instant to the runtime's clock.
     pub(crate) fn deadline(&self, at: Instant) -> tokio::time::Instant {
         tokio::time::Instant::now() + at.saturating_since(self.now())
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -234,6 +234,11 @@
         let pinned = engine.pinned_slots().remove(&key);
         let Some(pinned) = pinned else { return RelayAnswer::NotKept };
         let mut slot = pinned.slot;
+        if engine.is_out_of_service(&request.service, &request.endpoint) {
+            // Closing the connection rolls back.
+            slot.close();
+            return RelayAnswer::NotKept;
+        }
         if let Err(failure) = slot.apply_session(&session, deadline).await {
             return RelayAnswer::Failed(failure);
         }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -97,7 +97,7 @@
 pub struct Session {
     pub(crate) engine: Engine,
     database: Arc<str>,
-    key_digest: Option<[u8; 32]>,
+    pub(crate) key_digest: Option<[u8; 32]>,
     pub(crate) state: SessionState,
     pub(crate) phase: TransactionPhase,
 }
--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -22,10 +22,7 @@
         time::Instant,
     },
     std::{sync::Arc, time::Duration},
-    tokio::{
-        sync::oneshot,
-        time::{timeout, timeout_at},
-    },
+    tokio::{sync::oneshot, time::timeout_at},
 };
 
 /// The timeout for opening a connection or rolling back: enough for a round trip between regions, the endpoint's own
@@ -418,16 +415,18 @@
         }
     }
 
-    /// Rolls back an open transaction and releases the slot. If the rollback fails, the connection is closed.
+    /// Rolls back an open transaction and releases the slot. If the rollback fails, or nothing may be sent to the endpoint
+    /// any more, the connection is closed, which rolls back too.
     pub(crate) async fn roll_back(mut self) {
         if self.is_reusable || (self.borrowed.is_none() && self.relay.is_none()) {
             return;
         }
-        let result = timeout(OPEN_TIMEOUT, async {
-            let deadline = tokio::time::Instant::now() + OPEN_TIMEOUT;
-            self.exchange(vec![Command::Rollback], deadline).await
-        });
-        if !matches!(result.await, Ok(Ok(_))) {
+        if self.relay.is_none() && self.engine.is_out_of_service(&self.service, &self.endpoint) {
+            self.close();
+            return;
+        }
+        let deadline = tokio::time::Instant::now() + OPEN_TIMEOUT;
+        if self.exchange(vec![Command::Rollback], deadline).await.is_err() {
             self.close();
         }
     }
--- a/crates/cumincart-session/src/slot_request.rs
+++ b/crates/cumincart-session/src/slot_request.rs
@@ -81,7 +81,11 @@
                         start_by: request.start_by,
                     };
                     let needs_primary = request.target == Target::Primary;
-                    return self.await_slot(&slot_request, needs_primary, pending, ticket, receiver).await;
+                    match self.await_slot(&slot_request, needs_primary, pending, ticket, receiver).await {
+                        // The endpoint may no longer serve the request, so another one is selected.
+                        Err(SlotError::NoEndpoint) => {}
+                        outcome => return outcome,
+                    }
                 }
                 SlotRequestOutcome::NoEndpoint => {}
             }
@@ -245,10 +249,15 @@
             return Err(SlotError::TimedOut);
         }
         let service = request.service.clone();
+        let may_serve = {
+            let catalogue = self.lock().catalogue();
+            let entry = catalogue.group(&service).and_then(|group| group.endpoints.get(&pending.endpoint));
+            entry.is_some_and(|entry| routing::may_serve(&catalogue, entry))
+        };
         let guarantee = self.primary_guarantee(&service, &pending.endpoint, self.now());
         let is_primary = pending.is_primary && guarantee != PrimaryGuarantee::None;
         let slot = Slot::new(self.clone(), service, pending.endpoint, pending.address, is_primary);
-        if needs_primary && !slot.is_primary {
+        if !may_serve || (needs_primary && !slot.is_primary) {
             return Err(SlotError::NoEndpoint);
         }
         Ok(slot)
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -159,10 +159,13 @@
         let operation = &transaction.operation;
         let open = OpenTransaction {
             service: &operation.database.service,
+            organisation: (!operation.database.open).then_some(&operation.organisation),
+            key_digest: self.key_digest.as_ref(),
             endpoint: transaction.slot.as_ref().map(|slot| &slot.endpoint),
             wrote: transaction.wrote,
         };
-        let obstacle = open_transaction::obstacle(&self.engine.lock().core.freshness, &open);
+        let now = self.engine.now();
+        let obstacle = open_transaction::obstacle(&self.engine.lock().core.freshness, now, &open);
         obstacle.map_or(Ok(()), |obstacle| Err(interruption(obstacle)))
     }
 
@@ -295,10 +298,17 @@
 
 /// Returns the answer to the statement at which an open transaction had to be rolled back.
 fn interruption(obstacle: Obstacle) -> Failure {
-    let text = match obstacle {
-        Obstacle::PrimaryReplaced => "the transaction's endpoint is not, or may not be, the primary any more",
+    let (code, text) = match obstacle {
+        Obstacle::LeaseExpired => (FailureCode::Aborted, "this instance has no lease on the lists"),
+        Obstacle::KeyWithdrawn => (FailureCode::Unauthorised, "the key is not known any more"),
+        Obstacle::OutOfService => {
+            (FailureCode::Aborted, "the failure domain of the transaction's endpoint is out of service")
+        }
+        Obstacle::PrimaryReplaced => {
+            (FailureCode::Aborted, "the transaction's endpoint is not, or may not be, the primary any more")
+        }
     };
-    Failure::new(FailureCode::Aborted, text)
+    Failure::new(code, text)
 }
 
 /// Returns the answer to a write or commit that an endpoint confirmed after another one may have been chosen as the
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -9,7 +9,10 @@
 use {
     cumincart_core::interactive::failure::FailureCode,
     cumincart_session::session::{Answer, Session},
-    fleet::{DOMAINS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit, read, write},
+    fleet::{
+        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit,
+        read, write,
+    },
     std::time::Duration,
     test_case::test_case,
     tokio::time::sleep,
@@ -106,3 +109,64 @@
     assert_eq!(code(&commit(&mut session, "c1").await), Some(FailureCode::Aborted));
     assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
 }
+
+/// Guards against statements of an open transaction that run long after their key was withdrawn.
+#[test_case(true; "begun at an endpoint")]
+#[test_case(false; "not begun at an endpoint yet")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_open_transaction_ends_when_its_key_is_withdrawn(has_begun: bool) {
+    let fleet = Fleet::start(0).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut session, false).await;
+    if has_begun {
+        assert_eq!(code(&write(&mut session, "w1").await), None);
+    }
+    fleet.configure(2, &KEYS[1..]).await;
+    await_condition(async || fleet.open_session(PRIMARY_DATABASE, KEYS[0]).await.is_err()).await;
+    assert_eq!(code(&write(&mut session, "w2").await), Some(FailureCode::Unauthorised));
+    assert_eq!(code(&commit(&mut session, "c1").await), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("w2"), None, "the statement is not sent");
+    assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
+}
+
+/// Guards against a commit of an open transaction whose key was withdrawn before it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_transaction_is_not_committed_after_its_key_was_withdrawn() {
+    let fleet = Fleet::start(0).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut session, false).await;
+    assert_eq!(code(&write(&mut session, "w1").await), None);
+    fleet.configure(2, &KEYS[1..]).await;
+    await_condition(async || fleet.open_session(PRIMARY_DATABASE, KEYS[0]).await.is_err()).await;
+    assert_eq!(code(&commit(&mut session, "c1").await), Some(FailureCode::Unauthorised));
+    assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
+}
+
+/// Guards against an instance out of touch that serves an open transaction whose key may have been withdrawn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_open_transaction_ends_with_the_lease_on_the_lists() {
+    let mut fleet = Fleet::start(0).await;
+    let mut session = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut session, false).await;
+    assert_eq!(code(&read(&mut session, "r1").await), None);
+    fleet.stop_control();
+    await_condition(async || !fleet.engine.is_ready()).await;
+    assert_eq!(code(&read(&mut session, "r2").await), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("r2"), None, "the statement is not sent");
+}
+
+/// Guards against reads of an open transaction that go on at a replica whose failure domain is out of service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_open_read_transaction_leaves_a_failure_domain_out_of_service() {
+    let fleet = Fleet::start(0).await;
+    let mut session = session(&fleet, BOUNDED_DATABASE).await;
+    begin(&mut session, true).await;
+    assert_eq!(code(&read(&mut session, "r1").await), None);
+    assert_eq!(fleet.group.endpoint_of("r1"), Some(ENDPOINTS[1].into()), "the near replica serves the read");
+    fleet.take_out(DOMAINS[1]).await;
+    let arrivals = fleet.group.arrivals().len();
+    assert_eq!(code(&read(&mut session, "r2").await), Some(FailureCode::Aborted));
+    drop(session);
+    let later = fleet.group.arrivals().split_off(arrivals);
+    assert!(later.iter().all(|arrival| arrival.endpoint != ENDPOINTS[1].into()), "{later:?}");
+}
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -91,6 +91,11 @@
         fleet
     }
 
+    /// Puts a configuration with these keys in force.
+    pub async fn configure(&self, version: u64, keys: &[&str]) {
+        assert!(self.try_configure(version, keys).await, "the configuration is accepted");
+    }
+
     async fn try_configure(&self, version: u64, keys: &[&str]) -> bool {
         let lists = Arc::new(lists(keys, self.synchronous_replicas));
         let content = ConfigurationContent::Whole { lists, document: format!("{version}").into() };
