Keep status reports for unconfigured services from hiding those of endpoints

Cause: the leader keeps the last report of each endpoint and takes an older start at the same address for a run that has ended. A report was kept and compared before its service was looked up, so that a foreign one outdated all later reports of the primary, and nothing ever dropped it. In the same way it made a silent primary count as ended (dead after 0.6 s in place of the usual evidence), and under the endpoint's own name it took the place of its report. Ruled out: the followers (they forward everything), the parser (the report is well formed), the drain itself.

Change: only reports for configured services are compared, and a report for another service never replaces one of theirs. It is still kept, since endpoints announce themselves before the first configuration, logged once, and dropped when its endpoint is silent.

Evidence: four of the five new tests failed before the change (both ways of hiding a report, the silent primary, the dropped reports); the fifth, a report from before the configuration, held before and holds.

--- a/crates/cumincart-core/src/control/detection.rs
+++ b/crates/cumincart-core/src/control/detection.rs
@@ -163,7 +163,8 @@
 /// Returns whether a later run of an endpoint uses the address of this one.
 fn is_replaced_by_newer_run(core: &Core, endpoint: &EndpointName) -> bool {
     let mut entries = core.catalogue.groups.iter().filter_map(|group| group.endpoints.get(endpoint));
-    entries.any(|entry| core.presences.has_newer_run_at_address(entry))
+    let lists = &core.catalogue.lists;
+    entries.any(|entry| core.presences.has_newer_run_at_address(lists, entry))
 }
 
 /// Returns whether a primary has announced itself as a replica for longer than delayed announcements can
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -6,6 +6,7 @@
     cumincart_protocol::{
         announcement::Presence,
         catalogue::{Catalogue, EndpointEntry},
+        lists::Lists,
         name::{EndpointName, ServiceName},
         number::LogIndex,
         replication::{Command, ReplicationBody},
@@ -52,16 +53,30 @@
     }
 
     /// Returns whether a later run under another name announces itself at the endpoint's address, which shows
-    /// that the endpoint's own run has ended.
-    pub fn has_newer_run_at_address(&self, entry: &EndpointEntry) -> bool {
+    /// that the endpoint's own run has ended. Only runs of configured services count.
+    pub fn has_newer_run_at_address(&self, lists: &Lists, entry: &EndpointEntry) -> bool {
         let born_ms = self.get(&entry.name).map(|presence| presence.born_ms);
-        self.received.iter().map(|received| &received.presence).any(|other| {
+        self.configured(lists).any(|other| {
             other.address == entry.address
                 && other.endpoint != entry.name
                 && !other.ended
                 && born_ms.is_none_or(|born_ms| other.born_ms > born_ms)
         })
     }
+
+    /// Returns the last presence messages of the endpoints of configured services.
+    fn configured(&self, lists: &Lists) -> impl Iterator<Item = &Presence> {
+        self.received
+            .iter()
+            .map(|received| &received.presence)
+            .filter(|presence| is_configured(lists, &presence.service))
+    }
+}
+
+/// Returns whether the lists name a service. Endpoints of other services may be announced by other systems, or before
+/// the lists that name their service; such a message must not affect the endpoints of configured services.
+fn is_configured(lists: &Lists, service: &ServiceName) -> bool {
+    lists.interactive.services.contains(service)
 }
 
 /// Resets the presence messages at the start of a leadership.
@@ -102,6 +117,7 @@
     for endpoint in received {
         sync_entry(core, now, &endpoint, out);
     }
+    forget_unconfigured(core, now);
     // Waits until all proposed records are applied, so that no endpoint is removed twice.
     if core.probes.is_enabled && core.log.applied == core.log.last_index() {
         remove_expired(core, now, out);
@@ -109,26 +125,38 @@
 }
 
 /// Returns whether a presence message is older than the recorded one, or names an address that a later run
-/// uses.
-fn is_outdated(presences: &Presences, presence: &Presence) -> bool {
+/// uses. A message for an unconfigured service never replaces one for a configured service, and the reverse always
+/// happens.
+fn is_outdated(presences: &Presences, lists: &Lists, presence: &Presence) -> bool {
     let version = |presence: &Presence| (presence.born_ms, presence.sequence);
-    let last = presences.received.get(&presence.endpoint);
-    if last.is_some_and(|last| version(&last.presence) >= version(presence)) {
-        return true;
-    }
-    presences.received.iter().any(|other| {
-        other.presence.address == presence.address
-            && other.presence.endpoint != presence.endpoint
-            && !other.presence.ended
-            && other.presence.born_ms > presence.born_ms
+    if let Some(last) = presences.get(&presence.endpoint) {
+        let was_configured = is_configured(lists, &last.service);
+        if was_configured != is_configured(lists, &presence.service) {
+            return was_configured;
+        }
+        if version(last) >= version(presence) {
+            return true;
+        }
+    }
+    presences.configured(lists).any(|other| {
+        other.address == presence.address
+            && other.endpoint != presence.endpoint
+            && !other.ended
+            && other.born_ms > presence.born_ms
     })
 }
 
 fn record(core: &mut Core, now: Instant, presence: Presence, out: &mut Vec<Effect>) {
-    if is_outdated(&core.presences, &presence) {
+    let lists = &core.catalogue.lists;
+    if is_outdated(&core.presences, lists, &presence) {
         return;
     }
     let endpoint = presence.endpoint.clone();
+    let has_lists = !lists.interactive.services.is_empty();
+    if has_lists && !is_configured(lists, &presence.service) && core.presences.get(&endpoint).is_none() {
+        let text = format!("{}: not configured; endpoint {endpoint} is not used", presence.service);
+        out.push(Effect::Log(text.into()));
+    }
     let proposed = core.presences.received.get(&endpoint).map(|last| last.proposed).unwrap_or_default();
     core.presences.received.insert(ReceivedPresence { presence, received_at: now, proposed });
     if failover::is_established_leader(core) {
@@ -175,6 +203,17 @@
     .into()
 }
 
+/// Drops the messages of silent endpoints whose service is not configured. They are in no group, from which they could
+/// be removed.
+fn forget_unconfigured(core: &mut Core, now: Instant) {
+    let lists = &core.catalogue.lists;
+    let timeout = Duration::from_millis(EXPIRE_AFTER_MS);
+    core.presences.received.retain(|received| {
+        is_configured(lists, &received.presence.service)
+            || now.saturating_since(received.received_at) < timeout
+    });
+}
+
 fn remove_expired(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
     let timeout = Duration::from_millis(EXPIRE_AFTER_MS);
     let elected_at = core.replication.elected_at();
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -213,6 +213,64 @@
     assert!(node.core.catalogue.groups.is_empty());
 }
 
+fn foreign_presence(endpoint: &str, born_ms: u64) -> Presence {
+    Presence {
+        service: "unknown".into(),
+        address: "10.0.0.2:5432".into(),
+        ..presence(endpoint, born_ms, 1_000)
+    }
+}
+
+fn is_leaving(node: &Node) -> bool {
+    let group = node.core.catalogue.group(&"ledger".into()).expect("the group exists");
+    group.endpoints.get(&"db".into()).expect("it has an entry").leaving
+}
+
+/// Guards against a drain that is acknowledged and ignored, because a message for a service that is not configured names
+/// the same address or endpoint.
+#[test_case("other"; "at the address of the endpoint")]
+#[test_case("db"; "under the name of the endpoint")]
+fn a_presence_for_an_unconfigured_service_hides_no_later_one(name: &str) {
+    let mut node = with_endpoint();
+    node.step(Input::Present(foreign_presence(name, 900)));
+    node.step(Input::Present(Presence { leaving: true, ..presence("db", 100, 2) }));
+    node.acknowledge_all_records(2..=3);
+    assert!(is_leaving(&node));
+}
+
+/// Guards against the replacement of a primary, because a message for a service that is not configured names its address.
+#[test]
+fn a_presence_for_an_unconfigured_service_does_not_replace_a_silent_primary() {
+    let mut node = with_primary();
+    node.step(Input::Present(foreign_presence("other", 900)));
+    node.acknowledge_all_records(2..=3);
+    node.advance_ms(PROBE_SILENT_AGREED_MS + 200, &[2, 3]);
+    assert!(node.group_is_writable());
+}
+
+/// Endpoints announce themselves before the first configuration arrives.
+#[test]
+fn a_presence_from_before_the_configuration_creates_an_entry_once_its_service_is_configured() {
+    let mut node = Node::elected_leader(3);
+    node.step(Input::Present(presence("db", 100, 1)));
+    node.apply_configuration(1, "{}");
+    node.advance_ms(200, &[2, 3]);
+    assert_eq!(endpoints(&node), ["db"]);
+}
+
+/// Guards against memory that grows with the messages of other systems.
+#[test]
+fn presences_for_unconfigured_services_are_dropped_once_silent() {
+    let mut node = with_endpoint();
+    for number in 0..20 {
+        node.step(Input::Present(foreign_presence(&format!("other-{number}"), 900)));
+    }
+    node.advance_ms(EXPIRE_AFTER_MS + 200, &[2, 3]);
+    assert!(
+        (0..20).all(|number| node.core.presences.get(&format!("other-{number}").as_str().into()).is_none())
+    );
+}
+
 #[test_case(presence("db", 100, 1); "the same again")]
 #[test_case(presence("db", 50, 9); "an earlier run")]
 #[test_case(Presence { address: "10.0.0.2:5432".into(), ..presence("old", 50, 9) }; "an earlier run under another name at the address")]
