Execute a prepared statement only where the endpoint has accepted its PREPARE

Cause: a connection's record named a statement as held when the command was built, not when the endpoint accepted it, and an answer that the statement is unknown corrected nothing. PREPARE and EXECUTE went out together, so the endpoint got an EXECUTE of a name that it did not know. Ruled out: names that collide between clients (the name on connections is that of the content), values of sessions (a refused SET closes the connection).

Change: the statement is recorded on its acceptance and forgotten when the endpoint does not know it. PREPARE goes out alone and EXECUTE follows its acceptance: a round trip more for the first use of a shape on a connection. What was not executed for that reason is tried again or answered as not run. An instance that holds the connection for another one does the same.

--- a/crates/cumincart-core/src/interactive/session.rs
+++ b/crates/cumincart-core/src/interactive/session.rs
@@ -108,15 +108,30 @@
         commands
     }
 
-    /// Returns the command that prepares a statement on the connection and records it as executed, or `None` if the
-    /// connection already holds the statement.
-    pub fn prepare(&mut self, prepared: &Prepared) -> Option<Command> {
+    /// Returns the command that prepares a statement on the connection, or `None` if the connection already holds the
+    /// statement. It holds it once [`ConnectionState::record_prepared`] is called.
+    pub fn prepare(&self, prepared: &Prepared) -> Option<Command> {
         let name = prepared.shared_name();
-        let position = self.prepared.binary_search(&name).err()?;
-        self.prepared.insert(position, name.clone());
+        if self.holds(&name) {
+            return None;
+        }
         Some(Command::Prepare { name, access: prepared.access, shape: prepared.shape.clone() })
     }
 
+    /// Records that the endpoint has prepared a statement on the connection.
+    pub fn record_prepared(&mut self, shared_name: Arc<str>) {
+        if let Err(position) = self.prepared.binary_search(&shared_name) {
+            self.prepared.insert(position, shared_name);
+        }
+    }
+
+    /// Records that the endpoint does not know a prepared statement.
+    pub fn record_unknown(&mut self, shared_name: &Arc<str>) {
+        if let Ok(position) = self.prepared.binary_search(shared_name) {
+            self.prepared.remove(position);
+        }
+    }
+
     /// Returns whether the connection holds a value that this session doesn't set; only a reset can remove it.
     fn has_foreign_value(&self, session: &SessionState) -> bool {
         self.values.iter().any(|value| !session.values.contains(&value.name))
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -244,16 +244,16 @@
         }
         slot
     };
-    let mut commands = request.commands;
-    let expected = commands.len();
-    if let Some(prepare) = request.prepared.as_ref().and_then(|prepared| slot.prepare(prepared)) {
-        commands.insert(0, prepare);
+    if let Some(prepared) = &request.prepared
+        && slot.prepare(prepared, deadline).await.is_err()
+    {
+        // An open transaction is rolled back.
+        tokio::spawn(slot.roll_back());
+        return RelayAnswer::NotKept;
     }
-    match slot.exchange(commands, deadline).await {
-        Ok(mut replies) => {
+    match slot.exchange(request.commands, deadline).await {
+        Ok(replies) => {
             let state = replies.last().map_or(TransactionState::Idle, |reply| reply.state);
-            // The reply to a `Prepare` that this instance added is not part of the answer.
-            replies.drain(..replies.len().saturating_sub(expected));
             if request.kept != 0 && state != TransactionState::Idle {
                 pin(engine, key, slot);
             }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -51,6 +51,9 @@
 /// The organisation that is sent to endpoints if the database is open to everyone.
 const NO_ORGANISATION: &str = "-";
 
+/// Why a statement was not sent whose preparing the endpoint refused.
+pub(crate) const PREPARE_REFUSED: &str = "the statement could not be prepared";
+
 /// The answer to a client's statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -296,6 +299,11 @@
             exclude_unless_primary(tried, &slot);
             return Attempt::Retry(connect_failure(kind, failure, &slot));
         }
+        if let Err(failure) = self.prepare(&mut slot, statement, deadline).await {
+            exclude_unless_primary(tried, &slot);
+            let text = format!("{}: {PREPARE_REFUSED}", slot.endpoint);
+            return Attempt::Retry(Failure::new(failure::code_for_link_failure(kind, failure), text));
+        }
         let term = self.write_term(kind, &slot);
         if kind == StatementKind::Write && term.is_none() {
             let text = format!("{}: no longer the primary", slot.endpoint);
@@ -357,7 +365,7 @@
                 return Ok(replies);
             }
         }
-        let mut commands = self.commands(slot, statement, after);
+        let mut commands = self.commands(statement, after);
         if guard == ReadGuard::ReadWriteTransaction {
             commands.push(Command::Rollback);
         }
@@ -403,6 +411,10 @@
                 if error.kind == EndpointErrorKind::Lagging {
                     self.engine.metrics().lagging.inc();
                 }
+                if error.kind == EndpointErrorKind::UnknownStatement {
+                    // The connection has lost the statement; the next attempt prepares it again.
+                    return Attempt::Retry(failure);
+                }
                 if kind == StatementKind::Read && is_retryable_elsewhere {
                     tried.push(slot.endpoint.clone());
                     return Attempt::Retry(failure);
@@ -421,24 +433,28 @@
         };
     }
 
-    /// Returns the commands that run a statement on a slot's connection.
-    pub(crate) fn commands(
+    /// Prepares what a statement executes on a slot's connection.
+    pub(crate) async fn prepare(
         &self,
         slot: &mut Slot,
         statement: &Statement,
-        after: Option<LogPoint>,
-    ) -> Vec<Command> {
+        deadline: tokio::time::Instant,
+    ) -> Result<(), LinkFailure> {
+        let Action::Execute { name, .. } = &statement.action else { return Ok(()) };
+        match self.state.prepared(name) {
+            Some(prepared) => slot.prepare(prepared, deadline).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the commands that run a statement on a slot's connection.
+    pub(crate) fn commands(&self, statement: &Statement, after: Option<LogPoint>) -> Vec<Command> {
         let id = statement.id.clone();
         match &statement.action {
             Action::Execute { name, arguments } => {
                 let Some(prepared) = self.state.prepared(name) else { return Vec::new() };
-                let run = Command::Execute {
-                    id,
-                    name: prepared.shared_name(),
-                    arguments: arguments.clone(),
-                    after,
-                };
-                slot.prepare(prepared).into_iter().chain([run]).collect()
+                let name = prepared.shared_name();
+                vec![Command::Execute { id, name, arguments: arguments.clone(), after }]
             }
             Action::Run { text, .. } => vec![Command::Run { id, text: text.clone(), after }],
             Action::Commit => vec![Command::Commit { id }],
--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -46,6 +46,14 @@
     ReadWriteBegin,
 }
 
+/// Returns the shared name of the prepared statement that an exchange's commands execute.
+fn executed_name(commands: &[Command]) -> Option<Arc<str>> {
+    commands.iter().find_map(|command| match command {
+        Command::Execute { name, .. } => Some(name.clone()),
+        _ => None,
+    })
+}
+
 /// Why a slot could not get a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectFailure {
@@ -220,14 +228,29 @@
         }
     }
 
-    /// Returns the command that prepares a statement on the connection, or `None` if none is needed. With a
-    /// relay, the statement is sent with the next exchange instead.
-    pub(crate) fn prepare(&mut self, prepared: &Prepared) -> Option<Command> {
+    /// Prepares a statement on the connection, unless the connection holds it already. An execution is sent only after the
+    /// endpoint has accepted this, so that it never runs without its statement. With a relay, the statement is sent with
+    /// the next exchange, and the other instance does the same.
+    pub(crate) async fn prepare(
+        &mut self,
+        prepared: &Prepared,
+        deadline: tokio::time::Instant,
+    ) -> Result<(), LinkFailure> {
         if let Some(relay) = &mut self.relay {
             relay.prepare(prepared);
-            return None;
+            return Ok(());
         }
-        self.borrowed.as_mut()?.state.prepare(prepared)
+        let command = self.borrowed.as_ref().and_then(|borrowed| borrowed.state.prepare(prepared));
+        let Some(command) = command else { return Ok(()) };
+        // Whatever happened to it, the statement itself was not sent.
+        let replies = self.exchange(vec![command], deadline).await.map_err(|_| LinkFailure::NotSent)?;
+        if replies.iter().any(|reply| reply.result.is_err()) {
+            return Err(LinkFailure::NotSent);
+        }
+        if let Some(borrowed) = &mut self.borrowed {
+            borrowed.state.record_prepared(prepared.shared_name());
+        }
+        Ok(())
     }
 
     /// Sends commands and waits for their replies. On failure the connection is closed.
@@ -245,6 +268,7 @@
         let primary_proof = self.primary_proof(&commands, sent_at);
         let (replies, receiver) = oneshot::channel();
         let expected = commands.len();
+        let executed = executed_name(&commands);
         if borrowed.connection.exchanges.send(Exchange { commands, replies }).is_err() {
             self.close();
             return Err(LinkFailure::NotSent);
@@ -260,6 +284,7 @@
         self.observe(latency, &result);
         match result {
             Ok(replies) if replies.len() == expected => {
+                self.record_unknown(executed.as_ref(), &replies);
                 self.record_replies(&replies, sent_at, primary_proof);
                 Ok(replies)
             }
@@ -277,6 +302,17 @@
         }
     }
 
+    /// Records that the endpoint does not know the statement that an exchange executed, if its replies say so.
+    fn record_unknown(&mut self, executed: Option<&Arc<str>>, replies: &[Reply]) {
+        let (Some(borrowed), Some(name)) = (&mut self.borrowed, executed) else { return };
+        let is_unknown = |reply: &Reply| {
+            reply.result.as_ref().is_err_and(|error| error.kind == EndpointErrorKind::UnknownStatement)
+        };
+        if replies.iter().any(is_unknown) {
+            borrowed.state.record_unknown(name);
+        }
+    }
+
     /// Sends commands through another instance. After a failure the slot can only be dropped.
     async fn exchange_via_relay(
         &mut self,
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -4,7 +4,8 @@
 use {
     crate::{
         session::{
-            Answer, Failure, Operation, Session, connect_failure, link_failure_text, slot_failure, start_by,
+            Answer, Failure, Operation, PREPARE_REFUSED, Session, connect_failure, link_failure_text,
+            slot_failure, start_by,
         },
         slot::Slot,
         slot_request::SlotRequest,
@@ -280,7 +281,11 @@
             let text = format!("{}: {}", slot.endpoint, link_failure_text(failure));
             Failure::new(failure::code_for_link_failure(kind, LinkFailure::NotSent), text)
         })?;
-        let commands = self.commands(slot, statement, None);
+        self.prepare(slot, statement, deadline).await.map_err(|failure| {
+            let text = format!("{}: {PREPARE_REFUSED}", slot.endpoint);
+            Failure::new(failure::code_for_link_failure(kind, failure), text)
+        })?;
+        let commands = self.commands(statement, None);
         let mut replies = match slot.exchange(commands, deadline).await {
             Ok(replies) => replies,
             Err(failure) => return Err(link_failure(slot, failure)),
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -7,11 +7,14 @@
 mod group;
 
 use {
-    cumincart_core::interactive::failure::FailureCode,
+    cumincart_core::interactive::{
+        failure::FailureCode,
+        statement::{Access, Action},
+    },
     cumincart_session::session::{Answer, Session},
     fleet::{
         BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit,
-        read, write,
+        read, run, write,
     },
     std::time::Duration,
     test_case::test_case,
@@ -170,3 +173,30 @@
     let later = fleet.group.arrivals().split_off(arrivals);
     assert!(later.iter().all(|arrival| arrival.endpoint != ENDPOINTS[1].into()), "{later:?}");
 }
+
+/// Guards against a refused `PREPARE` that counts as held, so that each later execution on the connection is refused.
+#[test_case(true; "in a transaction")]
+#[test_case(false; "outside a transaction")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_prepare_is_sent_again_with_the_next_execution(is_transaction: bool) {
+    let fleet = Fleet::start(0).await;
+    let prepare = || Action::Prepare { name: "s1".into(), access: Access::Read, shape: "q2c".into() };
+    let execute = || Action::Execute { name: "s1".into(), arguments: "1a4".into() };
+    let mut first = session(&fleet, PRIMARY_DATABASE).await;
+    assert_eq!(code(&run(&mut first, "p1", prepare()).await), None);
+    fleet.group.refuse_next_prepare();
+    if is_transaction {
+        begin(&mut first, false).await;
+        assert_eq!(code(&run(&mut first, "e1", execute()).await), Some(FailureCode::Aborted));
+        assert_eq!(fleet.group.endpoint_of("e1"), None, "it is not executed without its statement");
+        run(&mut first, "rollback", Action::Rollback).await;
+    } else {
+        assert_eq!(code(&run(&mut first, "e1", execute()).await), None, "it is tried again");
+    }
+    drop(first);
+    let mut second = session(&fleet, PRIMARY_DATABASE).await;
+    assert_eq!(code(&run(&mut second, "p2", prepare()).await), None);
+    for number in 2..6 {
+        assert_eq!(code(&run(&mut second, &format!("e{number}"), execute()).await), None);
+    }
+}
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -35,6 +35,8 @@
     /// The identifiers of committed writes. All endpoints receive them at once.
     log: Vec<String>,
     arrivals: Vec<Arrival>,
+    /// The number of `PREPARE` commands that are still refused.
+    refused_prepares: u32,
     /// Whether a promotion was requested.
     is_promoting: bool,
 }
@@ -60,6 +62,7 @@
             primary: primary.into(),
             log: Vec::new(),
             arrivals: Vec::new(),
+            refused_prepares: 0,
             is_promoting: false,
         };
         Self { state: Arc::new(Mutex::new(state)), held: watch::Sender::new(None) }
@@ -149,6 +152,11 @@
         self.held.send_replace(None);
     }
 
+    /// Refuses the next `PREPARE` command.
+    pub fn refuse_next_prepare(&self) {
+        self.lock().refused_prepares = 1;
+    }
+
     /// Returns what has arrived at the endpoints, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
@@ -180,6 +188,10 @@
             Command::Begin { .. } => context.transaction = Some(Vec::new()),
             Command::Rollback => context.transaction = None,
             Command::Commit { .. } => self.log.extend(context.transaction.take().unwrap_or_default()),
+            Command::Prepare { .. } if self.refused_prepares > 0 => {
+                self.refused_prepares -= 1;
+                return Err(error(EndpointErrorKind::Failed));
+            }
             Command::Prepare { name, .. } => context.prepared.push(name.clone()),
             Command::Execute { name, .. } if !context.prepared.contains(name) => {
                 return Err(error(EndpointErrorKind::UnknownStatement));
