--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -18,7 +18,7 @@
     },
     std::time::Duration,
     test_case::test_case,
-    tokio::time::sleep,
+    tokio::{sync::oneshot, time::sleep},
 };
 
 fn code(answer: &Answer) -> Option<FailureCode> {
@@ -200,3 +200,60 @@
         assert_eq!(code(&run(&mut second, &format!("e{number}"), execute()).await), None);
     }
 }
+
+/// Guards against acknowledged commits that a switchover loses, where another instance holds the connection.
+#[test_case(false; "that is sent after the choice")]
+#[test_case(true; "that is on its way during the choice")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_commit_is_not_acknowledged_once_another_primary_was_chosen(is_on_its_way: bool) {
+    let fleet = Fleet::start_with_owner(1).await;
+    let (mut session, _) = fleet.begin_relayed().await;
+    fleet.group.hold_answer("c1");
+    let (choose, chosen) = oneshot::channel();
+    let running = tokio::spawn(async move {
+        if !is_on_its_way {
+            chosen.await.expect("the test goes on");
+        }
+        commit(&mut session, "c1").await
+    });
+    if is_on_its_way {
+        await_condition(async || fleet.group.endpoint_of("c1").is_some()).await;
+    }
+    fleet.take_out(DOMAINS[0]).await;
+    await_condition(async || fleet.group.is_promoting()).await;
+    // Fails if the commit does not wait for it.
+    let _ = choose.send(());
+    fleet.group.release_answer();
+    let expected = if is_on_its_way { FailureCode::InDoubt } else { FailureCode::Aborted };
+    assert_eq!(code(&running.await.expect("the commit does not panic")), Some(expected));
+    assert_eq!(fleet.group.endpoint_of("c1").is_some(), is_on_its_way, "it is sent before the choice only");
+}
+
+/// Guards against statements of an open transaction that run long after their key was withdrawn, where another instance
+/// holds the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_transaction_ends_when_its_key_is_withdrawn() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut session, _) = fleet.begin_relayed().await;
+    fleet.configure(2, &KEYS[1..]).await;
+    await_condition(async || fleet.open_session(PRIMARY_DATABASE, KEYS[0]).await.is_err()).await;
+    assert_eq!(code(&commit(&mut session, "c1").await), Some(FailureCode::Unauthorised));
+    assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
+}
+
+/// Guards against a refused `PREPARE` that counts as held, where another instance holds the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_prepare_of_a_relayed_transaction_ends_it_without_an_execution() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut session, _) = fleet.begin_relayed().await;
+    let prepare = Action::Prepare { name: "s1".into(), access: Access::Read, shape: "q2c".into() };
+    let execute = || Action::Execute { name: "s1".into(), arguments: "1a4".into() };
+    assert_eq!(code(&run(&mut session, "p1", prepare).await), None);
+    fleet.group.refuse_next_prepare();
+    assert_eq!(code(&run(&mut session, "e1", execute()).await), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("e1"), None, "it is not executed without its statement");
+    run(&mut session, "rollback", Action::Rollback).await;
+    for number in 2..6 {
+        assert_eq!(code(&run(&mut session, &format!("e{number}"), execute()).await), None);
+    }
+}
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -1,4 +1,4 @@
-//! A control instance and an entry instance in one process, on loopback addresses, before an in-memory group.
+//! A control instance and entry instances in one process, on loopback addresses, before an in-memory group.
 
 use {
     crate::group::Group,
@@ -26,6 +26,7 @@
     },
     cumincart_session::{
         engine::{Engine, EngineOptions},
+        relay,
         session::{Answer, Failure, Session},
     },
     sha2::{Digest, Sha256},
@@ -58,9 +59,20 @@
 
 const FLEET_SECRET: &[u8] = b"a secret of these tests";
 
+/// The instance that sessions are opened on.
+pub const ENTRY: &str = "entry-1";
+
+/// The instance in the failure domain of the primary, which owns the connections to it.
+pub const OWNER: &str = "entry-2";
+
+/// The maximum number of attempts to begin a transaction that is relayed to the owner.
+const RELAY_ATTEMPTS: usize = 20;
+
 pub struct Fleet {
     pub group: Group,
     pub engine: Engine,
+    /// The peer address of the owner, if it runs.
+    _owner: Option<PeerServer>,
     control: ControlEngine,
     control_links: Option<PeerServer>,
     synchronous_replicas: u32,
@@ -68,15 +80,26 @@
 }
 
 impl Fleet {
-    /// Starts both instances and waits until writes and reads of both databases succeed.
+    /// Starts a control and an entry instance, and waits until writes and reads of both databases succeed.
     pub async fn start(synchronous_replicas: u32) -> Self {
+        Self::start_instances(synchronous_replicas, false).await
+    }
+
+    /// Starts the owner of the connections to the primary too.
+    pub async fn start_with_owner(synchronous_replicas: u32) -> Self {
+        Self::start_instances(synchronous_replicas, true).await
+    }
+
+    async fn start_instances(synchronous_replicas: u32, has_owner: bool) -> Self {
         let folder = TempDir::new().expect("a temporary folder can be created");
         let group = Group::open(ENDPOINTS[0]);
         let (control, control_links) = start_control(&folder, &group).await;
-        let engine = start_entry(&group, &control_links);
+        let owner = if has_owner { Some(start_owner(&group, &control_links).await) } else { None };
+        let engine = start_entry(&group, &control_links, ENTRY, DOMAINS[1], "127.0.0.1:1");
         let fleet = Self {
             group,
             engine,
+            _owner: owner,
             control,
             control_links: Some(control_links),
             synchronous_replicas,
@@ -136,6 +159,26 @@
         Session::open(&self.engine, database, Some(key)).await
     }
 
+    /// Returns a session with an open transaction at the primary over a connection of the owner. Its write has the
+    /// returned identifier.
+    pub async fn begin_relayed(&self) -> (Session, String) {
+        // Transactions over connections of the instance itself stay open, so that it has no idle one to prefer.
+        let mut own = Vec::new();
+        for attempt in 0..RELAY_ATTEMPTS {
+            let mut session =
+                self.open_session(PRIMARY_DATABASE, KEYS[0]).await.expect("the session is opened");
+            begin(&mut session, false).await;
+            let id = format!("relayed-{attempt}");
+            let answer = write(&mut session, &id).await;
+            if answer.result.is_ok() && self.group.instance_of(&id) == Some(OWNER) {
+                return (session, id);
+            }
+            own.push(session);
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no transaction was relayed");
+    }
+
     async fn serves(&self, database: &str, access: Access) -> bool {
         let Ok(mut session) = self.open_session(database, KEYS[0]).await else { return false };
         let answer = match access {
@@ -222,22 +265,38 @@
     }
 }
 
-fn start_entry(group: &Group, control_links: &PeerServer) -> Engine {
+fn start_entry(
+    group: &Group,
+    control_links: &PeerServer,
+    name: &'static str,
+    domain: &str,
+    peer_address: &str,
+) -> Engine {
     Engine::spawn(EngineOptions {
         core_settings: entry::Settings {
-            instance: "entry-1".into(),
+            instance: name.into(),
             incarnation: Incarnation(1),
-            domain: DOMAINS[1].into(),
-            peer_address: "127.0.0.1:1".into(),
+            domain: domain.into(),
+            peer_address: peer_address.into(),
         },
         near_domains: Default::default(),
         control_addresses: vec![control_links.address.to_string().into()],
         fleet_secret: secret(),
-        driver: group.driver(),
+        driver: group.driver(name),
         logger: logger(),
     })
 }
 
+async fn start_owner(group: &Group, control_links: &PeerServer) -> PeerServer {
+    let (received_sender, received) = mpsc::unbounded_channel();
+    let peers = PeerServer::bind("127.0.0.1:0", OWNER.into(), secret(), received_sender)
+        .await
+        .expect("the address can be bound");
+    let engine = start_entry(group, control_links, OWNER, DOMAINS[0], &peers.address.to_string());
+    tokio::spawn(relay::serve(engine, received));
+    peers
+}
+
 fn presence(index: usize) -> Presence {
     Presence {
         endpoint: ENDPOINTS[index].into(),
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Arrival {
     pub endpoint: EndpointName,
+    /// The instance that holds the connection.
+    pub instance: &'static str,
     /// The client's identifier of the statement, or the keyword of a command that the instance issued itself.
     pub what: String,
 }
@@ -51,6 +53,7 @@
 
 /// The state of one connection.
 struct ConnectionContext {
+    instance: &'static str,
     endpoint: EndpointName,
     transaction: Option<Vec<String>>,
     prepared: Vec<Arc<str>>,
@@ -72,21 +75,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the driver that connects to the endpoints.
-    pub fn driver(&self) -> Driver {
+    /// Returns the driver with which an instance connects to the endpoints.
+    pub fn driver(&self, instance: &'static str) -> Driver {
         let group = self.clone();
         Driver {
             fences_terms: true,
             open: Arc::new(move |destination| {
                 let group = group.clone();
-                Box::pin(async move { Ok(group.connect(&destination)) })
+                Box::pin(async move { Ok(group.connect(instance, &destination)) })
             }),
         }
     }
 
-    fn connect(&self, destination: &Destination) -> Connection {
+    fn connect(&self, instance: &'static str, destination: &Destination) -> Connection {
         let (exchanges, queue) = mpsc::unbounded_channel();
         let context = ConnectionContext {
+            instance,
             endpoint: destination.endpoint.clone(),
             transaction: None,
             prepared: Vec::new(),
@@ -112,7 +116,11 @@
 
     fn run(&self, context: &mut ConnectionContext, command: &Command) -> Reply {
         let mut state = self.lock();
-        let arrival = Arrival { endpoint: context.endpoint.clone(), what: describe(command) };
+        let arrival = Arrival {
+            endpoint: context.endpoint.clone(),
+            instance: context.instance,
+            what: describe(command),
+        };
         state.arrivals.push(arrival);
         let result = state.execute(context, command);
         let transaction_state = match &context.transaction {
@@ -168,6 +176,12 @@
         arrivals.into_iter().find(|arrival| arrival.what == what).map(|arrival| arrival.endpoint)
     }
 
+    /// Returns the instance over whose connection a statement arrived.
+    pub fn instance_of(&self, what: &str) -> Option<&'static str> {
+        let arrivals = self.arrivals();
+        arrivals.into_iter().find(|arrival| arrival.what == what).map(|arrival| arrival.instance)
+    }
+
     /// Returns the identifiers of the committed writes.
     pub fn log(&self) -> Vec<String> {
         self.lock().log.clone()
