Log and count the statements that are prepared on connections

Cause: a report of a statement that ran with another shape than its client had prepared could not be explained from the logs. Neither the name of a prepared statement on a connection nor its shape was in them, so a name that means something else at the endpoint, a cut message and a wrong record of a connection looked alike.

Change: one line for each statement that is prepared on a connection (request, connection, name, access, shape, outcome), at most 5 a second, and a counter by outcome. No decision changes.

--- a/crates/cumincart-session/src/decision_log.rs
+++ b/crates/cumincart-session/src/decision_log.rs
@@ -1,9 +1,10 @@
-//! Rate limiting of log lines about statements: failures are logged up to a rate, successes are sampled.
+//! Rate limiting of log lines about statements: failures and prepared statements are logged up to a rate, successes are
+//! sampled.
 
 use {
     cumincart_protocol::time::Instant,
     std::sync::{
-        Mutex,
+        Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -11,6 +12,9 @@
 /// The maximum number of failure lines per second, which bounds the processor time that a burst of refusals costs.
 pub const LINES_PER_S: u64 = 20;
 
+/// The maximum number of lines per second about statements that are prepared on connections.
+pub const PREPARE_LINES_PER_S: u64 = 5;
+
 /// One in this many successes is logged.
 pub const SUCCESS_SAMPLE: u64 = 200;
 
@@ -18,7 +22,8 @@
 #[derive(Debug, Default)]
 pub struct DecisionLog {
     successes: AtomicU64,
-    window: Mutex<Window>,
+    failures: Mutex<Window>,
+    prepares: Mutex<Window>,
 }
 
 #[derive(Debug, Default)]
@@ -37,18 +42,28 @@
     /// Returns the number of failure lines suppressed since the last logged one, or `None` if this failure is not
     /// logged.
     pub fn try_log_failure(&self, now: Instant) -> Option<u64> {
-        // A poisoned lock is harmless: it only guards counters.
-        let mut window = self.window.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let second = now.as_millis() / 1_000;
-        if window.second != second {
-            window.second = second;
-            window.written = 0;
-        }
-        if window.written >= LINES_PER_S {
-            window.suppressed += 1;
-            return None;
-        }
-        window.written += 1;
-        Some(std::mem::take(&mut window.suppressed))
+        try_log(&self.failures, now, LINES_PER_S)
+    }
+
+    /// Returns the number of lines about prepared statements suppressed since the last logged one, or `None` if this one
+    /// is not logged.
+    pub fn try_log_prepare(&self, now: Instant) -> Option<u64> {
+        try_log(&self.prepares, now, PREPARE_LINES_PER_S)
+    }
+}
+
+fn try_log(window: &Mutex<Window>, now: Instant, lines_per_s: u64) -> Option<u64> {
+    // A poisoned lock is harmless: it only guards counters.
+    let mut window = window.lock().unwrap_or_else(PoisonError::into_inner);
+    let second = now.as_millis() / 1_000;
+    if window.second != second {
+        window.second = second;
+        window.written = 0;
+    }
+    if window.written >= lines_per_s {
+        window.suppressed += 1;
+        return None;
     }
+    window.written += 1;
+    Some(std::mem::take(&mut window.suppressed))
 }
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -34,7 +34,10 @@
     },
     slog::{Logger, info},
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -96,6 +99,8 @@
     fleet_secret: FleetSecret,
     links: Mutex<Vec<InstanceLink>>,
     pinned_slots: Mutex<SortedVec<PinnedSlot>>,
+    /// The number of connections to endpoints that have been opened.
+    connections: AtomicU64,
 }
 
 /// A handle to a running engine. Its tasks end when all handles are dropped.
@@ -126,6 +131,7 @@
             fleet_secret: options.fleet_secret,
             links: Mutex::default(),
             pinned_slots: Mutex::default(),
+            connections: AtomicU64::default(),
             state: Mutex::new(State::new(core, clock.now())),
             clock,
             driver: options.driver,
@@ -301,6 +307,11 @@
         &self.shared.decisions
     }
 
+    /// Returns the number that log lines give to the connection that was opened last.
+    pub(crate) fn next_connection_number(&self) -> u64 {
+        self.shared.connections.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     pub(crate) fn count_session(&self, opened: bool) {
         self.shared.sessions.send_modify(|count| {
             *count = if opened { *count + 1 } else { count.saturating_sub(1) };
--- a/crates/cumincart-session/src/metrics.rs
+++ b/crates/cumincart-session/src/metrics.rs
@@ -51,6 +51,24 @@
     Unreachable,
 }
 
+/// The labels of an attempt to prepare a statement on a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PreparedLabels {
+    /// Whether the statement was prepared.
+    pub prepared: PrepareOutcome,
+}
+
+/// Whether a statement was prepared on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum PrepareOutcome {
+    /// The endpoint accepted it.
+    Accepted,
+    /// The endpoint refused it.
+    Refused,
+    /// The connection was lost, or no answer came in time.
+    Lost,
+}
+
 /// The metrics of one engine.
 #[derive(Debug)]
 pub struct Metrics {
@@ -59,6 +77,8 @@
     pub statements: Family<StatementLabels, Counter>,
     /// Attempts to open connections to endpoints.
     pub opened: Family<OpenedLabels, Counter>,
+    /// Attempts to prepare statements on connections.
+    pub prepared: Family<PreparedLabels, Counter>,
     /// Reads outside transactions that the primary served.
     pub reads_on_primary: Counter,
     /// Reads served by replicas.
@@ -80,17 +100,23 @@
         let mut registry = Registry::with_prefix("cumincart_session");
         let statements = Family::default();
         let opened = Family::default();
+        let prepared = Family::default();
         let reads_on_primary = Counter::default();
         let reads_on_replica = Counter::default();
         let lagging = Counter::default();
         let latency = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
         registry.register("statements", "Finished statements", statements.clone());
         registry.register("connections_opened", "Attempts to open connections", opened.clone());
+        registry.register(
+            "statements_prepared",
+            "Attempts to prepare statements on connections",
+            prepared.clone(),
+        );
         registry.register("reads_on_primary", "Stale-tolerant reads on primaries", reads_on_primary.clone());
         registry.register("reads_on_replica", "Reads on replicas", reads_on_replica.clone());
         registry.register("lagging", "Reads that a replica was too far behind for", lagging.clone());
         registry.register("latency_seconds", "Time from arrival to answer", latency.clone());
-        Self { registry, statements, opened, reads_on_primary, reads_on_replica, lagging, latency }
+        Self { registry, statements, opened, prepared, reads_on_primary, reads_on_replica, lagging, latency }
     }
 }
 
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -245,7 +245,7 @@
         slot
     };
     if let Some(prepared) = &request.prepared
-        && slot.prepare(prepared, deadline).await.is_err()
+        && slot.prepare(prepared, client_id(&request), deadline).await.is_err()
     {
         // An open transaction is rolled back.
         tokio::spawn(slot.roll_back());
@@ -297,12 +297,16 @@
     }
 }
 
+/// Returns the identifier of the client's statement in an exchange; `-` if it has none.
+fn client_id(request: &RelayRequest) -> &str {
+    request.commands.iter().find_map(Command::client_id).unwrap_or("-")
+}
+
 /// Logs why another instance's exchange got no slot here. The other instance logs a line with the same request ID.
 fn log_refusal(engine: &Engine, request: &RelayRequest, refusal: SlotError) {
     let Some(suppressed) = engine.decisions().try_log_failure(engine.now()) else { return };
-    let id = request.commands.iter().find_map(Command::client_id).unwrap_or("-");
     warn!(engine.logger(), "exchange of another instance refused";
-        "request" => id, "endpoint" => request.endpoint.as_str(), "why" => &*slot_failure(refusal).text,
+        "request" => client_id(request), "endpoint" => request.endpoint.as_str(), "why" => &*slot_failure(refusal).text,
         "start_within_ms" => request.start_within_ms, "lines_left_out" => suppressed);
 }
 
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -442,7 +442,7 @@
     ) -> Result<(), LinkFailure> {
         let Action::Execute { name, .. } = &statement.action else { return Ok(()) };
         match self.state.prepared(name) {
-            Some(prepared) => slot.prepare(prepared, deadline).await,
+            Some(prepared) => slot.prepare(prepared, &statement.id, deadline).await,
             None => Ok(()),
         }
     }
--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -4,7 +4,7 @@
     crate::{
         driver::{Connection, Destination, Exchange, OpenFailure},
         engine::Engine,
-        metrics::{Opened, OpenedLabels},
+        metrics::{Opened, OpenedLabels, PrepareOutcome, PreparedLabels},
         relay::{Relay, RelayFailure},
         state::IdleConnection,
     },
@@ -21,6 +21,7 @@
         name::{EndpointName, OrganisationName, ServiceName},
         time::Instant,
     },
+    slog::info,
     std::{sync::Arc, time::Duration},
     tokio::{sync::oneshot, time::timeout_at},
 };
@@ -29,9 +30,14 @@
 /// time and a lost packet.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The number of characters of a client's text that a log line quotes.
+const EXCERPT_CHARS: usize = 64;
+
 #[derive(Debug)]
 struct Borrowed {
     connection: Connection,
+    /// The number of the connection in log lines.
+    number: u64,
     organisation: OrganisationName,
     state: ConnectionState,
 }
@@ -171,6 +177,7 @@
                 let reused = endpoint.idle.remove(position);
                 self.borrowed = Some(Borrowed {
                     connection: reused.connection,
+                    number: reused.number,
                     organisation: reused.info.organisation,
                     state: reused.info.state,
                 });
@@ -214,6 +221,7 @@
                 self.record_reachability(true);
                 self.borrowed = Some(Borrowed {
                     connection,
+                    number: self.engine.next_connection_number(),
                     organisation: organisation.clone(),
                     state: ConnectionState::default(),
                 });
@@ -230,21 +238,29 @@
 
     /// Prepares a statement on the connection, unless the connection holds it already. An execution is sent only after the
     /// endpoint has accepted this, so that it never runs without its statement. With a relay, the statement is sent with
-    /// the next exchange, and the other instance does the same.
+    /// the next exchange, and the other instance does the same. `request` is the identifier of the statement that needs it.
     pub(crate) async fn prepare(
         &mut self,
         prepared: &Prepared,
+        request: &str,
         deadline: tokio::time::Instant,
     ) -> Result<(), LinkFailure> {
         if let Some(relay) = &mut self.relay {
             relay.prepare(prepared);
             return Ok(());
         }
-        let command = self.borrowed.as_ref().and_then(|borrowed| borrowed.state.prepare(prepared));
-        let Some(command) = command else { return Ok(()) };
-        // Whatever happened to it, the statement itself was not sent.
-        let replies = self.exchange(vec![command], deadline).await.map_err(|_| LinkFailure::NotSent)?;
-        if replies.iter().any(|reply| reply.result.is_err()) {
+        let Some(borrowed) = &self.borrowed else { return Ok(()) };
+        let Some(command) = borrowed.state.prepare(prepared) else { return Ok(()) };
+        let number = borrowed.number;
+        let result = self.exchange(vec![command], deadline).await;
+        let outcome = match &result {
+            Ok(replies) if replies.iter().all(|reply| reply.result.is_ok()) => PrepareOutcome::Accepted,
+            Ok(_) => PrepareOutcome::Refused,
+            Err(_) => PrepareOutcome::Lost,
+        };
+        self.report_prepare(prepared, &prepared.shared_name(), request, number, outcome);
+        if outcome != PrepareOutcome::Accepted {
+            // Whatever happened to it, the statement itself was not sent.
             return Err(LinkFailure::NotSent);
         }
         if let Some(borrowed) = &mut self.borrowed {
@@ -253,6 +269,24 @@
         Ok(())
     }
 
+    /// Counts and logs an attempt to prepare a statement on a connection, with the name that it has there.
+    fn report_prepare(
+        &self,
+        prepared: &Prepared,
+        name: &str,
+        request: &str,
+        connection: u64,
+        outcome: PrepareOutcome,
+    ) {
+        self.engine.metrics().prepared.get_or_create(&PreparedLabels { prepared: outcome }).inc();
+        let Some(suppressed) = self.engine.decisions().try_log_prepare(self.engine.now()) else { return };
+        info!(self.engine.logger(), "statement prepared on a connection";
+            "request" => request, "endpoint" => self.endpoint.as_str(), "connection" => connection,
+            "name" => %format_args!("{name:.EXCERPT_CHARS$}"), "access" => ?prepared.access,
+            "shape" => %format_args!("{:.EXCERPT_CHARS$}", prepared.shape),
+            "shape_bytes" => prepared.shape.len(), "outcome" => ?outcome, "lines_left_out" => suppressed);
+    }
+
     /// Sends commands and waits for their replies. On failure the connection is closed.
     pub(crate) async fn exchange(
         &mut self,
@@ -492,6 +526,7 @@
                         idle_since: now,
                     },
                     connection: borrowed.connection,
+                    number: borrowed.number,
                 });
             } else {
                 endpoint.open = endpoint.open.saturating_sub(1);
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -55,6 +55,8 @@
 pub(crate) struct IdleConnection {
     pub(crate) info: IdleInfo,
     pub(crate) connection: Connection,
+    /// The number of the connection in log lines.
+    pub(crate) number: u64,
 }
 
 /// The state of one endpoint.
