Give prepared statements names of their own on each connection

What callers saw: a statement ran with another shape than its client had prepared ("prepared READ q1, ran READ xx READ q1 READ xx"), or with a part of the shape as item and data ("EXECUTE w_q1 WRITE ryejc ...").

Cause: a statement's name on a connection was made of its shape. A shape is the last field of a line and may contain spaces; a name is not, and may not. The endpoint took the rest of the name for the fields after it. So a text that a client chose became a part of a message's structure.

Ruled out: cut or joined lines, and a wrong record of what a connection holds. The tests that failed use neither line feeds nor refused statements, and the endpoint received the name as the code builds it.

Change: a connection numbers its statements. It compares access and shape whole, so two statements never share a name, and no client's text is in one.

--- a/crates/cumincart-core/src/interactive.rs
+++ b/crates/cumincart-core/src/interactive.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod failure;
 pub mod first_lease;
+pub mod held_statements;
 pub mod open_transaction;
 pub mod ownership;
 pub mod pool;
--- a/crates/cumincart-core/src/interactive/session.rs
+++ b/crates/cumincart-core/src/interactive/session.rs
@@ -3,6 +3,7 @@
 pub use cumincart_protocol::exchange::{Prepared, SessionValue};
 
 use {
+    super::held_statements::HeldStatements,
     cumincart_protocol::{
         exchange::{Command, LogPoint},
         sorted::SortedVec,
@@ -71,8 +72,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionState {
     values: SortedVec<SessionValue>,
-    /// The shared names of the prepared statements, sorted.
-    prepared: Vec<Arc<str>>,
+    /// The prepared statements.
+    pub statements: HeldStatements,
 }
 
 impl ConnectionState {
@@ -87,11 +88,6 @@
         session.values.iter().filter(|value| self.values.get(&value.name) != Some(value)).count()
     }
 
-    /// Returns whether the connection holds this prepared statement.
-    pub fn holds(&self, shared_name: &Arc<str>) -> bool {
-        self.prepared.binary_search(shared_name).is_ok()
-    }
-
     /// Returns the commands that give the connection exactly the session's values, and records them as executed.
     pub fn apply_session(&mut self, session: &SessionState) -> Vec<Command> {
         let mut commands = Vec::new();
@@ -108,30 +104,6 @@
         commands
     }
 
-    /// Returns the command that prepares a statement on the connection, or `None` if the connection already holds the
-    /// statement. It holds it once [`ConnectionState::record_prepared`] is called.
-    pub fn prepare(&self, prepared: &Prepared) -> Option<Command> {
-        let name = prepared.shared_name();
-        if self.holds(&name) {
-            return None;
-        }
-        Some(Command::Prepare { name, access: prepared.access, shape: prepared.shape.clone() })
-    }
-
-    /// Records that the endpoint has prepared a statement on the connection.
-    pub fn record_prepared(&mut self, shared_name: Arc<str>) {
-        if let Err(position) = self.prepared.binary_search(&shared_name) {
-            self.prepared.insert(position, shared_name);
-        }
-    }
-
-    /// Records that the endpoint does not know a prepared statement.
-    pub fn record_unknown(&mut self, shared_name: &Arc<str>) {
-        if let Ok(position) = self.prepared.binary_search(shared_name) {
-            self.prepared.remove(position);
-        }
-    }
-
     /// Returns whether the connection holds a value that this session doesn't set; only a reset can remove it.
     fn has_foreign_value(&self, session: &SessionState) -> bool {
         self.values.iter().any(|value| !session.values.contains(&value.name))
--- a/crates/cumincart-core/tests/interactive.rs
+++ b/crates/cumincart-core/tests/interactive.rs
@@ -6,6 +6,8 @@
 mod failure;
 #[path = "interactive/first_lease.rs"]
 mod first_lease;
+#[path = "interactive/held_statements.rs"]
+mod held_statements;
 #[path = "interactive/ownership.rs"]
 mod ownership;
 #[path = "interactive/pool.rs"]
--- a/crates/cumincart-core/tests/interactive/session.rs
+++ b/crates/cumincart-core/tests/interactive/session.rs
@@ -1,4 +1,4 @@
-//! Applying session values and prepared statements to borrowed connections, also where names of sessions collide.
+//! Applying session values to borrowed connections, and what a session may hold.
 
 use cumincart_core::interactive::{
     command::Command,
@@ -38,36 +38,11 @@
     let mut connection = ConnectionState::default();
     connection.apply_session(&session(&[("zone", "bg")]));
     let statement = prepared("s1", Access::Read, "q1");
-    connection.record_prepared(statement.shared_name());
-    assert!(connection.prepare(&statement).is_none());
+    let assignment = connection.statements.assign(&statement);
+    connection.statements.record(&statement, &assignment);
+    assert!(connection.statements.find(&statement).is_some());
     assert_eq!(connection.apply_session(&session(&[("lang", "en")])), [Command::Reset, set("lang", "en")]);
-    assert!(connection.prepare(&statement).is_some(), "the reset dropped it");
-}
-
-#[test]
-fn prepared_statements_are_shared_by_content_and_not_by_name() {
-    let mut connection = ConnectionState::default();
-    let first = prepared("s1", Access::Write, "q1");
-    assert!(connection.prepare(&first).is_some());
-    connection.record_prepared(first.shared_name());
-    assert!(connection.prepare(&prepared("other-name", Access::Write, "q1")).is_none());
-    for other in [prepared("s1", Access::Write, "q2"), prepared("s1", Access::Read, "q1")] {
-        assert_ne!(other.shared_name(), first.shared_name());
-        assert!(connection.prepare(&other).is_some());
-    }
-}
-
-/// Guards against executions of a statement that the endpoint refused to prepare, or has forgotten.
-#[test]
-fn a_statement_is_held_only_once_the_endpoint_has_prepared_it() {
-    let mut connection = ConnectionState::default();
-    let statement = prepared("s1", Access::Read, "q1");
-    assert!(connection.prepare(&statement).is_some());
-    assert!(connection.prepare(&statement).is_some(), "the first command may have been refused");
-    connection.record_prepared(statement.shared_name());
-    assert!(connection.prepare(&statement).is_none());
-    connection.record_unknown(&statement.shared_name());
-    assert!(connection.prepare(&statement).is_some());
+    assert_eq!(connection.statements.find(&statement), None, "the reset dropped it");
 }
 
 #[test]
--- a/crates/cumincart-protocol/src/exchange.rs
+++ b/crates/cumincart-protocol/src/exchange.rs
@@ -102,18 +102,6 @@
     }
 }
 
-impl Prepared {
-    /// Returns the name under which connections prepare this statement. It is the same for every session that prepared
-    /// the same statement; the sessions' own names may collide.
-    pub fn shared_name(&self) -> Arc<str> {
-        let access = match self.access {
-            Access::Read => 'r',
-            Access::Write => 'w',
-        };
-        format!("{access}_{}", self.shape).into()
-    }
-}
-
 /// The reason why an exchange with an endpoint ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkFailure {
@@ -161,6 +149,12 @@
         #[serde(rename = "s")]
         shape: Arc<str>,
     },
+    /// Removes a prepared statement from the connection.
+    Deallocate {
+        /// The name.
+        #[serde(rename = "n")]
+        name: Arc<str>,
+    },
     /// Begins a transaction.
     Begin {
         /// Whether the transaction is read-only.
@@ -191,7 +185,8 @@
         /// The client's identifier of the statement.
         #[serde(rename = "i")]
         id: Arc<str>,
-        /// The name of the prepared statement on the connection.
+        /// The name of the prepared statement on the connection. In a relayed exchange it is
+        /// [`RELAYED_STATEMENT`](crate::relay::RELAYED_STATEMENT).
         #[serde(rename = "n")]
         name: Arc<str>,
         /// The arguments, as the client sent them.
--- a/crates/cumincart-protocol/src/relay.rs
+++ b/crates/cumincart-protocol/src/relay.rs
@@ -10,6 +10,10 @@
     serde::{Deserialize, Serialize},
 };
 
+/// The name of the executed statement in a relayed exchange. The receiver knows the statement's name on its connection
+/// and puts it in place of this one, which no connection uses.
+pub const RELAYED_STATEMENT: &str = "-";
+
 fn is_zero(value: &u64) -> bool {
     *value == 0
 }
@@ -32,7 +36,7 @@
     /// The session values that the connection must have.
     #[serde(rename = "v", default, skip_serializing_if = "SortedVec::is_empty")]
     pub values: SortedVec<SessionValue>,
-    /// The prepared statement that the commands use, if any.
+    /// The prepared statement that the commands execute, if any.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub prepared: Option<Prepared>,
     /// The commands.
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -88,6 +88,7 @@
         deadline: tokio::time::Instant,
     ) -> Result<Vec<Reply>, RelayFailure> {
         let begins = commands.iter().any(|command| matches!(command, Command::Begin { .. }));
+        let executes = commands.iter().any(|command| matches!(command, Command::Execute { .. }));
         let is_pinned = self.pinned_slot_id != 0;
         if begins {
             self.pinned_slot_id = rand::rng().random_range(1..=u64::MAX);
@@ -100,7 +101,7 @@
             organisation: self.organisation.clone(),
             kept: self.pinned_slot_id,
             values: self.values.clone(),
-            prepared: self.prepared.take(),
+            prepared: self.prepared.clone().filter(|_| executes),
             commands,
             priority: self.priority,
             start_within_ms: whole_ms(start_within),
@@ -220,7 +221,7 @@
     }
 }
 
-async fn serve_relay(engine: &Engine, from: InstanceName, request: RelayRequest) -> RelayAnswer {
+async fn serve_relay(engine: &Engine, from: InstanceName, mut request: RelayRequest) -> RelayAnswer {
     let key = PinnedSlotKey { from, number: request.kept };
     let deadline = tokio::time::Instant::now() + Duration::from_millis(request.answer_within_ms);
     let session = SessionState::with_values(request.values.clone());
@@ -244,9 +245,8 @@
         }
         slot
     };
-    if let Some(prepared) = &request.prepared
-        && slot.prepare(prepared, client_id(&request), deadline).await.is_err()
-    {
+    if let Err(failure) = name_executed_statement(&mut slot, &mut request, deadline).await {
+        log_unprepared(engine, &request, failure);
         // An open transaction is rolled back.
         tokio::spawn(slot.roll_back());
         return RelayAnswer::NotKept;
@@ -263,6 +263,25 @@
     }
 }
 
+/// Prepares the statement that the exchange executes, and puts its name on the slot's connection into the commands.
+async fn name_executed_statement(
+    slot: &mut Slot,
+    request: &mut RelayRequest,
+    deadline: tokio::time::Instant,
+) -> Result<(), LinkFailure> {
+    let id = client_id(request);
+    let name = match &request.prepared {
+        Some(prepared) => Some(slot.prepare(prepared, id, deadline).await?),
+        None => None,
+    };
+    for command in &mut request.commands {
+        if let Command::Execute { name: executed, .. } = command {
+            *executed = name.clone().ok_or(LinkFailure::NotSent)?;
+        }
+    }
+    Ok(())
+}
+
 async fn open(
     engine: &Engine,
     request: &RelayRequest,
@@ -310,6 +329,14 @@
         "start_within_ms" => request.start_within_ms, "lines_left_out" => suppressed);
 }
 
+/// Logs why another instance's exchange was not sent: its statement could not be prepared here.
+fn log_unprepared(engine: &Engine, request: &RelayRequest, failure: LinkFailure) {
+    let Some(suppressed) = engine.decisions().try_log_failure(engine.now()) else { return };
+    warn!(engine.logger(), "statement of another instance could not be prepared";
+        "request" => client_id(request), "endpoint" => request.endpoint.as_str(), "why" => ?failure,
+        "lines_left_out" => suppressed);
+}
+
 /// Pins the slot for the next statement of the transaction.
 fn pin(engine: &Engine, key: PinnedSlotKey, mut slot: Slot) {
     slot.suspend();
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -299,11 +299,14 @@
             exclude_unless_primary(tried, &slot);
             return Attempt::Retry(connect_failure(kind, failure, &slot));
         }
-        if let Err(failure) = self.prepare(&mut slot, statement, deadline).await {
-            exclude_unless_primary(tried, &slot);
-            let text = format!("{}: {PREPARE_REFUSED}", slot.endpoint);
-            return Attempt::Retry(Failure::new(failure::code_for_link_failure(kind, failure), text));
-        }
+        let name = match self.prepare(&mut slot, statement, deadline).await {
+            Ok(name) => name,
+            Err(failure) => {
+                exclude_unless_primary(tried, &slot);
+                let text = format!("{}: {PREPARE_REFUSED}", slot.endpoint);
+                return Attempt::Retry(Failure::new(failure::code_for_link_failure(kind, failure), text));
+            }
+        };
         let term = self.write_term(kind, &slot);
         if kind == StatementKind::Write && term.is_none() {
             let text = format!("{}: no longer the primary", slot.endpoint);
@@ -316,7 +319,7 @@
             }
             _ => ReadGuard::None,
         };
-        match self.exchange_guarded(&mut slot, statement, guard, deadline).await {
+        match self.exchange_guarded(&mut slot, statement, name, guard, deadline).await {
             Ok(mut replies) => {
                 let reply = replies.pop();
                 let is_confirmed = reply.as_ref().is_some_and(|reply| reply.result.is_ok());
@@ -350,6 +353,7 @@
         &self,
         slot: &mut Slot,
         statement: &Statement,
+        name: Option<Arc<str>>,
         guard: ReadGuard,
         deadline: tokio::time::Instant,
     ) -> Result<Vec<Reply>, LinkFailure> {
@@ -365,7 +369,7 @@
                 return Ok(replies);
             }
         }
-        let mut commands = self.commands(statement, after);
+        let mut commands = statement_commands(statement, name, after);
         if guard == ReadGuard::ReadWriteTransaction {
             commands.push(Command::Rollback);
         }
@@ -433,32 +437,18 @@
         };
     }
 
-    /// Prepares what a statement executes on a slot's connection.
+    /// Prepares what a statement executes on a slot's connection, and returns its name there. `None` if the statement
+    /// executes no prepared one.
     pub(crate) async fn prepare(
         &self,
         slot: &mut Slot,
         statement: &Statement,
         deadline: tokio::time::Instant,
-    ) -> Result<(), LinkFailure> {
-        let Action::Execute { name, .. } = &statement.action else { return Ok(()) };
+    ) -> Result<Option<Arc<str>>, LinkFailure> {
+        let Action::Execute { name, .. } = &statement.action else { return Ok(None) };
         match self.state.prepared(name) {
-            Some(prepared) => slot.prepare(prepared, &statement.id, deadline).await,
-            None => Ok(()),
-        }
-    }
-
-    /// Returns the commands that run a statement on a slot's connection.
-    pub(crate) fn commands(&self, statement: &Statement, after: Option<LogPoint>) -> Vec<Command> {
-        let id = statement.id.clone();
-        match &statement.action {
-            Action::Execute { name, arguments } => {
-                let Some(prepared) = self.state.prepared(name) else { return Vec::new() };
-                let name = prepared.shared_name();
-                vec![Command::Execute { id, name, arguments: arguments.clone(), after }]
-            }
-            Action::Run { text, .. } => vec![Command::Run { id, text: text.clone(), after }],
-            Action::Commit => vec![Command::Commit { id }],
-            _ => Vec::new(),
+            Some(prepared) => slot.prepare(prepared, &statement.id, deadline).await.map(Some),
+            None => Ok(None),
         }
     }
 
@@ -590,6 +580,25 @@
     }
 }
 
+/// Returns the commands that run a statement on a connection. `name` is the connection's name of the prepared statement
+/// that it executes.
+pub(crate) fn statement_commands(
+    statement: &Statement,
+    name: Option<Arc<str>>,
+    after: Option<LogPoint>,
+) -> Vec<Command> {
+    let id = statement.id.clone();
+    match &statement.action {
+        Action::Execute { arguments, .. } => {
+            let Some(name) = name else { return Vec::new() };
+            vec![Command::Execute { id, name, arguments: arguments.clone(), after }]
+        }
+        Action::Run { text, .. } => vec![Command::Run { id, text: text.clone(), after }],
+        Action::Commit => vec![Command::Commit { id }],
+        _ => Vec::new(),
+    }
+}
+
 enum Attempt {
     Answered(Answer),
     Retry(Failure),
--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -11,6 +11,7 @@
     cumincart_core::interactive::{
         command::{Command, EndpointErrorKind, Reply},
         failure::LinkFailure,
+        held_statements::Assignment,
         pool::{self, ConnectionChoice, IdleInfo},
         primary_guarantee::PrimaryGuarantee,
         routing::LAGGING_BACKOFF_MS,
@@ -19,6 +20,7 @@
     },
     cumincart_protocol::{
         name::{EndpointName, OrganisationName, ServiceName},
+        relay::RELAYED_STATEMENT,
         time::Instant,
     },
     slog::info,
@@ -52,7 +54,18 @@
     ReadWriteBegin,
 }
 
-/// Returns the shared name of the prepared statement that an exchange's commands execute.
+/// Returns the commands that prepare a statement under the name that was assigned to it.
+fn prepare_commands(prepared: &Prepared, assignment: &Assignment) -> Vec<Command> {
+    let released = assignment.released.iter().map(|name| Command::Deallocate { name: name.clone() });
+    let prepare = Command::Prepare {
+        name: assignment.name.clone(),
+        access: prepared.access,
+        shape: prepared.shape.clone(),
+    };
+    released.chain([prepare]).collect()
+}
+
+/// Returns the connection's name of the prepared statement that an exchange's commands execute.
 fn executed_name(commands: &[Command]) -> Option<Arc<str>> {
     commands.iter().find_map(|command| match command {
         Command::Execute { name, .. } => Some(name.clone()),
@@ -236,37 +249,45 @@
         }
     }
 
-    /// Prepares a statement on the connection, unless the connection holds it already. An execution is sent only after the
-    /// endpoint has accepted this, so that it never runs without its statement. With a relay, the statement is sent with
-    /// the next exchange, and the other instance does the same. `request` is the identifier of the statement that needs it.
+    /// Prepares a statement on the connection, unless the connection holds it already, and returns its name there. An
+    /// execution is sent only after the endpoint has accepted this, so that it never runs without its statement. With a
+    /// relay, the statement is sent with its execution, and the other instance does the same. `request` is the identifier
+    /// of the statement that needs it.
     pub(crate) async fn prepare(
         &mut self,
         prepared: &Prepared,
         request: &str,
         deadline: tokio::time::Instant,
-    ) -> Result<(), LinkFailure> {
+    ) -> Result<Arc<str>, LinkFailure> {
         if let Some(relay) = &mut self.relay {
             relay.prepare(prepared);
-            return Ok(());
+            return Ok(RELAYED_STATEMENT.into());
         }
-        let Some(borrowed) = &self.borrowed else { return Ok(()) };
-        let Some(command) = borrowed.state.prepare(prepared) else { return Ok(()) };
-        let number = borrowed.number;
-        let result = self.exchange(vec![command], deadline).await;
+        let Some(borrowed) = &mut self.borrowed else { return Err(LinkFailure::NotSent) };
+        if let Some(name) = borrowed.state.statements.find(prepared) {
+            return Ok(name);
+        }
+        let connection = borrowed.number;
+        let assignment = borrowed.state.statements.assign(prepared);
+        let result = self.exchange(prepare_commands(prepared, &assignment), deadline).await;
         let outcome = match &result {
             Ok(replies) if replies.iter().all(|reply| reply.result.is_ok()) => PrepareOutcome::Accepted,
             Ok(_) => PrepareOutcome::Refused,
             Err(_) => PrepareOutcome::Lost,
         };
-        self.report_prepare(prepared, &prepared.shared_name(), request, number, outcome);
+        self.report_prepare(prepared, &assignment.name, request, connection, outcome);
         if outcome != PrepareOutcome::Accepted {
-            // Whatever happened to it, the statement itself was not sent.
+            if !assignment.released.is_empty() {
+                // The endpoint may still hold a statement under a name that counts as free.
+                self.close();
+            }
+            // Whatever happened to it, the execution was not sent.
             return Err(LinkFailure::NotSent);
         }
         if let Some(borrowed) = &mut self.borrowed {
-            borrowed.state.record_prepared(prepared.shared_name());
+            borrowed.state.statements.record(prepared, &assignment);
         }
-        Ok(())
+        Ok(assignment.name)
     }
 
     /// Counts and logs an attempt to prepare a statement on a connection, with the name that it has there.
@@ -282,7 +303,7 @@
         let Some(suppressed) = self.engine.decisions().try_log_prepare(self.engine.now()) else { return };
         info!(self.engine.logger(), "statement prepared on a connection";
             "request" => request, "endpoint" => self.endpoint.as_str(), "connection" => connection,
-            "name" => %format_args!("{name:.EXCERPT_CHARS$}"), "access" => ?prepared.access,
+            "name" => name, "access" => ?prepared.access,
             "shape" => %format_args!("{:.EXCERPT_CHARS$}", prepared.shape),
             "shape_bytes" => prepared.shape.len(), "outcome" => ?outcome, "lines_left_out" => suppressed);
     }
@@ -343,7 +364,7 @@
             reply.result.as_ref().is_err_and(|error| error.kind == EndpointErrorKind::UnknownStatement)
         };
         if replies.iter().any(is_unknown) {
-            borrowed.state.record_unknown(name);
+            borrowed.state.statements.forget(name);
         }
     }
 
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -5,7 +5,7 @@
     crate::{
         session::{
             Answer, Failure, Operation, PREPARE_REFUSED, Session, connect_failure, link_failure_text,
-            slot_failure, start_by,
+            slot_failure, start_by, statement_commands,
         },
         slot::Slot,
         slot_request::SlotRequest,
@@ -281,11 +281,11 @@
             let text = format!("{}: {}", slot.endpoint, link_failure_text(failure));
             Failure::new(failure::code_for_link_failure(kind, LinkFailure::NotSent), text)
         })?;
-        self.prepare(slot, statement, deadline).await.map_err(|failure| {
+        let name = self.prepare(slot, statement, deadline).await.map_err(|failure| {
             let text = format!("{}: {PREPARE_REFUSED}", slot.endpoint);
             Failure::new(failure::code_for_link_failure(kind, failure), text)
         })?;
-        let commands = self.commands(statement, None);
+        let commands = statement_commands(statement, name, None);
         let mut replies = match slot.exchange(commands, deadline).await {
             Ok(replies) => replies,
             Err(failure) => return Err(link_failure(slot, failure)),
