Send the log point of a long read in a message of its own

What callers saw: a read that nearly fills a message, on a database that accepts an age, was sent to a replica with AFTERLSN before it and became longer than a message may be.

Cause: the log point was always written into the message that carries the client's text.

Ruled out: names of prepared statements, which are not longer than the client's.

Change: the driver says up to which length a statement has room for its log point. A longer read gets it with a BEGIN READ of its own, as a read without a lease already gets a plain BEGIN, and a ROLLBACK after it.

--- a/crates/cumincart-core/src/interactive/statement.rs
+++ b/crates/cumincart-core/src/interactive/statement.rs
@@ -13,6 +13,19 @@
     pub action: Action,
 }
 
+impl Statement {
+    /// Returns the length of the identifier and the text as they are sent to an endpoint, in bytes. It is that of the
+    /// client's own text if a prepared statement is executed, whose name at the endpoint is not longer.
+    pub fn length_bytes(&self) -> usize {
+        let text_bytes = match &self.action {
+            Action::Run { text, .. } => text.len(),
+            Action::Execute { name, arguments } => name.len() + arguments.len(),
+            _ => 0,
+        };
+        self.id.len() + text_bytes
+    }
+}
+
 /// The action of a statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
--- a/crates/cumincart-session/src/driver.rs
+++ b/crates/cumincart-session/src/driver.rs
@@ -82,6 +82,9 @@
     pub open: Arc<OpenFn>,
     /// Whether an endpoint refuses writes and read-write transactions once it has been demoted.
     pub fences_terms: bool,
+    /// The maximum length of a statement that is sent in one message with the log point that it needs, in bytes: its
+    /// identifier and its text. The log point of a longer one goes ahead, with the begin of a transaction for it alone.
+    pub guarded_statement_max_bytes: usize,
 }
 
 impl fmt::Debug for Driver {
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -357,26 +357,25 @@
         guard: ReadGuard,
         deadline: tokio::time::Instant,
     ) -> Result<Vec<Reply>, LinkFailure> {
-        let after = match guard {
-            ReadGuard::AtLeast(point) => Some(point),
-            ReadGuard::None | ReadGuard::ReadWriteTransaction => None,
-        };
-        if guard == ReadGuard::ReadWriteTransaction {
-            // The read is sent only after the endpoint has proven to be the primary.
-            let begin = Command::Begin { read_only: false, after: None };
-            let replies = slot.exchange(vec![begin], deadline).await?;
-            if replies.iter().any(|reply| reply.result.is_err()) {
-                return Ok(replies);
+        let is_long = statement.length_bytes() > self.engine.driver().guarded_statement_max_bytes;
+        let (begin, after) = match guard {
+            ReadGuard::None => (None, None),
+            ReadGuard::AtLeast(point) if is_long => {
+                (Some(Command::Begin { read_only: true, after: Some(point) }), None)
             }
-        }
+            ReadGuard::AtLeast(point) => (None, Some(point)),
+            ReadGuard::ReadWriteTransaction => (Some(Command::Begin { read_only: false, after: None }), None),
+        };
         let mut commands = statement_commands(statement, name, after);
-        if guard == ReadGuard::ReadWriteTransaction {
-            commands.push(Command::Rollback);
+        let Some(begin) = begin else { return slot.exchange(commands, deadline).await };
+        // The read is sent only after the endpoint has proven that it may serve it.
+        let replies = slot.exchange(vec![begin], deadline).await?;
+        if replies.iter().any(|reply| reply.result.is_err()) {
+            return Ok(replies);
         }
+        commands.push(Command::Rollback);
         let mut replies = slot.exchange(commands, deadline).await?;
-        if guard == ReadGuard::ReadWriteTransaction {
-            replies.pop();
-        }
+        replies.pop();
         Ok(replies)
     }
 
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -9,14 +9,15 @@
 use {
     cumincart_core::interactive::{
         failure::FailureCode,
-        statement::{Access, Action},
+        statement::{Access, Action, TransactionState},
     },
     cumincart_session::session::{Answer, Session},
     fleet::{
         BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit,
         read, run, write,
     },
-    std::time::Duration,
+    group::GUARDED_STATEMENT_MAX_BYTES,
+    std::{sync::Arc, time::Duration},
     test_case::test_case,
     tokio::{sync::oneshot, time::sleep},
 };
@@ -174,6 +175,32 @@
     assert!(later.iter().all(|arrival| arrival.endpoint != ENDPOINTS[1].into()), "{later:?}");
 }
 
+/// Guards against messages above the maximum length: a read that a client's message just holds, with the log point that
+/// a replica must have reached.
+#[test_case(false; "plain")]
+#[test_case(true; "prepared")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_read_gets_its_log_point_in_a_message_of_its_own(is_prepared: bool) {
+    let fleet = Fleet::start(0).await;
+    let mut session = session(&fleet, BOUNDED_DATABASE).await;
+    let prepare = Action::Prepare { name: "s1".into(), access: Access::Read, shape: "q2c".into() };
+    assert_eq!(code(&run(&mut session, "p1", prepare).await), None);
+    let item: Arc<str> = "x".repeat(GUARDED_STATEMENT_MAX_BYTES).into();
+    let action = if is_prepared {
+        Action::Execute { name: "s1".into(), arguments: item }
+    } else {
+        Action::Run { access: Access::Read, text: format!("READ {item}").into() }
+    };
+    let answer = run(&mut session, "r1", action).await;
+    assert_eq!(code(&answer), None);
+    assert_eq!(answer.state, TransactionState::Idle);
+    assert_eq!(fleet.group.endpoint_of("r1"), Some(ENDPOINTS[1].into()), "the near replica serves the read");
+    let arrivals = fleet.group.arrivals();
+    let replica = arrivals.iter().filter(|arrival| arrival.endpoint == ENDPOINTS[1].into());
+    let seen: Vec<&str> = replica.map(|arrival| arrival.what.as_str()).collect();
+    assert!(seen.ends_with(&["BEGIN", "r1", "ROLLBACK"]), "{seen:?}");
+}
+
 /// Guards against a refused `PREPARE` that counts as held, so that each later execution on the connection is refused.
 #[test_case(true; "in a transaction")]
 #[test_case(false; "outside a transaction")]
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -21,6 +21,9 @@
     tokio::sync::{mpsc, watch},
 };
 
+/// The maximum length of a statement that is sent together with a log point, in bytes.
+pub const GUARDED_STATEMENT_MAX_BYTES: usize = 64;
+
 /// A command that arrived at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Arrival {
@@ -80,6 +83,7 @@
         let group = self.clone();
         Driver {
             fences_terms: true,
+            guarded_statement_max_bytes: GUARDED_STATEMENT_MAX_BYTES,
             open: Arc::new(move |destination| {
                 let group = group.clone();
                 Box::pin(async move { Ok(group.connect(instance, &destination)) })
@@ -207,6 +211,7 @@
                 return Err(error(EndpointErrorKind::Failed));
             }
             Command::Prepare { name, .. } => context.prepared.push(name.clone()),
+            command if is_too_long(command) => return Err(error(EndpointErrorKind::Malformed)),
             Command::Execute { name, .. } if !context.prepared.contains(name) => {
                 return Err(error(EndpointErrorKind::UnknownStatement));
             }
@@ -225,6 +230,16 @@
     }
 }
 
+/// Returns whether a statement and its log point don't fit into one message.
+fn is_too_long(command: &Command) -> bool {
+    let bytes = match command {
+        Command::Run { id, text, after: Some(_) } => id.len() + text.len(),
+        Command::Execute { id, name, arguments, after: Some(_) } => id.len() + name.len() + arguments.len(),
+        _ => return false,
+    };
+    bytes > GUARDED_STATEMENT_MAX_BYTES
+}
+
 fn describe(command: &Command) -> String {
     match command {
         Command::Begin { .. } => "BEGIN".to_owned(),
