--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalogue;
 pub mod change;
 pub mod endpoint_sql;
+pub mod excerpt;
 pub mod exchange;
 pub mod fnv;
 pub mod heartbeat;
