--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -15,6 +15,7 @@
     cumincart_protocol::{
         announcement::{Announcement, LogState, Presence},
         change::{Change, Outcome},
+        excerpt::Excerpt,
         name::InstanceName,
         peer::PeerBody,
         refusal::{Refusal, RefusalCode},
@@ -413,7 +414,8 @@
             }
             Effect::Promote(promotion) => self.promote(promotion),
             Effect::Probe(probe) => self.probe(probe),
-            Effect::Log(message) => info!(self.logger, "{}", message),
+            // The names in it may be of any length.
+            Effect::Log(message) => info!(self.logger, "{}", Excerpt(&message)),
         }
         Ok(())
     }
