--- a/crates/cumincart-runtime/src/logging.rs
+++ b/crates/cumincart-runtime/src/logging.rs
@@ -3,9 +3,22 @@
 use {
     cumincart_config::{LogFormat, LogLevel, LogSettings},
     slog::{Drain, Level, LevelFilter, Logger, o},
-    std::sync::Mutex,
+    std::{borrow::Cow, sync::Mutex},
 };
 
+/// The length up to which a text of somebody else is logged as it is, in bytes. Identifiers and names are shorter.
+pub const EXCERPT_MAX_BYTES: usize = 256;
+
+/// Returns a text that a client, an endpoint, a peer or an operator chose in the form in which it is logged: unchanged
+/// if it is short, otherwise its beginning and its length.
+pub fn excerpt(text: &str) -> Cow<'_, str> {
+    if text.len() <= EXCERPT_MAX_BYTES {
+        return Cow::Borrowed(text);
+    }
+    let beginning = &text[..text.floor_char_boundary(EXCERPT_MAX_BYTES)];
+    Cow::Owned(format!("{beginning}... ({} bytes)", text.len()))
+}
+
 /// Creates a logger that writes to standard error from a separate thread.
 pub fn open(settings: LogSettings) -> Logger {
     let drain = match settings.format {
--- a/crates/cumincart-session/src/decision_log.rs
+++ b/crates/cumincart-session/src/decision_log.rs
@@ -2,6 +2,8 @@
 
 use {
     cumincart_protocol::time::Instant,
+    cumincart_runtime::clock::Clock,
+    slog::Logger,
     std::sync::{
         Mutex,
         atomic::{AtomicU64, Ordering},
@@ -52,3 +54,31 @@
         Some(std::mem::take(&mut window.suppressed))
     }
 }
+
+/// A logger for failures that clients or endpoints can cause as often as they like. Its volume is bounded as in
+/// [`DecisionLog`].
+#[derive(Debug)]
+pub struct FailureLog {
+    logger: Logger,
+    clock: Clock,
+    decisions: DecisionLog,
+}
+
+impl FailureLog {
+    /// Opens a log that writes to a logger.
+    pub fn open(logger: Logger) -> Self {
+        Self { logger, clock: Clock::start(), decisions: DecisionLog::default() }
+    }
+
+    /// Returns the logger without a bound.
+    pub fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Returns the logger for one line, and the number of lines suppressed before it; `None` if this failure is not
+    /// logged.
+    pub fn admit(&self) -> Option<(&Logger, u64)> {
+        let suppressed = self.decisions.try_log_failure(self.clock.now())?;
+        Some((&self.logger, suppressed))
+    }
+}
