Refuse an organisation that no endpoint can be told before a slot is used

What callers saw: nothing yet. A connection that can't be opened counts against its endpoint, which then gets nobody's statements for half a second. With the writer of lines alone, an organisation whose name has a space would have done that with each of its statements.

Cause: the engine knows two failures to open a connection, refused by the endpoint and not reached. A destination that can't be expressed is neither.

Ruled out: that such an organisation's writes have the primary replaced. In three seconds of refused writes the leader's own probes kept it.

Change: a driver checks a destination before a slot is acquired, also for another instance's exchange. The statement is refused at once as not run, with a line that says why. The refresh of log points took the first organisation on the list; it takes the first one that can be sent.

Evidence: with a driver whose check accepts everything, the test fails with `it is refused at once`.

--- a/crates/cumincart-session/src/driver.rs
+++ b/crates/cumincart-session/src/driver.rs
@@ -72,12 +72,22 @@
     }
 }
 
+/// Why no connection can be opened to a destination: the endpoints' protocol can't express it. This says nothing about
+/// whether the endpoint is reachable.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidDestination {
+    /// What is wrong with it, without the name itself.
+    pub reason: String,
+}
+
 /// Opens a connection.
 pub type OpenFn = dyn Fn(Destination) -> BoxFuture<Result<Connection, OpenFailure>> + Send + Sync;
 
 /// An implementation of the endpoints' protocol.
 #[derive(Clone)]
 pub struct Driver {
+    /// Checks whether a connection can be opened to a destination, if its endpoint is reachable.
+    pub check: fn(&Destination) -> Result<(), InvalidDestination>,
     /// Opens a connection.
     pub open: Arc<OpenFn>,
     /// Whether an endpoint refuses writes and read-write transactions once it has been demoted.
--- a/crates/cumincart-session/src/log_points.rs
+++ b/crates/cumincart-session/src/log_points.rs
@@ -8,7 +8,11 @@
         routing::{self, Target},
         session::SessionState,
     },
-    cumincart_protocol::{lists::Database, name::OrganisationName, time::Instant},
+    cumincart_protocol::{
+        lists::Database,
+        name::{OrganisationName, ServiceName},
+        time::Instant,
+    },
     std::time::Duration,
 };
 
@@ -51,7 +55,7 @@
 
     async fn refresh_point(self, database: Database) {
         let now = self.now();
-        if let Some(organisation) = self.any_organisation() {
+        if let Some(organisation) = self.any_organisation(&database.service) {
             let request = SlotRequest {
                 database: &database,
                 organisation: &organisation,
@@ -71,10 +75,14 @@
         self.lock().positions(&database.service).is_refreshing = false;
     }
 
-    /// Returns the first configured organisation. A connection can only be opened on behalf of an organisation.
-    fn any_organisation(&self) -> Option<OrganisationName> {
+    /// Returns the first organisation for which a connection to the service's endpoints can be opened. A connection can
+    /// only be opened on behalf of an organisation.
+    fn any_organisation(&self, service: &ServiceName) -> Option<OrganisationName> {
         let catalogue = self.lock().catalogue();
-        catalogue.lists.organisations.organisations.first().map(|organisation| organisation.name.clone())
+        let entry = catalogue.group(service)?.endpoints.iter().next()?;
+        let mut names =
+            catalogue.lists.organisations.organisations.iter().map(|organisation| &organisation.name);
+        names.find(|name| self.check_destination(service, entry, name).is_ok()).cloned()
     }
 
     /// Returns the log point that a read arriving at this instant requires, or `None` if only the primary may serve it.
--- a/crates/cumincart-session/src/slot_request.rs
+++ b/crates/cumincart-session/src/slot_request.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        driver::{Destination, InvalidDestination},
         engine::{Engine, TICK_INTERVAL},
         relay::Relay,
         slot::Slot,
@@ -20,6 +21,8 @@
         name::{EndpointName, OrganisationName, ServiceName},
         time::Instant,
     },
+    cumincart_runtime::logging::excerpt,
+    slog::warn,
     std::sync::{Arc, MutexGuard},
     tokio::{sync::oneshot, time::timeout_at},
 };
@@ -124,6 +127,9 @@
             known.is_some_and(|known| known.limiter.has_free_slot()) || !remote_owners(entry).is_empty()
         };
         let chosen = candidates.iter().find(|entry| has_free_slot(entry)).unwrap_or(best);
+        if !self.can_connect(service, chosen, request.organisation) {
+            return SlotRequestOutcome::Refused(SlotError::NoEndpoint);
+        }
         let is_primary =
             state.primary_guarantee(service, &chosen.name, fences_terms, now) != PrimaryGuarantee::None;
         let owners = remote_owners(chosen);
@@ -205,6 +211,9 @@
             let entry = group.and_then(|group| group.endpoints.get(request.endpoint));
             let entry = entry.filter(|entry| routing::may_serve(&catalogue, entry));
             let Some(entry) = entry else { return Err(SlotError::NoEndpoint) };
+            if !self.can_connect(request.service, entry, request.organisation) {
+                return Err(SlotError::NoEndpoint);
+            }
             let fences_terms = self.driver().fences_terms;
             let is_primary = state.primary_guarantee(request.service, request.endpoint, fences_terms, now)
                 != PrimaryGuarantee::None;
@@ -220,6 +229,40 @@
         }
     }
 
+    /// Checks whether the endpoints' protocol can express a connection to an endpoint for an organisation.
+    pub(crate) fn check_destination(
+        &self,
+        service: &ServiceName,
+        entry: &EndpointEntry,
+        organisation: &OrganisationName,
+    ) -> Result<(), InvalidDestination> {
+        let destination = Destination {
+            service: service.clone(),
+            endpoint: entry.name.clone(),
+            address: entry.address.clone(),
+            organisation: organisation.clone(),
+        };
+        (self.driver().check)(&destination)
+    }
+
+    /// Returns whether a connection to an endpoint can be opened for an organisation, and logs why not. Checked before a
+    /// slot is acquired, because a connection that can't be opened counts against its endpoint.
+    fn can_connect(
+        &self,
+        service: &ServiceName,
+        entry: &EndpointEntry,
+        organisation: &OrganisationName,
+    ) -> bool {
+        let checked = self.check_destination(service, entry, organisation);
+        let Err(InvalidDestination { reason }) = checked else { return true };
+        if let Some(suppressed) = self.decisions().try_log_failure(self.now()) {
+            warn!(self.logger(), "no connection can be opened for an organisation";
+                "organisation" => &*excerpt(organisation.as_str()), "service" => &*excerpt(service.as_str()),
+                "endpoint" => &*excerpt(entry.name.as_str()), "why" => reason, "lines_left_out" => suppressed);
+        }
+        false
+    }
+
     /// Waits for a queued request to get its slot.
     async fn await_slot(
         &self,
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -13,10 +13,10 @@
     },
     cumincart_session::session::{Answer, Session},
     fleet::{
-        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit,
-        read, run, write,
+        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, SPACED_KEY, await_condition,
+        begin, commit, read, run, write,
     },
-    std::time::Duration,
+    std::time::{Duration, Instant},
     test_case::test_case,
     tokio::{sync::oneshot, time::sleep},
 };
@@ -257,3 +257,26 @@
         assert_eq!(code(&run(&mut session, &format!("e{number}"), execute()).await), None);
     }
 }
+
+/// Guards against an organisation whose name does not fit the endpoints' protocol and that makes an endpoint count as
+/// unreachable, so that nobody's statements are sent to it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reads_of_an_organisation_that_no_endpoint_can_be_told_do_not_make_a_replica_unreachable() {
+    let fleet = Fleet::start(0).await;
+    let mut spaced = fleet.open_session(BOUNDED_DATABASE, SPACED_KEY).await.expect("the session is opened");
+    let mut other = session(&fleet, BOUNDED_DATABASE).await;
+    for number in 0..5 {
+        let started = Instant::now();
+        let refused = read(&mut spaced, &format!("spaced-{number}")).await;
+        assert_eq!(code(&refused), Some(FailureCode::Busy), "nothing ran");
+        assert!(started.elapsed() < Duration::from_secs(1), "it is refused at once");
+        assert_eq!(fleet.group.endpoint_of(&format!("spaced-{number}")), None, "nothing is sent");
+        let id = format!("other-{number}");
+        assert_eq!(code(&read(&mut other, &id).await), None);
+        assert_eq!(
+            fleet.group.endpoint_of(&id),
+            Some(ENDPOINTS[1].into()),
+            "the near replica serves the read"
+        );
+    }
+}
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -48,6 +48,12 @@
 /// The two keys of the organisation.
 pub const KEYS: [&str; 2] = ["key-1", "key-2"];
 
+/// An organisation for which the driver can't open connections. It is the first one on the list.
+pub const SPACED_ORGANISATION: &str = "clinic db-1";
+
+/// The key of that organisation.
+pub const SPACED_KEY: &str = "key-of-clinic-db-1";
+
 /// The failure domains, each with the endpoint of the same index. The entry instance is in the second one.
 pub const DOMAINS: [&str; 3] = ["quay", "forest", "bay"];
 
@@ -321,6 +327,11 @@
         plan: "clinic".into(),
         keys: keys.iter().map(digest).collect(),
     };
+    let spaced = Organisation {
+        name: SPACED_ORGANISATION.into(),
+        plan: "clinic".into(),
+        keys: [digest(&SPACED_KEY)].into_iter().collect(),
+    };
     let plan =
         Plan { name: "clinic".into(), routes: Vec::new(), rate_per_s: 10_000.0, burst: 10_000, weight: 1 };
     let database = |name: &str, consistency| Database {
@@ -338,7 +349,7 @@
     ];
     let limits = ServiceLimits { service: "ledger".into(), connection_limit: 32, synchronous_replicas };
     Lists {
-        organisations: OrganisationList { organisations: vec![organisation] },
+        organisations: OrganisationList { organisations: vec![spaced, organisation] },
         plans: PlanList { services: Vec::new(), plans: vec![plan] },
         interactive: InteractiveList {
             databases: databases.into_iter().collect(),
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -13,7 +13,7 @@
         name::EndpointName,
         number::{LogPosition, Timeline},
     },
-    cumincart_session::driver::{Connection, Destination, Driver, Exchange},
+    cumincart_session::driver::{Connection, Destination, Driver, Exchange, InvalidDestination, OpenFailure},
     std::{
         future,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -80,9 +80,14 @@
         let group = self.clone();
         Driver {
             fences_terms: true,
+            check: check_destination,
             open: Arc::new(move |destination| {
                 let group = group.clone();
-                Box::pin(async move { Ok(group.connect(instance, &destination)) })
+                Box::pin(async move {
+                    // As an endpoint's driver does that can't write the line.
+                    check_destination(&destination).map_err(|_| OpenFailure::Unreachable)?;
+                    Ok(group.connect(instance, &destination))
+                })
             }),
         }
     }
@@ -225,6 +230,14 @@
     }
 }
 
+/// Refuses organisations whose names contain a space.
+fn check_destination(destination: &Destination) -> Result<(), InvalidDestination> {
+    if destination.organisation.as_str().contains(' ') {
+        return Err(InvalidDestination { reason: "the organisation contains a space".to_owned() });
+    }
+    Ok(())
+}
+
 fn describe(command: &Command) -> String {
     match command {
         Command::Begin { .. } => "BEGIN".to_owned(),
