Answer and log messages that can't be read

What callers saw: a statement that is too long or not UTF-8 closed the session without an answer. So did any other unreadable message. A client in a transaction could not tell it from a lost connection. An endpoint's answer of that kind ended its exchange as a lost connection. Neither left a log line.

Cause: the decoder of lines reported such a line as an error of the stream, which ends the stream, and every reader took that for a close.

Ruled out: that the stream is out of step after such a line. Its end is known, and a line that is too long is skipped up to its end without being stored.

Change: the decoder reports the line, and goes on with the next one. A client's `QUERY` line gets `ERROR MALFORMED` and `READY`, and the session goes on; any other message gets `ERROR MALFORMED` and a close. Each is counted (`cumincart_session_malformed`) and logged at a bounded rate with its identifier, but not with its text, which may contain the key. An endpoint's unreadable or unexpected line breaks its exchange as before, with a log line.

--- a/crates/cumincart-session/src/metrics.rs
+++ b/crates/cumincart-session/src/metrics.rs
@@ -65,6 +65,8 @@
     pub reads_on_replica: Counter,
     /// Reads and read-only transactions that an endpoint refused because its log had not reached the required point.
     pub lagging: Counter,
+    /// Messages of clients that can't be read.
+    pub malformed: Counter,
     /// Time from a statement's arrival to its answer, in seconds.
     pub latency: Histogram,
 }
@@ -83,14 +85,16 @@
         let reads_on_primary = Counter::default();
         let reads_on_replica = Counter::default();
         let lagging = Counter::default();
+        let malformed = Counter::default();
         let latency = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
         registry.register("statements", "Finished statements", statements.clone());
         registry.register("connections_opened", "Attempts to open connections", opened.clone());
         registry.register("reads_on_primary", "Stale-tolerant reads on primaries", reads_on_primary.clone());
         registry.register("reads_on_replica", "Reads on replicas", reads_on_replica.clone());
         registry.register("lagging", "Reads that a replica was too far behind for", lagging.clone());
+        registry.register("malformed", "Messages of clients that can't be read", malformed.clone());
         registry.register("latency_seconds", "Time from arrival to answer", latency.clone());
-        Self { registry, statements, opened, reads_on_primary, reads_on_replica, lagging, latency }
+        Self { registry, statements, opened, reads_on_primary, reads_on_replica, lagging, malformed, latency }
     }
 }
 
