Let a message that is too long between instances fail alone

What callers saw: nothing known. A relayed exchange carries all values of its session, of up to 1 MiB each, and its answer any number of rows. Above 16 MiB the receiver closed the link, and every other exchange on it was lost: a commit in doubt, an open transaction aborted, again after each reconnect.

Cause: only the receiver checked the length of a message.

Ruled out: a higher limit. Rows are not bounded.

Change: the sender encodes at most 16 MiB. A request beyond that fails as `LinkError::TooLong`, and nothing is sent. An answer beyond that becomes a refusal whose verdict is that the request may have run, because it has; a relayed commit is then in doubt. Such messages are counted by kind (`peer_too_long_messages`), and the periodic lines about peer traffic are preceded by a warning if there were any.

Relayed requests that are too long are still taken for a broken link by their sender, which leaves a write in doubt that was not sent, and the owner unused for 1.5 s.

Evidence: without the bound, the tests of links fail with `Err(Lost)` and `the link stays up: Lost`, and the commit of another transaction on the link with `the link stays up`, `left: Some(Aborted)`.

--- a/crates/cumincart-runtime/src/link.rs
+++ b/crates/cumincart-runtime/src/link.rs
@@ -9,6 +9,8 @@
 pub mod server;
 pub mod traffic;
 
+use cumincart_protocol::peer::PEER_MAX_BYTES;
+
 /// An error of a peer link.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum LinkError {
@@ -41,6 +43,10 @@
         /// Why it failed.
         reason: String,
     },
+    /// A message is longer than the peer accepts; nothing was sent, and the link is not affected.
+    #[error("the message is longer than {PEER_MAX_BYTES} bytes")]
+    #[diagnostic(code(cumincart::link::too_long), help("send less in one message"))]
+    TooLong,
     /// The link is down; nothing was sent.
     #[error("the link to the peer is down")]
     #[diagnostic(
--- a/crates/cumincart-runtime/src/link/client.rs
+++ b/crates/cumincart-runtime/src/link/client.rs
@@ -98,7 +98,8 @@
         let _ = self.outgoing.try_send(OutgoingMessage { body, answer: None });
     }
 
-    /// Sends a message and waits for its answer. [`LinkError::Down`] means that nothing was sent.
+    /// Sends a message and waits for its answer. [`LinkError::Down`] and [`LinkError::TooLong`] mean that nothing was
+    /// sent.
     pub async fn request(&self, body: PeerBody, wait: Duration) -> Result<PeerBody, LinkError> {
         let (answer, answered) = oneshot::channel();
         self.outgoing
@@ -173,7 +174,14 @@
                     continue;
                 }
                 let envelope = envelope(instance, &mut answers, message);
-                let bytes = codec::encode(&envelope);
+                let bytes = match codec::encode(&envelope) {
+                    Ok(bytes) => bytes,
+                    Err(error) => {
+                        traffic::count_too_long(&envelope.body);
+                        answers.answer(envelope.request, Err(error));
+                        continue;
+                    }
+                };
                 traffic::count(Direction::Sent, &envelope.body, bytes.len());
                 if sink.send(Message::Binary(bytes.into())).await.is_err() {
                     return Some(());
--- a/crates/cumincart-runtime/src/link/codec.rs
+++ b/crates/cumincart-runtime/src/link/codec.rs
@@ -3,16 +3,39 @@
 use {
     super::LinkError,
     cumincart_protocol::peer::{Envelope, PEER_MAX_BYTES, PEER_VERSION},
+    std::io::{self, Write},
 };
 
 /// The maximum nesting depth of the values in a message.
 const MAX_DEPTH: usize = 64;
 
-/// Encodes an envelope as CBOR.
-pub fn encode(envelope: &Envelope) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(envelope, &mut bytes).expect("writing to a vector can't fail");
-    bytes
+/// Encodes an envelope as CBOR. Fails if it is longer than the peer accepts, which would close the link.
+pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, LinkError> {
+    let mut message = BoundedMessage::default();
+    match ciborium::into_writer(envelope, &mut message) {
+        Ok(()) => Ok(message.bytes),
+        Err(_) => Err(LinkError::TooLong),
+    }
+}
+
+/// An encoded message of at most [`PEER_MAX_BYTES`].
+#[derive(Debug, Default)]
+struct BoundedMessage {
+    bytes: Vec<u8>,
+}
+
+impl Write for BoundedMessage {
+    fn write(&mut self, part: &[u8]) -> io::Result<usize> {
+        if self.bytes.len() + part.len() > PEER_MAX_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        self.bytes.extend_from_slice(part);
+        Ok(part.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Decodes an envelope. Fails if it is too long, has another version or is followed by further bytes.
--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -10,6 +10,7 @@
     cumincart_protocol::{
         name::InstanceName,
         peer::{Envelope, PEER_MAX_BYTES, PEER_VERSION, PeerBody},
+        refusal::{Refusal, RefusalCode},
     },
     futures_util::{
         SinkExt, StreamExt,
@@ -57,7 +58,8 @@
 }
 
 impl Reply {
-    /// Sends an answer. It is dropped if the link is lost or the peer does not read.
+    /// Sends an answer. It is dropped if the link is lost or the peer does not read. One that is longer than the peer
+    /// accepts is replaced by a refusal, which states that the request may have run.
     pub fn send(&self, body: PeerBody) {
         let from = self.instance.clone();
         let envelope = Envelope { version: PEER_VERSION, from, request: self.request, body };
@@ -174,8 +176,14 @@
     mut sink: SplitSink<WebSocketStream<TcpStream>, Message>,
     mut outgoing: mpsc::Receiver<Envelope>,
 ) {
-    while let Some(envelope) = outgoing.recv().await {
-        let bytes = codec::encode(&envelope);
+    while let Some(mut envelope) = outgoing.recv().await {
+        let Ok(bytes) = codec::encode(&envelope).or_else(|_| {
+            traffic::count_too_long(&envelope.body);
+            envelope.body = too_long_answer();
+            codec::encode(&envelope)
+        }) else {
+            continue;
+        };
         traffic::count(Direction::Sent, &envelope.body, bytes.len());
         if sink.send(Message::Binary(bytes.into())).await.is_err() {
             return;
@@ -183,6 +191,12 @@
     }
 }
 
+/// Returns the answer that takes the place of one that is longer than the peer accepts. What was asked for may have run.
+fn too_long_answer() -> PeerBody {
+    let message = "the answer is longer than instances may send to each other";
+    PeerBody::Refused(Refusal::unknown(RefusalCode::Internal, message))
+}
+
 /// Returns the WebSocket limits of a peer link.
 pub(super) fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
--- a/crates/cumincart-runtime/src/link/traffic.rs
+++ b/crates/cumincart-runtime/src/link/traffic.rs
@@ -3,7 +3,7 @@
 use {
     crate::metrics::{Label, Metric},
     cumincart_protocol::peer::PeerBody,
-    slog::{Logger, info},
+    slog::{Logger, info, warn},
     std::{
         sync::atomic::{AtomicU64, Ordering},
         time::Duration,
@@ -47,6 +47,12 @@
     }
 }
 
+/// The messages of each kind that were too long to be sent.
+static TOO_LONG: [AtomicU64; KINDS.len()] = [const { AtomicU64::new(0) }; KINDS.len()];
+
+/// The sum of [`TOO_LONG`] at the last log line about it.
+static TOO_LONG_LOGGED: AtomicU64 = AtomicU64::new(0);
+
 static SENT: [Count; KINDS.len()] = [const { Count::new() }; KINDS.len()];
 static RECEIVED: [Count; KINDS.len()] = [const { Count::new() }; KINDS.len()];
 
@@ -63,6 +69,8 @@
     pub received: u64,
     /// The bytes received, without those of the transport.
     pub received_bytes: u64,
+    /// The messages that were not sent, because the peer would not have accepted their length.
+    pub too_long: u64,
 }
 
 /// Counts an encoded message.
@@ -73,6 +81,11 @@
     count.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
 }
 
+/// Counts a message that was too long to be sent.
+pub fn count_too_long(body: &PeerBody) {
+    TOO_LONG[kind_index(body)].fetch_add(1, Ordering::Relaxed);
+}
+
 /// Returns the traffic of each kind.
 pub fn snapshot() -> Vec<Traffic> {
     let of_kind = |(index, kind): (usize, &&'static str)| Traffic {
@@ -81,12 +94,20 @@
         sent_bytes: SENT[index].bytes.load(Ordering::Relaxed),
         received: RECEIVED[index].messages.load(Ordering::Relaxed),
         received_bytes: RECEIVED[index].bytes.load(Ordering::Relaxed),
+        too_long: TOO_LONG[index].load(Ordering::Relaxed),
     };
     KINDS.iter().enumerate().map(of_kind).collect()
 }
 
-/// Logs the traffic since the start of the process.
+/// Logs the traffic since the start of the process, and which messages since the last line were too long to be sent.
 pub fn log(logger: &Logger) {
+    let too_long: Vec<Traffic> = snapshot().into_iter().filter(|traffic| traffic.too_long > 0).collect();
+    let total = too_long.iter().map(|traffic| traffic.too_long).sum();
+    if TOO_LONG_LOGGED.swap(total, Ordering::Relaxed) != total {
+        let kinds: Vec<String> =
+            too_long.iter().map(|traffic| format!("{} {}", traffic.kind, traffic.too_long)).collect();
+        warn!(logger, "messages to other instances were too long to be sent"; "since_start" => kinds.join("; "));
+    }
     info!(logger, "peer traffic"; "since_start" => summary());
 }
 
@@ -94,13 +115,13 @@
 fn summary() -> String {
     let occurred = snapshot().into_iter().filter(|traffic| traffic.sent + traffic.received > 0);
     let lines = occurred.map(|traffic| {
-        let Traffic { kind, sent, sent_bytes, received, received_bytes } = traffic;
+        let Traffic { kind, sent, sent_bytes, received, received_bytes, .. } = traffic;
         format!("{kind} sent {sent} with {sent_bytes} bytes, received {received} with {received_bytes} bytes")
     });
     lines.collect::<Vec<_>>().join("; ")
 }
 
-/// Returns the bytes of each kind as metrics.
+/// Returns the bytes of each kind, and the messages that were too long, as metrics.
 pub fn metrics() -> Vec<Metric> {
     let of_kind = |traffic: Traffic| {
         let label = || Label::new("kind", traffic.kind);
@@ -113,6 +134,12 @@
                 traffic.received_bytes,
             )
             .with(label()),
+            Metric::counter(
+                "peer_too_long_messages",
+                "Messages to other instances that were too long to be sent",
+                traffic.too_long,
+            )
+            .with(label()),
         ]
     };
     snapshot().into_iter().flat_map(of_kind).collect()
--- a/crates/cumincart-runtime/tests/link.rs
+++ b/crates/cumincart-runtime/tests/link.rs
@@ -2,9 +2,12 @@
 
 use {
     cumincart_protocol::{
+        exchange::{Reply, Rows, TransactionState},
         name::InstanceName,
         peer::{Envelope, PEER_MAX_BYTES, PEER_VERSION, PeerBody},
         refusal::{Refusal, RefusalCode},
+        relay::RelayAnswer,
+        verdict::Verdict,
     },
     cumincart_runtime::link::{
         LinkError,
@@ -12,6 +15,7 @@
         codec,
         handshake::{FleetSecret, challenge, check, hello, prove},
         server::{PeerServer, ReceivedMessage},
+        traffic,
     },
     proptest::prelude::*,
     std::{sync::Arc, time::Duration},
@@ -155,6 +159,10 @@
     assert_eq!(FleetSecret::new(bytes).is_ok(), accepted);
 }
 
+fn encode(envelope: &Envelope) -> Vec<u8> {
+    codec::encode(envelope).expect("the envelope is short enough")
+}
+
 fn envelope(version: u16) -> Envelope {
     Envelope { version, from: "client".into(), request: 7, body: numbered(1) }
 }
@@ -162,11 +170,11 @@
 #[test]
 fn an_envelope_is_the_same_after_encoding_and_decoding() {
     let sent = envelope(PEER_VERSION);
-    assert_eq!(codec::decode(&codec::encode(&sent)).expect("the envelope is valid"), sent);
+    assert_eq!(codec::decode(&encode(&sent)).expect("the envelope is valid"), sent);
 }
 
-#[test_case(&codec::encode(&envelope(PEER_VERSION + 1)), "its version is 4, expected 3"; "another version")]
-#[test_case(&[codec::encode(&envelope(PEER_VERSION)), vec![0]].concat(), "1 bytes of trailing data follow the envelope"; "trailing data")]
+#[test_case(&encode(&envelope(PEER_VERSION + 1)), "its version is 4, expected 3"; "another version")]
+#[test_case(&[encode(&envelope(PEER_VERSION)), vec![0]].concat(), "1 bytes of trailing data follow the envelope"; "trailing data")]
 #[test_case(&vec![0; PEER_MAX_BYTES + 1], &format!("it has {} bytes, but at most {PEER_MAX_BYTES} are allowed", PEER_MAX_BYTES + 1); "too long")]
 fn an_invalid_envelope_is_rejected(bytes: &[u8], reason: &str) {
     let error = codec::decode(bytes).expect_err("the envelope is invalid");
@@ -183,7 +191,7 @@
 
     #[test]
     fn decoding_a_corrupted_envelope_never_panics(at in any::<prop::sample::Index>(), flip in 1_u8..) {
-        let mut bytes = codec::encode(&envelope(PEER_VERSION));
+        let mut bytes = encode(&envelope(PEER_VERSION));
         let index = at.index(bytes.len());
         bytes[index] ^= flip;
         let _ = codec::decode(&bytes);
@@ -256,3 +264,63 @@
     let refused = link.request(numbered(1), TIMEOUT).await;
     assert!(matches!(refused, Err(LinkError::Down)), "{refused:?}");
 }
+
+/// Returns a message with a text of this length.
+fn long(text_bytes: usize) -> PeerBody {
+    PeerBody::Refused(Refusal::not_run(RefusalCode::BadRequest, "x".repeat(text_bytes)))
+}
+
+/// Guards against a request that breaks its link because it is too long, so that the other requests on it are lost.
+#[tokio::test]
+async fn a_request_that_is_too_long_fails_alone_as_not_sent() {
+    let mut server = bind("a fleet secret of the test").await;
+    let link = PeerLink::spawn(server.address.clone(), "client".into(), secret("a fleet secret of the test"));
+    let other = link.clone();
+    let other = tokio::spawn(async move { request_when_up(&other, numbered(1)).await });
+    let held = server.received.recv().await.expect("the server is open");
+    for _ in 0..2 {
+        let refused = link.request(long(PEER_MAX_BYTES), TIMEOUT).await;
+        assert!(matches!(refused, Err(LinkError::TooLong)), "{refused:?}");
+    }
+    link.send(long(PEER_MAX_BYTES));
+    held.reply.send(numbered(2));
+    assert_eq!(other.await.expect("the task ends").expect("the link stays up"), numbered(2));
+    let longest = tokio::spawn(async move { link.request(long(PEER_MAX_BYTES - 1_000), TIMEOUT).await });
+    let received = server.received.recv().await.expect("the server is open");
+    assert_eq!(received.body, long(PEER_MAX_BYTES - 1_000));
+    assert_eq!(too_long("refusal"), 3);
+    received.reply.send(received.body);
+    let answer = longest.await.expect("the task ends").expect("the longest messages pass");
+    assert_eq!(answer, long(PEER_MAX_BYTES - 1_000));
+}
+
+/// Guards against an answer that breaks its link because it is too long, and against a request that has run and is
+/// reported as not run.
+#[tokio::test]
+async fn an_answer_that_is_too_long_becomes_a_refusal_of_its_request_alone() {
+    let mut server = bind("a fleet secret of the test").await;
+    let link = PeerLink::spawn(server.address.clone(), "client".into(), secret("a fleet secret of the test"));
+    let first = link.clone();
+    let first = tokio::spawn(async move { request_when_up(&first, numbered(1)).await });
+    let first_received = server.received.recv().await.expect("the server is open");
+    let second = tokio::spawn(async move { link.request(numbered(2), TIMEOUT).await });
+    let second_received = server.received.recv().await.expect("the server is open");
+    let answer = RelayAnswer::Replies(vec![Reply {
+        result: Ok(Rows { rows: vec!["x".repeat(PEER_MAX_BYTES).into()], confirmation: "proof".into() }),
+        state: TransactionState::Idle,
+        point: None,
+    }]);
+    first_received.reply.send(PeerBody::RelayAnswer(Box::new(answer)));
+    second_received.reply.send(numbered(3));
+    let answer = first.await.expect("the task ends").expect("the link stays up");
+    let PeerBody::Refused(refusal) = answer else { panic!("the answer passes") };
+    assert_eq!(refusal.verdict, Verdict::Unknown, "it may have run");
+    assert_eq!(too_long("relay_answer"), 1);
+    assert_eq!(second.await.expect("the task ends").expect("the link stays up"), numbered(3));
+}
+
+/// Returns how many messages of a kind were too long to be sent. Only one test sends such messages of a kind.
+fn too_long(kind: &str) -> u64 {
+    let traffic = traffic::snapshot();
+    traffic.iter().filter(|traffic| traffic.kind == kind).map(|traffic| traffic.too_long).sum()
+}
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -280,3 +280,17 @@
         );
     }
 }
+
+/// Guards against a commit that ran and is reported as not run, and against the loss of everything else on the link to the
+/// instance that ran it: its answer is too long for a message between instances.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_commit_whose_answer_is_too_long_is_in_doubt_and_the_link_stays_up() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut other, other_id) = fleet.begin_relayed().await;
+    let (mut session, id) = fleet.begin_relayed().await;
+    fleet.group.lengthen_answer("long");
+    assert_eq!(code(&commit(&mut session, "long").await), Some(FailureCode::InDoubt));
+    assert!(fleet.group.log().contains(&id), "it is committed");
+    assert_eq!(code(&commit(&mut other, "c1").await), None, "the link stays up");
+    assert!(fleet.group.log().contains(&other_id));
+}
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -170,11 +170,12 @@
     pub async fn begin_relayed(&self) -> (Session, String) {
         // Transactions over connections of the instance itself stay open, so that it has no idle one to prefer.
         let mut own = Vec::new();
-        for attempt in 0..RELAY_ATTEMPTS {
+        for _ in 0..RELAY_ATTEMPTS {
             let mut session =
                 self.open_session(PRIMARY_DATABASE, KEYS[0]).await.expect("the session is opened");
             begin(&mut session, false).await;
-            let id = format!("relayed-{attempt}");
+            // Each attempt adds arrivals, so that no other one has this identifier.
+            let id = format!("relayed-{}", self.group.arrivals().len());
             let answer = write(&mut session, &id).await;
             if answer.result.is_ok() && self.group.instance_of(&id) == Some(OWNER) {
                 return (session, id);
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -12,6 +12,7 @@
         announcement::{LogState, Role},
         name::EndpointName,
         number::{LogPosition, Timeline},
+        peer::PEER_MAX_BYTES,
     },
     cumincart_session::driver::{Connection, Destination, Driver, Exchange, InvalidDestination, OpenFailure},
     std::{
@@ -39,6 +40,8 @@
     arrivals: Vec<Arrival>,
     /// The number of `PREPARE` commands that are still refused.
     refused_prepares: u32,
+    /// The identifier of the statement whose answer is longer than instances may send to each other.
+    long_answer: Option<String>,
     /// Whether a promotion was requested.
     is_promoting: bool,
 }
@@ -66,6 +69,7 @@
             log: Vec::new(),
             arrivals: Vec::new(),
             refused_prepares: 0,
+            long_answer: None,
             is_promoting: false,
         };
         Self { state: Arc::new(Mutex::new(state)), held: watch::Sender::new(None) }
@@ -170,6 +174,11 @@
         self.lock().refused_prepares = 1;
     }
 
+    /// Makes the answer to a statement longer than instances may send to each other.
+    pub fn lengthen_answer(&self, id: &str) {
+        self.lock().long_answer = Some(id.to_owned());
+    }
+
     /// Returns what has arrived at the endpoints, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
@@ -226,7 +235,9 @@
             _ => {}
         }
         let confirmation = if command.client_id().is_some() { "proof" } else { "-" };
-        Ok(Rows { rows: Vec::new(), confirmation: confirmation.into() })
+        let is_long = command.client_id().is_some_and(|id| self.long_answer.as_deref() == Some(id));
+        let rows = if is_long { vec!["x".repeat(PEER_MAX_BYTES).into()] } else { Vec::new() };
+        Ok(Rows { rows, confirmation: confirmation.into() })
     }
 }
 
