--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -13,11 +13,14 @@
     },
     cumincart_session::session::{Answer, Session},
     fleet::{
-        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, await_condition, begin, commit,
-        read, run, write,
+        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, SPACED_KEY, await_condition,
+        begin, commit, read, run, write,
     },
     group::GUARDED_STATEMENT_MAX_BYTES,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     test_case::test_case,
     tokio::{sync::oneshot, time::sleep},
 };
@@ -284,3 +287,40 @@
         assert_eq!(code(&run(&mut session, &format!("e{number}"), execute()).await), None);
     }
 }
+
+/// Guards against an organisation whose name does not fit the endpoints' protocol and that makes an endpoint count as
+/// unreachable, so that nobody's statements are sent to it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reads_of_an_organisation_that_no_endpoint_can_be_told_do_not_make_a_replica_unreachable() {
+    let fleet = Fleet::start(0).await;
+    let mut spaced = fleet.open_session(BOUNDED_DATABASE, SPACED_KEY).await.expect("the session is opened");
+    let mut other = session(&fleet, BOUNDED_DATABASE).await;
+    for number in 0..5 {
+        let started = Instant::now();
+        let refused = read(&mut spaced, &format!("spaced-{number}")).await;
+        assert_eq!(code(&refused), Some(FailureCode::Busy), "nothing ran");
+        assert!(started.elapsed() < Duration::from_secs(1), "it is refused at once");
+        assert_eq!(fleet.group.endpoint_of(&format!("spaced-{number}")), None, "nothing is sent");
+        let id = format!("other-{number}");
+        assert_eq!(code(&read(&mut other, &id).await), None);
+        assert_eq!(
+            fleet.group.endpoint_of(&id),
+            Some(ENDPOINTS[1].into()),
+            "the near replica serves the read"
+        );
+    }
+}
+
+/// Guards against a commit that ran and is reported as not run, and against the loss of everything else on the link to the
+/// instance that ran it: its answer is too long for a message between instances.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_commit_whose_answer_is_too_long_is_in_doubt_and_the_link_stays_up() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut other, other_id) = fleet.begin_relayed().await;
+    let (mut session, id) = fleet.begin_relayed().await;
+    fleet.group.lengthen_answer("long");
+    assert_eq!(code(&commit(&mut session, "long").await), Some(FailureCode::InDoubt));
+    assert!(fleet.group.log().contains(&id), "it is committed");
+    assert_eq!(code(&commit(&mut other, "c1").await), None, "the link stays up");
+    assert!(fleet.group.log().contains(&other_id));
+}
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -48,6 +48,12 @@
 /// The two keys of the organisation.
 pub const KEYS: [&str; 2] = ["key-1", "key-2"];
 
+/// An organisation for which the driver can't open connections. It is the first one on the list.
+pub const SPACED_ORGANISATION: &str = "clinic db-1";
+
+/// The key of that organisation.
+pub const SPACED_KEY: &str = "key-of-clinic-db-1";
+
 /// The failure domains, each with the endpoint of the same index. The entry instance is in the second one.
 pub const DOMAINS: [&str; 3] = ["quay", "forest", "bay"];
 
@@ -164,11 +170,12 @@
     pub async fn begin_relayed(&self) -> (Session, String) {
         // Transactions over connections of the instance itself stay open, so that it has no idle one to prefer.
         let mut own = Vec::new();
-        for attempt in 0..RELAY_ATTEMPTS {
+        for _ in 0..RELAY_ATTEMPTS {
             let mut session =
                 self.open_session(PRIMARY_DATABASE, KEYS[0]).await.expect("the session is opened");
             begin(&mut session, false).await;
-            let id = format!("relayed-{attempt}");
+            // Each attempt adds arrivals, so that no other one has this identifier.
+            let id = format!("relayed-{}", self.group.arrivals().len());
             let answer = write(&mut session, &id).await;
             if answer.result.is_ok() && self.group.instance_of(&id) == Some(OWNER) {
                 return (session, id);
@@ -321,6 +328,11 @@
         plan: "clinic".into(),
         keys: keys.iter().map(digest).collect(),
     };
+    let spaced = Organisation {
+        name: SPACED_ORGANISATION.into(),
+        plan: "clinic".into(),
+        keys: [digest(&SPACED_KEY)].into_iter().collect(),
+    };
     let plan =
         Plan { name: "clinic".into(), routes: Vec::new(), rate_per_s: 10_000.0, burst: 10_000, weight: 1 };
     let database = |name: &str, consistency| Database {
@@ -338,7 +350,7 @@
     ];
     let limits = ServiceLimits { service: "ledger".into(), connection_limit: 32, synchronous_replicas };
     Lists {
-        organisations: OrganisationList { organisations: vec![organisation] },
+        organisations: OrganisationList { organisations: vec![spaced, organisation] },
         plans: PlanList { services: Vec::new(), plans: vec![plan] },
         interactive: InteractiveList {
             databases: databases.into_iter().collect(),
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -12,8 +12,9 @@
         announcement::{LogState, Role},
         name::EndpointName,
         number::{LogPosition, Timeline},
+        peer::PEER_MAX_BYTES,
     },
-    cumincart_session::driver::{Connection, Destination, Driver, Exchange},
+    cumincart_session::driver::{Connection, Destination, Driver, Exchange, InvalidDestination, OpenFailure},
     std::{
         future,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -42,6 +43,8 @@
     arrivals: Vec<Arrival>,
     /// The number of `PREPARE` commands that are still refused.
     refused_prepares: u32,
+    /// The identifier of the statement whose answer is longer than instances may send to each other.
+    long_answer: Option<String>,
     /// Whether a promotion was requested.
     is_promoting: bool,
 }
@@ -69,6 +72,7 @@
             log: Vec::new(),
             arrivals: Vec::new(),
             refused_prepares: 0,
+            long_answer: None,
             is_promoting: false,
         };
         Self { state: Arc::new(Mutex::new(state)), held: watch::Sender::new(None) }
@@ -84,9 +88,14 @@
         Driver {
             fences_terms: true,
             guarded_statement_max_bytes: GUARDED_STATEMENT_MAX_BYTES,
+            check: check_destination,
             open: Arc::new(move |destination| {
                 let group = group.clone();
-                Box::pin(async move { Ok(group.connect(instance, &destination)) })
+                Box::pin(async move {
+                    // As an endpoint's driver does that can't write the line.
+                    check_destination(&destination).map_err(|_| OpenFailure::Unreachable)?;
+                    Ok(group.connect(instance, &destination))
+                })
             }),
         }
     }
@@ -169,6 +178,11 @@
         self.lock().refused_prepares = 1;
     }
 
+    /// Makes the answer to a statement longer than instances may send to each other.
+    pub fn lengthen_answer(&self, id: &str) {
+        self.lock().long_answer = Some(id.to_owned());
+    }
+
     /// Returns what has arrived at the endpoints, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
@@ -226,7 +240,9 @@
             _ => {}
         }
         let confirmation = if command.client_id().is_some() { "proof" } else { "-" };
-        Ok(Rows { rows: Vec::new(), confirmation: confirmation.into() })
+        let is_long = command.client_id().is_some_and(|id| self.long_answer.as_deref() == Some(id));
+        let rows = if is_long { vec!["x".repeat(PEER_MAX_BYTES).into()] } else { Vec::new() };
+        Ok(Rows { rows, confirmation: confirmation.into() })
     }
 }
 
@@ -240,6 +256,14 @@
     bytes > GUARDED_STATEMENT_MAX_BYTES
 }
 
+/// Refuses organisations whose names contain a space.
+fn check_destination(destination: &Destination) -> Result<(), InvalidDestination> {
+    if destination.organisation.as_str().contains(' ') {
+        return Err(InvalidDestination { reason: "the organisation contains a space".to_owned() });
+    }
+    Ok(())
+}
+
 fn describe(command: &Command) -> String {
     match command {
         Command::Begin { .. } => "BEGIN".to_owned(),
