Keep messages with configurations within what control instances accept from each other

A configuration below 4 MiB with very many keys was answered with 503, and no change of an operator was acknowledged afterwards: in a trial with two control instances and 450000 short keys, an evacuation that followed had no acknowledgement after 20 s. The same holds for a follower or an entry instance that lacks several large configurations at once.

Lists can be many times as large as their document (a key of 4 bytes becomes a digest of 64), and one message holds up to 256 records of the log, or up to 512 changes of the catalogue. The receiver drops a message beyond the limit with its connection, and the sender sends the same again.

Records of configurations go out in several messages, and an instance that lacks more than 12 MiB of changes of the lists gets the catalogue. The limit of a message is 32 MiB, which holds a configuration of 12 MiB, the names that it removes and the rest of the replicated state. Configurations of a few hundred routes and tenants have less than 1 MiB.

--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -10,6 +10,7 @@
         name::{EndpointName, ServiceName},
         number::{ListsRevision, LogIndex, Revision, Term},
         replication::{Command, Record},
+        size::{CONFIGURATION_MAX_BYTES, encoded_bytes},
         sorted::{Keyed, SortedVec},
     },
     std::{collections::VecDeque, sync::Arc},
@@ -51,7 +52,7 @@
         }
         let start = self.deltas.partition_point(|delta| delta.from < from);
         match self.deltas.get(start) {
-            Some(delta) if delta.from == from => {
+            Some(delta) if delta.from == from && fit_into_message(self.deltas.iter().skip(start)) => {
                 CatalogueUpdate::Deltas(merge_empty(self.deltas.iter().skip(start)))
             }
             _ => CatalogueUpdate::Snapshot(Arc::clone(catalogue)),
@@ -59,6 +60,17 @@
     }
 }
 
+/// Returns whether the lists in the changes leave room for the rest of a message. One change always does.
+fn fit_into_message<'a>(deltas: impl Iterator<Item = &'a CatalogueDelta>) -> bool {
+    let lists: Vec<&CatalogueChange> =
+        deltas.map(|delta| &delta.change).filter(|change| has_lists(change)).collect();
+    lists.len() <= 1 || lists.into_iter().map(encoded_bytes).sum::<usize>() <= CONFIGURATION_MAX_BYTES
+}
+
+fn has_lists(change: &CatalogueChange) -> bool {
+    matches!(change, CatalogueChange::Lists(..) | CatalogueChange::ListsPatch(..))
+}
+
 fn is_superseded(older: &CatalogueChange, newer: &CatalogueChange) -> bool {
     match (older, newer) {
         (CatalogueChange::Lists(..) | CatalogueChange::ListsPatch(..), CatalogueChange::Lists(..))
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -3,11 +3,13 @@
 use {
     super::{Core, Effect, Persist, election, members, snapshot},
     cumincart_protocol::{
+        change::{Action, Change},
         name::InstanceName,
         number::LogIndex,
         replication::{
             Append, AppendAnswer, Command, DiskId, Member, Record, ReplicationBody, ReplicationMessage,
         },
+        size::{CONFIGURATION_MAX_BYTES, encoded_bytes},
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
@@ -226,12 +228,33 @@
         send_snapshot(core, now, to, out);
         return;
     };
-    let records = core.log.after(previous_index, RECORDS_PER_MESSAGE).to_vec();
+    let records = records_that_fit(core.log.after(previous_index, RECORDS_PER_MESSAGE)).to_vec();
     progress_of(core, to).next_index = records.last().map_or(next, |record| record.index.next());
     let append = Append { previous_index, previous_term, records, commit: core.log.commit, sent_at: stamp };
     send(core, to, ReplicationBody::Append(append), out);
 }
 
+/// Returns the first of the records: at least one, and only as many more as their configurations leave room for.
+fn records_that_fit(records: &[Record]) -> &[Record] {
+    let mut bytes = 0;
+    let end = records.iter().position(|record| {
+        bytes += configuration_bytes(&record.command);
+        bytes > CONFIGURATION_MAX_BYTES
+    });
+    &records[..end.map_or(records.len(), |end| end.max(1))]
+}
+
+/// Returns the encoded size of the lists and the document in a record. All other records are small.
+fn configuration_bytes(command: &Command) -> usize {
+    match command {
+        Command::Operator(Change { action: Action::Replace(configuration), .. }) => {
+            encoded_bytes(configuration)
+        }
+        Command::Operator(Change { action: Action::Apply { lists, .. }, .. }) => encoded_bytes(lists),
+        _ => 0,
+    }
+}
+
 /// Returns the progress of a follower. It is reset if the follower has a different disk than before.
 fn progress_of<'a>(core: &'a mut Core, to: &Member) -> &'a mut FollowerProgress {
     let initial = FollowerProgress {
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -4,6 +4,7 @@
 use {
     cumincart_core::control::{
         Core, Effect, Input, Persist, Probe, Settings, Stored, Ticket,
+        catalogue::RecentDeltas,
         detection::{Evidence, PROBE_SILENT_AGREED_MS, probe_finds_dead},
         members::{LEADERLESS_JOIN_MS, RETIRE_EVEN_MS},
         presence::{EXPIRE_AFTER_MS, PROBE_CONNECTIONS},
@@ -12,13 +13,18 @@
     },
     cumincart_protocol::{
         announcement::{LogState, Presence, Role},
+        catalogue::Catalogue,
         change::{Action, Change, ChangeId, Configuration, ConfigurationContent},
+        heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate},
         lists::{InteractiveList, Lists, ServiceLimits},
-        number::{ControlTerm, Incarnation, LogIndex, LogPosition, Timeline},
+        number::{ControlTerm, Incarnation, ListsRevision, LogIndex, LogPosition, Revision, Timeline},
+        patch::ListsPatch,
+        peer::PEER_MAX_BYTES,
         replication::{
             Append, AppendAnswer, Ballot, Command, DiskId, Member, Members, Record, ReplicationBody,
             ReplicationMessage, VoteAnswer,
         },
+        size::encoded_bytes,
         time::Instant,
     },
     rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
@@ -402,6 +408,69 @@
     assert!(node.core.log.configuration_bytes() < 4 * 1024 * 1024);
 }
 
+// Guards against a message that joins so many configurations that the receiver drops it, and each later one.
+#[test]
+fn configurations_that_a_follower_lacks_are_sent_in_messages_that_it_accepts() {
+    let mut node = Node::elected_leader(3);
+    for version in 0..6 {
+        let document = char::from(b'a' + version).to_string().repeat(10 << 20);
+        node.apply_configuration_with(u64::from(version) + 1, &document, &[]);
+    }
+    let term = node.term();
+    node.now_ms += 10;
+    let last = node.core.log.last_index();
+    let mut matched = LogIndex(last.0 - 6);
+    let mut messages = 0;
+    while matched < last {
+        let answer = AppendAnswer { sent_at: node.now(), success: messages > 0, matched };
+        let effects = node.receive(&member(2), term, ReplicationBody::AppendAnswer(answer));
+        let sent = effects.iter().find_map(|effect| match effect {
+            Effect::Send(to, ReplicationMessage { body: ReplicationBody::Append(append), .. })
+                if to.instance == member(2).instance =>
+            {
+                Some(append)
+            }
+            _ => None,
+        });
+        let append = sent.expect("the follower is sent what it lacks");
+        assert!(encoded_bytes(append) < PEER_MAX_BYTES, "{} bytes", encoded_bytes(append));
+        matched = append.records.last().expect("there are records").index;
+        messages += 1;
+        node.now_ms += 10;
+    }
+    assert_eq!(messages, 6);
+}
+
+// Guards against an update that joins so many changes of the lists that the receiver drops it, and each later one.
+#[test]
+fn changes_of_the_lists_that_an_instance_lacks_are_sent_in_a_message_that_it_accepts() {
+    let lists = |name: &str| {
+        let limits = ServiceLimits {
+            service: name.repeat(11 << 20).into(),
+            connection_limit: 30,
+            synchronous_replicas: 0,
+        };
+        let services = [limits].into_iter().collect();
+        Lists { interactive: InteractiveList { services, ..InteractiveList::default() }, ..Lists::default() }
+    };
+    let mut deltas = RecentDeltas::default();
+    let mut current = Lists::default();
+    for (revision, name) in (0..).zip(["a", "b", "c", "d"]) {
+        let next = lists(name);
+        let patch = Arc::new(ListsPatch::between(&current, &next));
+        let change = CatalogueChange::ListsPatch(ListsRevision(revision + 1), patch);
+        deltas.push(CatalogueDelta { from: Revision(revision), to: Revision(revision + 1), change });
+        current = next;
+    }
+    let catalogue = Catalogue { revision: Revision(4), lists: Arc::new(current), ..Catalogue::default() };
+    let catalogue = Arc::new(catalogue);
+    for from in 0..4 {
+        let update = deltas.update(&catalogue, Revision(from));
+        assert!(encoded_bytes(&update) < PEER_MAX_BYTES, "{} bytes", encoded_bytes(&update));
+        assert_eq!(matches!(update, CatalogueUpdate::Deltas(_)), from == 3);
+    }
+}
+
 /// A member resumes after a freeze and rejects each of the many messages that were queued meanwhile.
 #[test]
 fn a_backlog_of_rejections_is_answered_by_one_message() {
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod replication;
 pub mod request;
 pub mod session;
+pub mod size;
 pub mod sorted;
 pub mod time;
 pub mod token;
--- a/crates/cumincart-protocol/src/peer.rs
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -18,7 +18,7 @@
 pub const PEER_VERSION: u16 = 3;
 
 /// The longest encoded envelope that is accepted, in bytes.
-pub const PEER_MAX_BYTES: usize = 16 * 1024 * 1024;
+pub const PEER_MAX_BYTES: usize = 32 * 1024 * 1024;
 
 /// A message between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
