Refuse commands behind a comment that a carriage return ends

A caller of the project's own interface could send `--`, a carriage return and `COMMIT` or `SET`. PostgreSQL ends the comment at the carriage return and runs the command: it ends the transaction that the proxy opened, or changes the session for the next organisation on the connection.

The filter looked for a line feed only and took the whole text for a comment, which has no first word. Semicolons, nested block comments and white space were ruled out (tested before), and so were several commands in one text, which the extended protocol refuses.

Before: refused_commands_never_reach_the_endpoint failed for both new cases with 'left: "XX000", right: "0A000"', so the text had reached the endpoint.

--- a/crates/cumincart-runtime/src/endpoint/command_filter.rs
+++ b/crates/cumincart-runtime/src/endpoint/command_filter.rs
@@ -44,7 +44,8 @@
     loop {
         rest = rest.trim_start_matches(|character: char| character.is_whitespace() || character == ';');
         if rest.starts_with("--") {
-            rest = rest.find('\n').map_or("", |end| &rest[end..]);
+            // PostgreSQL ends such a comment at a carriage return too.
+            rest = rest.find(['\n', '\r']).map_or("", |end| &rest[end..]);
         } else if rest.starts_with("/*") {
             rest = skip_block_comment(rest);
         } else {
--- a/crates/cumincart-runtime/tests/endpoint.rs
+++ b/crates/cumincart-runtime/tests/endpoint.rs
@@ -296,6 +296,9 @@
     connection.execute(EndpointCommand::Commit(None)).await.expect("the transaction commits");
 }
 
+// Guards against commands that are hidden behind a comment which ends sooner than the filter assumes.
+#[test_case("--\rCOMMIT"; "behind a comment that a carriage return ends")]
+#[test_case("-- a\r\n--b\rset role x"; "behind two comments")]
 #[test_case("commit"; "commit")]
 #[test_case("ROLLBACK"; "rollback")]
 #[test_case("\tSET role other"; "set")]
