Escape control characters that names bring into the output of commands

An operator's terminal obeyed escape sequences in the name of an endpoint, which anyone who reaches /announce can choose, and a name with a line break printed a forged line in `cumincart status` and `cumincart explain`.

Both commands print names and log messages as they are. `explain` finds requests whose ids have quotes, blanks and line breaks (tested here); fields other than the message were escaped as JSON, but for the characters from 0x7f to 0x9f. The JSON output and errors are unchanged.

Before: control_characters_in_names_are_escaped_in_the_status and control_characters_in_log_lines_are_escaped failed, with "\u{1b}[2J" and a second line in the output.

--- a/crates/cumincart-cli/src/commands/explain.rs
+++ b/crates/cumincart-cli/src/commands/explain.rs
@@ -89,7 +89,7 @@
     let last = timeline.entries.iter().map(|entry| entry.timestamp).max();
     let (Some(first), Some(last)) = (first, last) else {
         let text = format!("no log contains the request {request}; {}", omitted_lines_hint());
-        return Ok(Report::success(text, &timeline).with_code(exit::FAILED));
+        return Ok(Report::of_lines(&[text], &timeline).with_code(exit::FAILED));
     };
     let from = first.checked_sub(around).unwrap_or(SystemTime::UNIX_EPOCH);
     let until = last + around;
@@ -105,7 +105,7 @@
     if timeline.unreadable_lines > 0 {
         lines.push(format!("{} unreadable lines were skipped", timeline.unreadable_lines));
     }
-    Ok(Report::success(lines.join("\n"), &timeline))
+    Ok(Report::of_lines(&lines, &timeline))
 }
 
 fn omitted_lines_hint() -> &'static str {
--- a/crates/cumincart-cli/src/commands/status.rs
+++ b/crates/cumincart-cli/src/commands/status.rs
@@ -44,10 +44,10 @@
 /// Runs the command.
 pub async fn run(matches: &ArgMatches) -> Result<Report, CliError> {
     let status = control_client(matches)?.status().await?;
-    Ok(Report::success(text(&status), &status))
+    Ok(Report::of_lines(&lines(&status), &status))
 }
 
-fn text(status: &StatusBody) -> String {
+fn lines(status: &StatusBody) -> Vec<String> {
     let mut lines = vec![
         format!("leader     {} in term {}", status.leader, status.term),
         format!("revision   {}, lists revision {}", status.revision, status.lists_revision),
@@ -63,7 +63,7 @@
     for group in &status.groups {
         lines.extend(group_lines(group));
     }
-    lines.join("\n")
+    lines
 }
 
 fn list<T: Display>(names: &[T]) -> String {
--- a/crates/cumincart-cli/tests/commands/explain.rs
+++ b/crates/cumincart-cli/tests/commands/explain.rs
@@ -1,6 +1,10 @@
 //! Tests of `explain`, which merges the log lines of one request by time.
 
-use {super::fake_control::Files, cumincart_cli::exit};
+use {
+    super::fake_control::Files,
+    cumincart_cli::{execute, exit},
+    std::ffi::OsString,
+};
 
 const ENTRY: &str = r#"{"msg":"statement failed","level":"WARN","ts":"2026-06-01T13:30:53.5Z","request":"aa","why":"no place came in time"}
 {"msg":"statement failed","level":"WARN","ts":"2026-06-01T13:30:53.6Z","request":"bb","why":"another request"}
@@ -47,6 +51,20 @@
     assert!(output.stdout.contains("lines_left_out"), "{}", output.stdout);
 }
 
+// Guards against names in log messages that control the operator's terminal or that look like further lines.
+#[tokio::test]
+async fn control_characters_in_log_lines_are_escaped() {
+    let files = files();
+    let line = r#"{"msg":"endpoint a\u001b[2J\u009b\n> 2026 forged","ts":"2026-06-01T13:30:53.5Z","request":"a b\n\"c"}"#;
+    files.put("entry-2.log", line);
+    let path = files.path("entry-2.log").into_os_string();
+    let arguments = ["cumincart", "explain", "a b\n\"c"].map(OsString::from);
+    let output = execute(arguments.into_iter().chain([path])).await;
+    assert_eq!(output.code, exit::SUCCESS, "{}{}", output.stdout, output.stderr);
+    let expected = r"> 2026-06-01T13:30:53.5Z entry-2: endpoint a\u001b[2J\u009b\u000a> 2026 forged";
+    assert_eq!(output.stdout.trim_end(), expected);
+}
+
 #[tokio::test]
 async fn a_missing_log_file_is_reported() {
     let output = files().run("explain aa FILES/none.log").await;
--- a/crates/cumincart-cli/tests/commands/status.rs
+++ b/crates/cumincart-cli/tests/commands/status.rs
@@ -30,6 +30,24 @@
     assert_eq!(shown, status(41));
 }
 
+// Guards against names of endpoints that control the operator's terminal or that look like further lines.
+#[tokio::test]
+async fn control_characters_in_names_are_escaped_in_the_status() {
+    let control = FakeControl::bind(|request| {
+        let mut body = status(41);
+        body["groups"][0]["endpoints"][0]["endpoint"] =
+            json!("pbx\u{1b}[2J\u{9b}1m\r\nservice forged: term 9");
+        (request.line == "GET /v1/status").then_some(FakeResponse::Json(200, body))
+    })
+    .await;
+    let files = Files::write();
+    let output = files.run(&format!("status --control {} --token-file FILES/token", control.url)).await;
+    assert_eq!(output.code, exit::SUCCESS, "{}", output.stderr);
+    let name = r"pbx\u001b[2J\u009b1m\u000d\u000aservice forged: term 9";
+    assert!(output.stdout.contains(name), "{:?}", output.stdout);
+    assert!(!output.stdout.contains(|character: char| character.is_control() && character != '\n'));
+}
+
 #[tokio::test]
 async fn diff_prints_every_difference() {
     let control = FakeControl::bind(|request| {
