Log long texts as excerpts

What callers saw: nothing. A client's identifier, the name of a database or an endpoint's error text may have 1 MiB, and a line contains several of them. At 20 lines a second the log could grow by tens of megabytes a second, and the queue of the log's thread held as much.

Cause: the rate of lines was bounded, their length was not.

Ruled out: that a text can forge a line. JSON escapes line ends; now a test says so.

Change: every message and text value of a line is cut to 2 KiB, followed by the whole length, where the line enters the logger and before it is copied for the log's thread. Nothing else changes: identifiers and names are shorter, numbers stay numbers, and the keys are the same. `cumincart explain` looks for the excerpt of a long identifier.

In the format for terminals a text may still contain line ends; that is not tested.

--- a/crates/cumincart-cli/src/commands/explain.rs
+++ b/crates/cumincart-cli/src/commands/explain.rs
@@ -5,6 +5,7 @@
     super::Example,
     crate::{error::CliError, exit, report::Report},
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    cumincart_runtime::logging::excerpt,
     serde::Serialize,
     serde_json::{Map, Value},
     std::{
@@ -75,6 +76,7 @@
 /// Runs the command. The exit code is 1 if no log contains the request.
 pub fn run(matches: &ArgMatches) -> Result<Report, CliError> {
     let request: &String = matches.get_one(REQUEST).expect("clap requires it");
+    let request = &*excerpt(request);
     let files: Vec<&PathBuf> = matches.get_many(FILES).into_iter().flatten().collect();
     let around = Duration::from_millis(*matches.get_one(AROUND_MS).expect("it has a default"));
     let mut timeline = Timeline::default();
--- a/crates/cumincart-runtime/src/logging.rs
+++ b/crates/cumincart-runtime/src/logging.rs
@@ -1,24 +1,18 @@
-//! Structured logs on standard error. Only changes of state are logged.
+//! Structured logs on standard error. Only changes of state are logged. Long texts are logged as excerpts.
+
+mod excerpt;
+
+pub use excerpt::{EXCERPT_MAX_BYTES, ExcerptDrain, excerpt};
 
 use {
     cumincart_config::{LogFormat, LogLevel, LogSettings},
     slog::{Drain, Level, LevelFilter, Logger, o},
-    std::{borrow::Cow, sync::Mutex},
+    std::{
+        io::{self, Write},
+        sync::Mutex,
+    },
 };
 
-/// The length up to which a text of somebody else is logged as it is, in bytes. Identifiers and names are shorter.
-pub const EXCERPT_MAX_BYTES: usize = 256;
-
-/// Returns a text that a client, an endpoint, a peer or an operator chose in the form in which it is logged: unchanged
-/// if it is short, otherwise its beginning and its length.
-pub fn excerpt(text: &str) -> Cow<'_, str> {
-    if text.len() <= EXCERPT_MAX_BYTES {
-        return Cow::Borrowed(text);
-    }
-    let beginning = &text[..text.floor_char_boundary(EXCERPT_MAX_BYTES)];
-    Cow::Owned(format!("{beginning}... ({} bytes)", text.len()))
-}
-
 /// Creates a logger that writes to standard error from a separate thread.
 pub fn open(settings: LogSettings) -> Logger {
     let drain = match settings.format {
@@ -28,21 +22,31 @@
             slog_async::Async::new(drain).build()
         }
         LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(std::io::stderr())).fuse();
+            let drain = Mutex::new(slog_json::Json::default(io::stderr())).fuse();
             slog_async::Async::new(drain).build()
         }
     };
-    Logger::root(LevelFilter::new(drain.fuse(), level(settings.level)).fuse(), o!())
+    root(drain, settings)
 }
 
 /// Creates a logger that writes JSON to standard output from a separate thread. If the reader is too slow, lines are
 /// dropped and counted.
 pub fn open_stdout(settings: LogSettings) -> Logger {
-    let drain = Mutex::new(slog_json::Json::default(std::io::stdout())).fuse();
-    let drain = slog_async::Async::new(drain).build();
+    let drain = Mutex::new(slog_json::Json::default(io::stdout())).fuse();
+    root(slog_async::Async::new(drain).build(), settings)
+}
+
+fn root(drain: slog_async::Async, settings: LogSettings) -> Logger {
+    let drain = ExcerptDrain::new(drain);
     Logger::root(LevelFilter::new(drain.fuse(), level(settings.level)).fuse(), o!())
 }
 
+/// Creates a logger that writes lines as [`open_stdout`] does, but to `out` and without a thread.
+pub fn open_writer(out: impl Write + Send + 'static) -> Logger {
+    let drain = ExcerptDrain::new(Mutex::new(slog_json::Json::default(out)));
+    Logger::root(drain.fuse(), o!())
+}
+
 /// Creates a logger that discards everything.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
