--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -4,13 +4,14 @@
     crate::{
         driver::{Connection, Destination, Exchange, OpenFailure},
         engine::Engine,
-        metrics::{Opened, OpenedLabels},
+        metrics::{Opened, OpenedLabels, PrepareOutcome, PreparedLabels},
         relay::{Relay, RelayFailure},
         state::IdleConnection,
     },
     cumincart_core::interactive::{
         command::{Command, EndpointErrorKind, Reply},
         failure::LinkFailure,
+        held_statements::Assignment,
         pool::{self, ConnectionChoice, IdleInfo},
         primary_guarantee::PrimaryGuarantee,
         routing::LAGGING_BACKOFF_MS,
@@ -19,8 +20,10 @@
     },
     cumincart_protocol::{
         name::{EndpointName, OrganisationName, ServiceName},
+        relay::RELAYED_STATEMENT,
         time::Instant,
     },
+    slog::info,
     std::{sync::Arc, time::Duration},
     tokio::{sync::oneshot, time::timeout_at},
 };
@@ -29,9 +32,14 @@
 /// time and a lost packet.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The number of characters of a client's text that a log line quotes.
+const EXCERPT_CHARS: usize = 64;
+
 #[derive(Debug)]
 struct Borrowed {
     connection: Connection,
+    /// The number of the connection in log lines.
+    number: u64,
     organisation: OrganisationName,
     state: ConnectionState,
 }
@@ -46,7 +54,18 @@
     ReadWriteBegin,
 }
 
-/// Returns the shared name of the prepared statement that an exchange's commands execute.
+/// Returns the commands that prepare a statement under the name that was assigned to it.
+fn prepare_commands(prepared: &Prepared, assignment: &Assignment) -> Vec<Command> {
+    let released = assignment.released.iter().map(|name| Command::Deallocate { name: name.clone() });
+    let prepare = Command::Prepare {
+        name: assignment.name.clone(),
+        access: prepared.access,
+        shape: prepared.shape.clone(),
+    };
+    released.chain([prepare]).collect()
+}
+
+/// Returns the connection's name of the prepared statement that an exchange's commands execute.
 fn executed_name(commands: &[Command]) -> Option<Arc<str>> {
     commands.iter().find_map(|command| match command {
         Command::Execute { name, .. } => Some(name.clone()),
@@ -171,6 +190,7 @@
                 let reused = endpoint.idle.remove(position);
                 self.borrowed = Some(Borrowed {
                     connection: reused.connection,
+                    number: reused.number,
                     organisation: reused.info.organisation,
                     state: reused.info.state,
                 });
@@ -214,6 +234,7 @@
                 self.record_reachability(true);
                 self.borrowed = Some(Borrowed {
                     connection,
+                    number: self.engine.next_connection_number(),
                     organisation: organisation.clone(),
                     state: ConnectionState::default(),
                 });
@@ -228,29 +249,63 @@
         }
     }
 
-    /// Prepares a statement on the connection, unless the connection holds it already. An execution is sent only after the
-    /// endpoint has accepted this, so that it never runs without its statement. With a relay, the statement is sent with
-    /// the next exchange, and the other instance does the same.
+    /// Prepares a statement on the connection, unless the connection holds it already, and returns its name there. An
+    /// execution is sent only after the endpoint has accepted this, so that it never runs without its statement. With a
+    /// relay, the statement is sent with its execution, and the other instance does the same. `request` is the identifier
+    /// of the statement that needs it.
     pub(crate) async fn prepare(
         &mut self,
         prepared: &Prepared,
+        request: &str,
         deadline: tokio::time::Instant,
-    ) -> Result<(), LinkFailure> {
+    ) -> Result<Arc<str>, LinkFailure> {
         if let Some(relay) = &mut self.relay {
             relay.prepare(prepared);
-            return Ok(());
-        }
-        let command = self.borrowed.as_ref().and_then(|borrowed| borrowed.state.prepare(prepared));
-        let Some(command) = command else { return Ok(()) };
-        // Whatever happened to it, the statement itself was not sent.
-        let replies = self.exchange(vec![command], deadline).await.map_err(|_| LinkFailure::NotSent)?;
-        if replies.iter().any(|reply| reply.result.is_err()) {
+            return Ok(RELAYED_STATEMENT.into());
+        }
+        let Some(borrowed) = &mut self.borrowed else { return Err(LinkFailure::NotSent) };
+        if let Some(name) = borrowed.state.statements.find(prepared) {
+            return Ok(name);
+        }
+        let connection = borrowed.number;
+        let assignment = borrowed.state.statements.assign(prepared);
+        let result = self.exchange(prepare_commands(prepared, &assignment), deadline).await;
+        let outcome = match &result {
+            Ok(replies) if replies.iter().all(|reply| reply.result.is_ok()) => PrepareOutcome::Accepted,
+            Ok(_) => PrepareOutcome::Refused,
+            Err(_) => PrepareOutcome::Lost,
+        };
+        self.report_prepare(prepared, &assignment.name, request, connection, outcome);
+        if outcome != PrepareOutcome::Accepted {
+            if !assignment.released.is_empty() {
+                // The endpoint may still hold a statement under a name that counts as free.
+                self.close();
+            }
+            // Whatever happened to it, the execution was not sent.
             return Err(LinkFailure::NotSent);
         }
         if let Some(borrowed) = &mut self.borrowed {
-            borrowed.state.record_prepared(prepared.shared_name());
+            borrowed.state.statements.record(prepared, &assignment);
         }
-        Ok(())
+        Ok(assignment.name)
+    }
+
+    /// Counts and logs an attempt to prepare a statement on a connection, with the name that it has there.
+    fn report_prepare(
+        &self,
+        prepared: &Prepared,
+        name: &str,
+        request: &str,
+        connection: u64,
+        outcome: PrepareOutcome,
+    ) {
+        self.engine.metrics().prepared.get_or_create(&PreparedLabels { prepared: outcome }).inc();
+        let Some(suppressed) = self.engine.decisions().try_log_prepare(self.engine.now()) else { return };
+        info!(self.engine.logger(), "statement prepared on a connection";
+            "request" => request, "endpoint" => self.endpoint.as_str(), "connection" => connection,
+            "name" => name, "access" => ?prepared.access,
+            "shape" => %format_args!("{:.EXCERPT_CHARS$}", prepared.shape),
+            "shape_bytes" => prepared.shape.len(), "outcome" => ?outcome, "lines_left_out" => suppressed);
     }
 
     /// Sends commands and waits for their replies. On failure the connection is closed.
@@ -309,7 +364,7 @@
             reply.result.as_ref().is_err_and(|error| error.kind == EndpointErrorKind::UnknownStatement)
         };
         if replies.iter().any(is_unknown) {
-            borrowed.state.record_unknown(name);
+            borrowed.state.statements.forget(name);
         }
     }
 
@@ -492,6 +547,7 @@
                         idle_since: now,
                     },
                     connection: borrowed.connection,
+                    number: borrowed.number,
                 });
             } else {
                 endpoint.open = endpoint.open.saturating_sub(1);
