Take a relayed statement that is too long for a message as not sent

What callers saw: nothing known. A relayed write whose session had more than 16 MiB of values was reported as in doubt although nothing was sent, and the instance that owns the connections was not used for 1.5 s.

Cause: the new error for a message that is too long was taken for a lost link.

Change: the statement is refused as not run, and the owner stays in use. Left: such a transaction is rolled back only when its pinned slot expires, because the rollback carries the values too.

--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -116,6 +116,7 @@
             let answer = match link.request(body, left + NETWORK_ALLOWANCE).await {
                 Ok(PeerBody::RelayAnswer(answer)) => Ok(*answer),
                 Err(LinkError::Down) => Ok(RelayAnswer::NotServed),
+                Err(LinkError::TooLong) => return Err(RelayFailure::NOT_SENT),
                 Ok(_) => Err(LinkFailure::Broken),
                 Err(_) if tokio::time::Instant::now() >= deadline => Err(LinkFailure::TimedOut),
                 Err(_) => Err(LinkFailure::Broken),
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -11,6 +11,7 @@
         failure::FailureCode,
         statement::{Access, Action, TransactionState},
     },
+    cumincart_protocol::peer::PEER_MAX_BYTES,
     cumincart_session::session::{Answer, Session},
     fleet::{
         BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, SPACED_KEY, await_condition,
@@ -324,3 +325,23 @@
     assert_eq!(code(&commit(&mut other, "c1").await), None, "the link stays up");
     assert!(fleet.group.log().contains(&other_id));
 }
+
+/// Guards against a statement that is reported as in doubt although it was not sent, and against an instance that is taken
+/// for lost: the session's values are too long for a message between instances.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_write_that_is_too_long_is_not_sent_and_the_owner_stays_in_use() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut other, other_id) = fleet.begin_relayed().await;
+    let (mut session, id) = fleet.begin_relayed().await;
+    let value: Arc<str> = "x".repeat(1_024 * 1_024).into();
+    for number in 0..=PEER_MAX_BYTES / value.len() {
+        let set = Action::Set { name: format!("v{number}").into(), value: value.clone() };
+        assert_eq!(code(&run(&mut session, "set", set).await), None);
+    }
+    assert_eq!(code(&write(&mut session, "long").await), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("long"), None, "nothing is sent");
+    assert_eq!(code(&write(&mut other, "w2").await), None, "the link stays up");
+    assert_eq!(code(&commit(&mut other, "c1").await), None);
+    assert!(fleet.group.log().contains(&other_id));
+    assert!(!fleet.group.log().contains(&id));
+}
