Fleets of tests choose ports at a loopback address of their own

Seen once, beside builds and other tests: a_withdrawn_key_is_refused_by_every_entry_instance_once_apply_wait_returns failed with "the fleet starts: Bind 127.0.0.1:34471, Address already in use".

Cause: ports of control instances are chosen by binding port 0 and are bound again later. In between, any connection of another process on 127.0.0.1 can get such a port.

Change: they are chosen at a random address 127.10.x.y, where no other process connects from; 127.0.0.1 where that can't be bound.

The failure itself was not brought about again.

--- a/crates/cumincart-fleet/src/fleet.rs
+++ b/crates/cumincart-fleet/src/fleet.rs
@@ -318,6 +318,9 @@
     Err(FleetError::Condition { what })
 }
 
+/// The second byte of the loopback addresses that fleets choose.
+const OWN_LOOPBACK: u8 = 10;
+
 /// Retries a start, since the previous incarnation may not have released its addresses yet.
 async fn retry_bind<T, E>(start: impl AsyncFn() -> Result<T, E>) -> Result<T, E> {
     let deadline = Instant::now() + CONDITION_TIMEOUT;
@@ -452,8 +455,16 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// Returns loopback addresses with distinct free ports.
+/// Returns loopback addresses with distinct free ports. They are bound again later, so they are at a loopback address of
+/// their own where the system has more than one: a connection of another process can't take a port of it meanwhile.
 fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: Vec<_> = (0..count).map(|_| TcpListener::bind(loopback(0))).collect::<io::Result<_>>()?;
+    let [third, fourth] = rand::random();
+    let own = Ipv4Addr::new(127, OWN_LOOPBACK, third, fourth);
+    free_addresses_at(own, count).or_else(|_| free_addresses_at(Ipv4Addr::LOCALHOST, count))
+}
+
+fn free_addresses_at(ip: Ipv4Addr, count: usize) -> io::Result<Vec<SocketAddr>> {
+    let bind = |_| TcpListener::bind((ip, 0));
+    let listeners: Vec<_> = (0..count).map(bind).collect::<io::Result<_>>()?;
     listeners.iter().map(TcpListener::local_addr).collect()
 }
