--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -18,6 +18,7 @@
         relay::{RelayAnswer, RelayRequest},
         sorted::{Keyed, SortedVec},
         time::Instant,
+        verdict::Verdict,
     },
     cumincart_runtime::link::{LinkError, server::ReceivedMessage},
     rand::RngExt,
@@ -100,7 +101,8 @@
             endpoint: endpoint.clone(),
             organisation: self.organisation.clone(),
             kept: self.pinned_slot_id,
-            values: self.values.clone(),
+            // A rollback needs no values, which may be why the statement before it was not sent.
+            values: if is_rollback(&commands) { SortedVec::new() } else { self.values.clone() },
             prepared: self.prepared.clone().filter(|_| executes),
             commands,
             priority: self.priority,
@@ -117,6 +119,10 @@
                 Ok(PeerBody::RelayAnswer(answer)) => Ok(*answer),
                 Err(LinkError::Down) => Ok(RelayAnswer::NotServed),
                 Err(LinkError::TooLong) => return Err(RelayFailure::NOT_SENT),
+                // The owner has run it, but its answer is too long for the link.
+                Ok(PeerBody::Refused(refusal)) if refusal.verdict == Verdict::Unknown => {
+                    return Err(RelayFailure { failure: LinkFailure::Broken, is_endpoint_failure: false });
+                }
                 Ok(_) => Err(LinkFailure::Broken),
                 Err(_) if tokio::time::Instant::now() >= deadline => Err(LinkFailure::TimedOut),
                 Err(_) => Err(LinkFailure::Broken),
@@ -241,7 +247,9 @@
             slot.close();
             return RelayAnswer::NotKept;
         }
-        if let Err(failure) = slot.apply_session(&session, deadline).await {
+        if !is_rollback(&request.commands)
+            && let Err(failure) = slot.apply_session(&session, deadline).await
+        {
             return RelayAnswer::Failed(failure);
         }
         slot
@@ -317,6 +325,11 @@
     }
 }
 
+/// Returns whether an exchange only rolls back.
+fn is_rollback(commands: &[Command]) -> bool {
+    commands.iter().all(|command| *command == Command::Rollback)
+}
+
 /// Returns the identifier of the client's statement in an exchange; `-` if it has none.
 fn client_id(request: &RelayRequest) -> &str {
     request.commands.iter().find_map(Command::client_id).unwrap_or("-")
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -338,8 +338,11 @@
         let set = Action::Set { name: format!("v{number}").into(), value: value.clone() };
         assert_eq!(code(&run(&mut session, "set", set).await), None);
     }
+    let rollbacks = || fleet.group.arrivals().iter().filter(|arrival| arrival.what == "ROLLBACK").count();
+    let rollbacks_before = rollbacks();
     assert_eq!(code(&write(&mut session, "long").await), Some(FailureCode::Aborted));
     assert_eq!(fleet.group.endpoint_of("long"), None, "nothing is sent");
+    await_condition(async || rollbacks() > rollbacks_before).await;
     assert_eq!(code(&write(&mut other, "w2").await), None, "the link stays up");
     assert_eq!(code(&commit(&mut other, "c1").await), None);
     assert!(fleet.group.log().contains(&other_id));
