Refuse a forwarded result that is too long for the link instead of losing the link

A caller whose transaction is held by another entry instance could select more rows than one message may carry. The link between the two instances was then closed, and the requests of all callers in progress on it ended with an unknown outcome. An endpoint's error message of that length did the same.

Forwarded requests were ruled out: their bodies are limited to 256 KiB.

Such a result is now replaced by a refusal that says that the statement ran, or that keeps the verdict and the code of the refusal.

Before, that is with the check of the length taken out: a_forwarded_answer_beyond_the_limit_becomes_a_refusal_that_says_what_ran failed with 'the answer is too long: CallerAnswer', and a_forwarded_refusal_beyond_the_limit_keeps_its_verdict_and_code with 'assertion failed: refusal.message.len() < 1_000'.

--- a/crates/cumincart-entry/src/engine.rs
+++ b/crates/cumincart-entry/src/engine.rs
@@ -269,7 +269,7 @@
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
         tokio::spawn(async move {
             if let Ok(result) = answered.await {
-                received.reply.send(PeerBody::ForwardAnswer(Box::new(result)));
+                received.reply.send(PeerBody::forward_answer(result));
             }
         });
         self.submit_request(ticket, request, answer);
--- a/crates/cumincart-protocol/src/peer.rs
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -2,12 +2,14 @@
 
 use {
     crate::{
+        excerpt::Excerpt,
         heartbeat::{Heartbeat, HeartbeatAnswer},
         name::InstanceName,
-        refusal::Refusal,
+        refusal::{Refusal, RefusalCode},
         relay::{RelayAnswer, RelayRequest},
         replication::ReplicationMessage,
         request::{CallerRequest, CallerResult},
+        size::encoded_bytes,
         token::{TokenAnswer, TokenRequest},
     },
     serde::{Deserialize, Serialize},
@@ -80,3 +82,28 @@
     /// The address of its peer port, as `ip:port`.
     pub peer_address: Arc<str>,
 }
+
+/// The room for the rest of an envelope, beside the answer to a forwarded request.
+const ENVELOPE_MAX_BYTES: usize = 64 * 1024;
+
+impl PeerBody {
+    /// Returns the answer to a forwarded request. A result that is too long for an envelope becomes a refusal with the
+    /// same verdict, because the receiver would close the link, on which other requests are in progress.
+    pub fn forward_answer(result: CallerResult) -> Self {
+        let result = if encoded_bytes(&result) + ENVELOPE_MAX_BYTES > PEER_MAX_BYTES {
+            Err(too_long(result))
+        } else {
+            result
+        };
+        Self::ForwardAnswer(Box::new(result))
+    }
+}
+
+fn too_long(result: CallerResult) -> Refusal {
+    match result {
+        Ok(_) => Refusal::ran(RefusalCode::Internal, "the statement ran, but its result is too long"),
+        Err(refusal) => {
+            Refusal { message: Excerpt(&refusal.message).to_string().into(), session: None, ..refusal }
+        }
+    }
+}
--- a/crates/cumincart-protocol/tests/decoders.rs
+++ b/crates/cumincart-protocol/tests/decoders.rs
@@ -5,7 +5,11 @@
     cumincart_protocol::{
         announcement::Announcement,
         number::{LogPosition, Term},
+        peer::{PEER_MAX_BYTES, PeerBody},
+        refusal::{Refusal, RefusalCode},
+        request::{CallerAnswer, Rows, Value},
         session::{SESSION_MAX_BYTES, SESSION_VERSION, SeenPoints, Session, SessionError, TermPoint},
+        verdict::Verdict,
     },
     proptest::{prelude::*, test_runner::RngSeed},
     test_case::test_case,
@@ -98,3 +102,34 @@
     let error = serde_json::from_str::<Announcement>(text).expect_err("`rank` is not a field");
     assert!(error.to_string().contains("unknown field `rank`"), "{error}");
 }
+
+// Guards against an answer that is longer than what instances accept from each other: the link was closed, and all
+// requests in progress on it ended with an unknown outcome.
+#[test]
+fn a_forwarded_answer_beyond_the_limit_becomes_a_refusal_that_says_what_ran() {
+    let answer = |bytes: usize| CallerAnswer {
+        rows: Rows { rows: vec![vec![Value::Text("x".repeat(bytes).into())]], ..Rows::default() },
+        session: Session::default(),
+        transaction: None,
+        from_replica: false,
+    };
+    let small = Ok(answer(1_000));
+    assert_eq!(PeerBody::forward_answer(small.clone()), PeerBody::ForwardAnswer(Box::new(small)));
+    let PeerBody::ForwardAnswer(result) = PeerBody::forward_answer(Ok(answer(PEER_MAX_BYTES))) else {
+        panic!("it is not the answer to a forwarded request");
+    };
+    let refusal = result.expect_err("the answer is too long");
+    assert_eq!((refusal.verdict, refusal.code), (Verdict::Ran, RefusalCode::Internal));
+}
+
+// Guards against error messages of any length, which endpoints fill with the values of a statement.
+#[test]
+fn a_forwarded_refusal_beyond_the_limit_keeps_its_verdict_and_code() {
+    let refusal = Refusal::unknown(RefusalCode::ConnectionLost, "m".repeat(PEER_MAX_BYTES));
+    let PeerBody::ForwardAnswer(result) = PeerBody::forward_answer(Err(refusal)) else {
+        panic!("it is not the answer to a forwarded request");
+    };
+    let refusal = result.expect_err("it is a refusal");
+    assert_eq!((refusal.verdict, refusal.code), (Verdict::Unknown, RefusalCode::ConnectionLost));
+    assert!(refusal.message.len() < 1_000);
+}
