Refuse announcements with texts of any length, and shorten them in refusals and logs

Anyone who reaches a control instance of the project's own interface could announce an endpoint with a name of megabytes. It became part of the replicated state, which must fit into one message between instances. A refusal of a body with a long field repeated that field, and a line of the log each long name.

Announcements were checked for their form only, and parser errors were passed on whole. The platform's heartbeats have a bound of their own. A session token of 50 KB passes the server's limit for headers (tested here over a socket).

The texts of an announcement may have 1 to 1024 bytes; otherwise the answer is 400 with the field and the length. Parser errors, names of arguments and the core's lines in the log of an entry instance are shown by their beginning, end and length if they have more than 256 bytes.

--- a/crates/cumincart-cli/tests/api_document.rs
+++ b/crates/cumincart-cli/tests/api_document.rs
@@ -3,13 +3,15 @@
 use {
     cumincart_fleet::{Deployment, Fleet, FleetOptions},
     cumincart_protocol::{
+        number::{LogPosition, Term},
         refusal::{Refusal, RefusalCode},
+        session::{SeenPoints, Session, TermPoint},
         verdict::Verdict,
     },
     cumincart_runtime::logging,
     reqwest::Method,
     schemars::schema_for,
-    serde_json::Value,
+    serde_json::{Value, json},
     std::{fs, path::PathBuf},
 };
 
@@ -148,3 +150,49 @@
         );
     }
 }
+
+/// Guards against announcements that make the replicated state too long for the links between instances, and against
+/// refusals that repeat a text of any length.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn texts_of_any_length_are_refused_with_a_short_answer() {
+    let options =
+        FleetOptions { controls: 1, entries_per_domain: 1, ..FleetOptions::new(logging::discard()) };
+    let fleet = Fleet::spawn(Deployment::telvara(), options).await.expect("the fleet starts");
+    let long = "x".repeat(100_000);
+    let announcement = json!({
+        "endpoint": long, "service": "pbx-organisations-1", "address": "127.0.0.1:5432", "domain": "sofia-a",
+        "role": "replica", "timeline": 1, "position": 1, "slots": 5, "connection_limit": 30
+    });
+    let call = format!("{}/v1/pbx-organisations-1/call-setup", fleet.entries[0].url());
+    let bodies = [
+        (format!("{}/announce", fleet.control_urls()[0]), announcement),
+        (format!("{}/announce", fleet.control_urls()[0]), json!({ long.as_str(): 1 })),
+        (call.clone(), json!({ long.as_str(): 1 })),
+        (call, json!({ "arguments": { long.as_str(): [] } })),
+    ];
+    for (url, body) in bodies {
+        let response =
+            reqwest::Client::new().post(&url).json(&body).send().await.expect("the daemon responds");
+        assert_eq!(response.status().as_u16(), 400, "{url}");
+        let text = response.text().await.expect("the response is text");
+        assert!(text.len() < 1_000, "{url}: {} bytes", text.len());
+    }
+}
+
+/// Guards against a token that the system issues and then refuses, or that no server takes as a header.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_token_of_a_session_that_has_used_many_services_is_accepted() {
+    let options =
+        FleetOptions { controls: 1, entries_per_domain: 1, ..FleetOptions::new(logging::discard()) };
+    let fleet = Fleet::spawn(Deployment::telvara(), options).await.expect("the fleet starts");
+    let point = TermPoint { term: Term(1), position: LogPosition(u64::MAX) };
+    let seen =
+        |number: usize| SeenPoints { service: format!("{number:0>64}").into(), write: point, read: point };
+    let session = Session { seen: (0..250).map(seen).collect() };
+    let url = format!("{}/v1/pbx-organisations-1/call-setup", fleet.entries[0].url());
+    let request = reqwest::Client::new().post(url).body(r#"{"arguments": {"number": "1"}}"#);
+    let request = request.header("Cumincart-Session", session.encode());
+    let response = request.send().await.expect("the daemon responds");
+    let refusal: Refusal = response.json().await.expect("the response is a refusal");
+    assert_eq!(refusal.code, RefusalCode::KeyRefused, "{}", refusal.message);
+}
--- a/crates/cumincart-control/src/http/announce.rs
+++ b/crates/cumincart-control/src/http/announce.rs
@@ -3,7 +3,7 @@
 use {
     super::refusal::RefusalResponse,
     crate::engine::Engine,
-    cumincart_protocol::announcement::Announcement,
+    cumincart_protocol::{announcement::Announcement, excerpt::Excerpt},
     rocket::{
         Route, State,
         http::Status,
@@ -24,12 +24,16 @@
 ) -> Result<Status, RefusalResponse> {
     match body {
         Ok(body) => {
-            engine.announce(body.into_inner());
+            let announcement = body.into_inner();
+            announcement.check().map_err(|error| RefusalResponse::bad_request(error.to_string()))?;
+            engine.announce(announcement);
             Ok(Status::Accepted)
         }
         Err(json::Error::Io(error)) => Err(RefusalResponse::bad_request(error.to_string())),
         Err(json::Error::Parse(_, error)) => {
-            Err(RefusalResponse::bad_request(format!("the body is not a valid announcement: {error}")))
+            let reason = error.to_string();
+            let message = format!("the body is not a valid announcement: {}", Excerpt(&reason));
+            Err(RefusalResponse::bad_request(message))
         }
     }
 }
--- a/crates/cumincart-control/src/http/changes.rs
+++ b/crates/cumincart-control/src/http/changes.rs
@@ -4,7 +4,10 @@
     super::refusal::RefusalResponse,
     crate::engine::Engine,
     cumincart_http::operator::Operator,
-    cumincart_protocol::change::{Change, Outcome},
+    cumincart_protocol::{
+        change::{Change, Outcome},
+        excerpt::Excerpt,
+    },
     rocket::{
         Route, State,
         http::Status,
@@ -28,7 +31,9 @@
         Ok(body) => body.into_inner(),
         Err(json::Error::Io(error)) => return Err(RefusalResponse::bad_request(error.to_string())),
         Err(json::Error::Parse(_, error)) => {
-            return Err(RefusalResponse::bad_request(format!("the body is not a valid change: {error}")));
+            let reason = error.to_string();
+            let message = format!("the body is not a valid change: {}", Excerpt(&reason));
+            return Err(RefusalResponse::bad_request(message));
         }
     };
     let outcome = engine.change(change).await?;
--- a/crates/cumincart-entry/src/engine.rs
+++ b/crates/cumincart-entry/src/engine.rs
@@ -8,6 +8,7 @@
         timing::TICK_INTERVAL_MS,
     },
     cumincart_protocol::{
+        excerpt::Excerpt,
         name::InstanceName,
         peer::PeerBody,
         refusal::{Refusal, RefusalCode},
@@ -299,7 +300,8 @@
             Effect::Stopped => {
                 self.stopped.send_replace(true);
             }
-            Effect::Log(message) => info!(self.logger, "{}", message),
+            // The names in it may be of any length.
+            Effect::Log(message) => info!(self.logger, "{}", Excerpt(&message)),
         }
     }
 
--- a/crates/cumincart-entry/src/http/call.rs
+++ b/crates/cumincart-entry/src/http/call.rs
@@ -7,6 +7,7 @@
     },
     crate::engine::Engine,
     cumincart_protocol::{
+        excerpt::Excerpt,
         refusal::{Refusal, RefusalCode},
         request::{Argument, Call, CallerAnswer, Operation, Value},
     },
@@ -58,6 +59,7 @@
 }
 
 fn invalid_argument(name: &str) -> Refusal {
+    let name = Excerpt(name);
     let message = format!("the argument `{name}` must be a number, a string, true, false or null");
     Refusal::not_run(RefusalCode::BadRequest, message)
 }
@@ -89,7 +91,8 @@
             Err(Refusal::not_run(RefusalCode::BadRequest, message))
         }
         Err(json::Error::Parse(_, error)) => {
-            let message = format!("the body is not a valid call: {error}");
+            let reason = error.to_string();
+            let message = format!("the body is not a valid call: {}", Excerpt(&reason));
             Err(Refusal::not_run(RefusalCode::BadRequest, message))
         }
     }
--- a/crates/cumincart-protocol/src/announcement.rs
+++ b/crates/cumincart-protocol/src/announcement.rs
@@ -50,6 +50,35 @@
     pub leaving: bool,
 }
 
+/// The longest text in an announcement, in bytes. All of them are part of the replicated state.
+pub const ANNOUNCED_TEXT_MAX_BYTES: usize = 1_024;
+
+/// Why an announcement is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the {field} has {bytes} bytes, but 1 to {ANNOUNCED_TEXT_MAX_BYTES} are allowed")]
+pub struct AnnouncementError {
+    /// The field.
+    pub field: &'static str,
+    /// The length of its text.
+    pub bytes: usize,
+}
+
+impl Announcement {
+    /// Checks the lengths of the texts. Anyone who reaches a control instance can announce an endpoint.
+    pub fn check(&self) -> Result<(), AnnouncementError> {
+        let texts = [
+            ("endpoint", self.endpoint.as_str()),
+            ("service", self.service.as_str()),
+            ("domain", self.domain.as_str()),
+            ("address", &*self.address),
+        ];
+        match texts.into_iter().find(|(_, text)| !(1..=ANNOUNCED_TEXT_MAX_BYTES).contains(&text.len())) {
+            Some((field, text)) => Err(AnnouncementError { field, bytes: text.len() }),
+            None => Ok(()),
+        }
+    }
+}
+
 /// A heartbeat that does not include the state of the endpoint's log. The control leader obtains the state by probing
 /// the endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/cumincart-protocol/tests/decoders.rs
+++ b/crates/cumincart-protocol/tests/decoders.rs
@@ -133,3 +133,24 @@
     assert_eq!((refusal.verdict, refusal.code), (Verdict::Unknown, RefusalCode::ConnectionLost));
     assert!(refusal.message.len() < 1_000);
 }
+
+// Guards against announcements that make the replicated state longer than what instances accept from each other.
+#[test_case("endpoint"; "the endpoint")]
+#[test_case("service"; "the service")]
+#[test_case("domain"; "the failure domain")]
+#[test_case("address"; "the address")]
+fn an_announcement_with_a_text_of_any_length_is_refused(field: &str) {
+    let announcement = |text: String| {
+        let mut value = serde_json::json!({
+            "endpoint": "pbx-1", "service": "pbx", "address": "127.0.0.1:5432", "domain": "sofia-a",
+            "role": "primary", "timeline": 1, "position": 1, "slots": 5, "connection_limit": 30
+        });
+        value[field] = text.into();
+        serde_json::from_value::<Announcement>(value).expect("it is an announcement")
+    };
+    assert_eq!(announcement("ж".repeat(512)).check(), Ok(()));
+    for bytes in [0, 1 << 20] {
+        let error = announcement("x".repeat(bytes)).check().expect_err("the length is not allowed");
+        assert_eq!((error.field, error.bytes), (field, bytes));
+    }
+}
