--- a/crates/cumincart-entry/src/engine.rs
+++ b/crates/cumincart-entry/src/engine.rs
@@ -8,6 +8,7 @@
         timing::TICK_INTERVAL_MS,
     },
     cumincart_protocol::{
+        excerpt::Excerpt,
         name::InstanceName,
         peer::PeerBody,
         refusal::{Refusal, RefusalCode},
@@ -269,7 +270,7 @@
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
         tokio::spawn(async move {
             if let Ok(result) = answered.await {
-                received.reply.send(PeerBody::ForwardAnswer(Box::new(result)));
+                received.reply.send(PeerBody::forward_answer(result));
             }
         });
         self.submit_request(ticket, request, answer);
@@ -299,7 +300,8 @@
             Effect::Stopped => {
                 self.stopped.send_replace(true);
             }
-            Effect::Log(message) => info!(self.logger, "{}", message),
+            // The names in it may be of any length.
+            Effect::Log(message) => info!(self.logger, "{}", Excerpt(&message)),
         }
     }
 
