Close a connection whose names at the endpoint are not certain

What callers saw: nothing known. A PREPARE that failed at the endpoint may have been carried out. Its name counted as free, and the next statement got it.

Cause: a refusal was taken for 'not held', whatever its code says. With names made of shapes that was harmless.

Change: the connection is closed unless the refusal guarantees that nothing ran.

Log lines quote shapes as all other texts.

--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -32,9 +32,6 @@
 /// time and a lost packet.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The number of characters of a client's text that a log line quotes.
-const EXCERPT_CHARS: usize = 64;
-
 #[derive(Debug)]
 struct Borrowed {
     connection: Connection,
@@ -65,6 +62,12 @@
     released.chain([prepare]).collect()
 }
 
+/// Returns whether the commands that were refused certainly did not run.
+fn did_not_run(replies: &[Reply]) -> bool {
+    let mut errors = replies.iter().filter_map(|reply| reply.result.as_ref().err());
+    errors.all(|error| error.kind.guarantees_not_run())
+}
+
 /// Returns the connection's name of the prepared statement that an exchange's commands execute.
 fn executed_name(commands: &[Command]) -> Option<Arc<str>> {
     commands.iter().find_map(|command| match command {
@@ -277,8 +280,8 @@
         };
         self.report_prepare(prepared, &assignment.name, request, connection, outcome);
         if outcome != PrepareOutcome::Accepted {
-            if !assignment.released.is_empty() {
-                // The endpoint may still hold a statement under a name that counts as free.
+            if !assignment.released.is_empty() || !result.is_ok_and(|replies| did_not_run(&replies)) {
+                // The endpoint may hold a statement under a name that counts as free.
                 self.close();
             }
             // Whatever happened to it, the execution was not sent.
@@ -304,7 +307,7 @@
         info!(self.engine.logger(), "statement prepared on a connection";
             "request" => request, "endpoint" => self.endpoint.as_str(), "connection" => connection,
             "name" => name, "access" => ?prepared.access,
-            "shape" => %format_args!("{:.EXCERPT_CHARS$}", prepared.shape),
+            "shape" => &*prepared.shape,
             "shape_bytes" => prepared.shape.len(), "outcome" => ?outcome, "lines_left_out" => suppressed);
     }
 
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -230,6 +230,7 @@
     for number in 2..6 {
         assert_eq!(code(&run(&mut second, &format!("e{number}"), execute()).await), None);
     }
+    assert!(fleet.group.prepared_twice().is_empty(), "a name that may be in use is not given again");
 }
 
 /// Guards against acknowledged commits that a switchover loses, where another instance holds the connection.
--- a/crates/cumincart-session/tests/transactions/group.rs
+++ b/crates/cumincart-session/tests/transactions/group.rs
@@ -43,6 +43,8 @@
     arrivals: Vec<Arrival>,
     /// The number of `PREPARE` commands that are still refused.
     refused_prepares: u32,
+    /// The names that were prepared while the endpoint held, or may have held, a statement under them.
+    prepared_twice: Vec<Arc<str>>,
     /// The identifier of the statement whose answer is longer than instances may send to each other.
     long_answer: Option<String>,
     /// Whether a promotion was requested.
@@ -63,6 +65,8 @@
     endpoint: EndpointName,
     transaction: Option<Vec<String>>,
     prepared: Vec<Arc<str>>,
+    /// The names of statements whose preparing has failed, which the endpoint may hold or not.
+    failed_prepares: Vec<Arc<str>>,
 }
 
 impl Group {
@@ -72,6 +76,7 @@
             log: Vec::new(),
             arrivals: Vec::new(),
             refused_prepares: 0,
+            prepared_twice: Vec::new(),
             long_answer: None,
             is_promoting: false,
         };
@@ -107,6 +112,7 @@
             endpoint: destination.endpoint.clone(),
             transaction: None,
             prepared: Vec::new(),
+            failed_prepares: Vec::new(),
         };
         tokio::spawn(self.clone().serve(context, queue));
         Connection { exchanges }
@@ -183,6 +189,11 @@
         self.lock().long_answer = Some(id.to_owned());
     }
 
+    /// Returns the names that were prepared while the endpoint held, or may have held, a statement under them.
+    pub fn prepared_twice(&self) -> Vec<Arc<str>> {
+        self.lock().prepared_twice.clone()
+    }
+
     /// Returns what has arrived at the endpoints, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.lock().arrivals.clone()
@@ -220,11 +231,17 @@
             Command::Begin { .. } => context.transaction = Some(Vec::new()),
             Command::Rollback => context.transaction = None,
             Command::Commit { .. } => self.log.extend(context.transaction.take().unwrap_or_default()),
-            Command::Prepare { .. } if self.refused_prepares > 0 => {
+            Command::Prepare { name, .. } if self.refused_prepares > 0 => {
                 self.refused_prepares -= 1;
+                context.failed_prepares.push(name.clone());
                 return Err(error(EndpointErrorKind::Failed));
             }
-            Command::Prepare { name, .. } => context.prepared.push(name.clone()),
+            Command::Prepare { name, .. } => {
+                if context.prepared.contains(name) || context.failed_prepares.contains(name) {
+                    self.prepared_twice.push(name.clone());
+                }
+                context.prepared.push(name.clone());
+            }
             command if is_too_long(command) => return Err(error(EndpointErrorKind::Malformed)),
             Command::Execute { name, .. } if !context.prepared.contains(name) => {
                 return Err(error(EndpointErrorKind::UnknownStatement));
