--- a/crates/cumincart-runtime/src/logging.rs
+++ b/crates/cumincart-runtime/src/logging.rs
@@ -2,7 +2,7 @@
 
 mod excerpt;
 
-pub use excerpt::{EXCERPT_MAX_BYTES, ExcerptDrain, excerpt};
+pub use excerpt::{ExcerptDrain, LOGGED_TEXT_MAX_BYTES, excerpt};
 
 use {
     cumincart_config::{LogFormat, LogLevel, LogSettings},
--- a/crates/cumincart-runtime/src/logging/excerpt.rs
+++ b/crates/cumincart-runtime/src/logging/excerpt.rs
@@ -9,14 +9,14 @@
 };
 
 /// The length up to which a text is logged as it is, in bytes. Identifiers and names are much shorter.
-pub const EXCERPT_MAX_BYTES: usize = 2 * 1_024;
+pub const LOGGED_TEXT_MAX_BYTES: usize = 2 * 1_024;
 
 /// Returns a text in the form in which it is logged: unchanged if it is short, otherwise its beginning and its length.
 pub fn excerpt(text: &str) -> Cow<'_, str> {
-    if text.len() <= EXCERPT_MAX_BYTES {
+    if text.len() <= LOGGED_TEXT_MAX_BYTES {
         return Cow::Borrowed(text);
     }
-    let beginning = &text[..text.floor_char_boundary(EXCERPT_MAX_BYTES)];
+    let beginning = &text[..text.floor_char_boundary(LOGGED_TEXT_MAX_BYTES)];
     Cow::Owned(format!("{beginning}... ({} bytes)", text.len()))
 }
 
@@ -41,7 +41,7 @@
     fn write_str(&mut self, part: &str) -> fmt::Result {
         // Nothing may follow a part that was cut.
         if self.total_bytes == self.beginning.len() {
-            let left_bytes = EXCERPT_MAX_BYTES - self.beginning.len();
+            let left_bytes = LOGGED_TEXT_MAX_BYTES - self.beginning.len();
             self.beginning.push_str(&part[..part.floor_char_boundary(left_bytes)]);
         }
         self.total_bytes += part.len();
--- a/crates/cumincart-runtime/tests/logging.rs
+++ b/crates/cumincart-runtime/tests/logging.rs
@@ -1,7 +1,7 @@
 //! Log lines with texts that clients, endpoints and operators chose.
 
 use {
-    cumincart_runtime::logging::{self, EXCERPT_MAX_BYTES, excerpt},
+    cumincart_runtime::logging::{self, LOGGED_TEXT_MAX_BYTES, excerpt},
     serde_json::Value,
     slog::{Logger, warn},
     std::{
@@ -50,15 +50,15 @@
     let (logger, output) = open();
     let text = character.repeat(1024 * 1024 / character_bytes);
     warn!(logger, "statement failed: {}", text; "request" => &text, "why" => %text, "code" => ?text);
-    assert!(output.bytes().len() < 5 * EXCERPT_MAX_BYTES, "{} bytes are logged", output.bytes().len());
+    assert!(output.bytes().len() < 5 * LOGGED_TEXT_MAX_BYTES, "{} bytes are logged", output.bytes().len());
     let line = output.line();
-    let beginning = character.repeat(EXCERPT_MAX_BYTES / character_bytes);
+    let beginning = character.repeat(LOGGED_TEXT_MAX_BYTES / character_bytes);
     let expected = format!("{beginning}... ({} bytes)", text.len());
     assert_eq!(line["request"], expected);
     assert_eq!(line["why"], expected);
     for field in ["msg", "code"] {
         let value = line[field].as_str().unwrap_or_default();
-        assert!(value.contains(" bytes)") && value.len() < EXCERPT_MAX_BYTES + 30, "{field}: {value}");
+        assert!(value.contains(" bytes)") && value.len() < LOGGED_TEXT_MAX_BYTES + 30, "{field}: {value}");
     }
     assert_eq!(excerpt(&text), expected, "a reader of logs can look for it");
 }
@@ -67,7 +67,7 @@
 #[test]
 fn short_texts_and_other_values_are_logged_as_they_are() {
     let (logger, output) = open();
-    let longest = "x".repeat(EXCERPT_MAX_BYTES);
+    let longest = "x".repeat(LOGGED_TEXT_MAX_BYTES);
     let none: Option<&str> = None;
     warn!(logger, "statement failed"; "request" => "88997cdf9c28f93d", "longest" => &longest, "displayed" => %longest,
         "took_ms" => 5_u64, "writable" => true, "primary" => none, "lag" => 0.5);
@@ -101,14 +101,14 @@
     struct Parts;
     impl std::fmt::Display for Parts {
         fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-            (0..EXCERPT_MAX_BYTES).try_for_each(|_| f.write_str("\u{e9}x"))
+            (0..LOGGED_TEXT_MAX_BYTES).try_for_each(|_| f.write_str("\u{e9}x"))
         }
     }
     let (logger, output) = open();
     warn!(logger, "statement failed"; "why" => %Parts);
     let why = output.line()["why"].as_str().map(ToOwned::to_owned).unwrap_or_default();
     let (beginning, rest) = why.split_once("...").expect("it is cut");
-    assert_eq!(rest, format!(" ({} bytes)", 3 * EXCERPT_MAX_BYTES));
-    assert!((EXCERPT_MAX_BYTES - 1..=EXCERPT_MAX_BYTES).contains(&beginning.len()));
+    assert_eq!(rest, format!(" ({} bytes)", 3 * LOGGED_TEXT_MAX_BYTES));
+    assert!((LOGGED_TEXT_MAX_BYTES - 1..=LOGGED_TEXT_MAX_BYTES).contains(&beginning.len()));
     assert!(Parts.to_string().starts_with(beginning));
 }
