--- a/crates/cumincart-session/src/decision_log.rs
+++ b/crates/cumincart-session/src/decision_log.rs
@@ -15,7 +15,7 @@
 pub const LINES_PER_S: u64 = 20;
 
 /// The maximum number of lines per second about statements that are prepared on connections.
-pub const PREPARE_LINES_PER_S: u64 = 5;
+pub const PREPARE_LINES_PER_S: u64 = 1;
 
 /// One in this many successes is logged.
 pub const SUCCESS_SAMPLE: u64 = 200;
