Sample log points once in a failure domain

Cause: every entry instance asked each primary for its log point twice a second while reads with bounded staleness needed one, and at each tick while the primary was too busy to answer.

In each failure domain two instances, by rendezvous hashing on the service, sample for all. The others ask them by a relayed status that accepts a recent point; the answer carries the point's age, which counts from the request, so time on the way never makes it look newer. An instance of an older build runs the status as before. A point of another term than the asker's is dropped.

--- a/crates/cumincart-core/src/interactive/ownership.rs
+++ b/crates/cumincart-core/src/interactive/ownership.rs
@@ -1,5 +1,5 @@
 //! Assigns entry instances by rendezvous hashing: the owners of an organisation's connections to an endpoint, the
-//! owners of its rate tokens, and the observers of a primary.
+//! owners of its rate tokens, and the samplers and observers of a primary.
 //!
 //! Lets many organisations share few connections: all statements of an organisation for an endpoint go through one
 //! instance in the endpoint's failure domain, so its connections are reused. When an instance joins or leaves, only the
@@ -9,13 +9,17 @@
     catalogue::EndpointEntry,
     fnv::Fnv,
     heartbeat::InstanceEntry,
-    name::{DomainName, EndpointName, InstanceName, OrganisationName},
+    name::{DomainName, EndpointName, InstanceName, OrganisationName, ServiceName},
     sorted::SortedVec,
 };
 
 /// The maximum number of owners: the first choice and its fallbacks.
 pub const OWNERS_MAX: usize = 3;
 
+/// The number of instances per failure domain that sample the log points of a primary: one, and one that covers its
+/// loss.
+pub const SAMPLERS_MAX: usize = 2;
+
 /// The number of instances per failure domain that observe a primary: one, and one that covers its loss.
 pub const OBSERVERS_PER_DOMAIN: usize = 2;
 
@@ -54,6 +58,19 @@
     rank(in_domain(instances, domain), OWNERS_MAX, "tokens", organisation.as_str())
 }
 
+/// Returns the instances that sample the log points of a service's primary for their failure domain, in order of
+/// preference.
+///
+/// Each sample takes up an execution slot of the primary. Sampled by every instance, they would be as many as the
+/// requests.
+pub fn samplers<'a>(
+    instances: &'a SortedVec<InstanceEntry>,
+    domain: &DomainName,
+    service: &ServiceName,
+) -> Vec<&'a InstanceEntry> {
+    rank(in_domain(instances, domain), SAMPLERS_MAX, "points", service.as_str())
+}
+
 /// Returns whether an instance is one of the observers in its failure domain that periodically confirm to the control
 /// leader that an endpoint answers.
 ///
--- a/crates/cumincart-core/src/interactive/positions.rs
+++ b/crates/cumincart-core/src/interactive/positions.rs
@@ -18,6 +18,13 @@
 /// How long samples are kept, in milliseconds: longer than the usual staleness bounds.
 pub const SAMPLE_KEPT_MS: u64 = 5_000;
 
+/// The greatest age at which a sample is passed on to other instances, in milliseconds. With the interval between two
+/// requests it stays well below the usual staleness bounds.
+pub const SHARED_AGE_MAX_MS: u64 = 700;
+
+/// The greatest difference between the speeds of two instances' clocks, in thousandths.
+const CLOCK_DRIFT_PER_MILLE: u64 = 10;
+
 #[derive(Debug, Clone, Copy)]
 struct Sample {
     sent_at: Instant,
@@ -46,6 +53,21 @@
         }
     }
 
+    /// Returns the latest point and its age in milliseconds, rounded up, if it is recent enough for other instances.
+    pub fn shared(&self, now: Instant) -> Option<(LogPoint, u64)> {
+        let latest = self.samples.back()?;
+        let age_us = u64::try_from(now.saturating_since(latest.sent_at).as_micros()).ok()?;
+        let age_ms = age_us.div_ceil(1_000);
+        (age_ms <= SHARED_AGE_MAX_MS).then_some((latest.point, age_ms))
+    }
+
+    /// Records a log point that another instance had sampled this long before it answered a request that was sent at
+    /// `asked_at`. The answer may have been on its way for any time, so the age counts from the request.
+    pub fn record_shared(&mut self, asked_at: Instant, age_ms: u64, point: LogPoint) {
+        let drift_ms = (age_ms * CLOCK_DRIFT_PER_MILLE).div_ceil(1_000);
+        self.record(asked_at - Duration::from_millis(age_ms + drift_ms), point);
+    }
+
     /// Returns the earliest sampled point that covers every commit acknowledged before `since`: the one that replicas
     /// are most likely to have reached.
     pub fn covering(&self, since: Instant) -> Option<LogPoint> {
--- a/crates/cumincart-core/tests/interactive/ownership.rs
+++ b/crates/cumincart-core/tests/interactive/ownership.rs
@@ -1,9 +1,14 @@
 //! The assignment of owners to an organisation's connections and tokens as instances join and leave.
 
 use {
-    cumincart_core::interactive::ownership::{OBSERVERS_PER_DOMAIN, is_observer, owners, token_owners},
+    cumincart_core::interactive::ownership::{
+        OBSERVERS_PER_DOMAIN, SAMPLERS_MAX, is_observer, owners, samplers, token_owners,
+    },
     cumincart_protocol::{
-        catalogue::EndpointEntry, heartbeat::InstanceEntry, name::OrganisationName, number::Incarnation,
+        catalogue::EndpointEntry,
+        heartbeat::InstanceEntry,
+        name::{OrganisationName, ServiceName},
+        number::Incarnation,
         sorted::SortedVec,
     },
 };
@@ -109,3 +114,21 @@
         assert_eq!(fleet.iter().filter(observes).count(), OBSERVERS_PER_DOMAIN);
     }
 }
+
+/// Load: reads with bounded staleness of many services at all instances.
+#[test]
+fn each_failure_domain_has_its_own_samplers_and_services_are_spread_over_its_instances() {
+    let fleet = instances(&FLEET);
+    let services: Vec<ServiceName> = (0..100).map(|number| format!("service-{number}").into()).collect();
+    for service in &services {
+        let found = samplers(&fleet, &"quay".into(), service);
+        assert_eq!(found.len(), SAMPLERS_MAX);
+        assert!(found.iter().all(|sampler| sampler.domain.as_str() == "quay"));
+    }
+    for instance in ["a-1", "a-2", "a-3"] {
+        let is_first =
+            |service: &&ServiceName| samplers(&fleet, &"quay".into(), service)[0].name.as_str() == instance;
+        assert!(services.iter().filter(is_first).count() > 15);
+    }
+    assert!(samplers(&fleet, &"bay".into(), &services[0]).is_empty());
+}
--- a/crates/cumincart-core/tests/interactive/positions.rs
+++ b/crates/cumincart-core/tests/interactive/positions.rs
@@ -1,12 +1,13 @@
 //! The log point that a replica must have reached for a read with bounded staleness.
 
 use {
-    cumincart_core::interactive::positions::{LogPoint, Positions, SAMPLE_KEPT_MS},
+    cumincart_core::interactive::positions::{LogPoint, Positions, SAMPLE_KEPT_MS, SHARED_AGE_MAX_MS},
     cumincart_protocol::{
         catalogue::TermStart,
         number::{LogPosition, Term, Timeline},
         time::Instant,
     },
+    std::time::Duration,
     test_case::test_case,
 };
 
@@ -71,3 +72,39 @@
     };
     assert_eq!(committed.without_lost(&[start(3, 1_000), start(4, 1_240)]), expected);
 }
+
+/// Load: reads with bounded staleness at every instance of a failure domain, of which one samples the primary.
+#[test_case(0, 300, 300; "sampled at the moment of the request")]
+#[test_case(200, 300, 98; "sampled before the request")]
+#[test_case(400, 300, 0; "sampled before this process started")]
+fn a_point_of_another_instance_counts_from_the_request(age_ms: u64, asked_at_ms: u64, covered_until_ms: u64) {
+    let mut sampler = Positions::default();
+    let sampled_at = at(5_000);
+    sampler.record(sampled_at, point(1, 7));
+    let (shared, shared_age_ms) =
+        sampler.shared(sampled_at + Duration::from_millis(age_ms)).expect("the sample is recent");
+    assert_eq!(shared_age_ms, age_ms);
+    let mut positions = Positions::default();
+    positions.record_shared(at(asked_at_ms), shared_age_ms, shared);
+    assert_eq!(positions.covering(at(covered_until_ms)), Some(point(1, 7)));
+    assert_eq!(positions.covering(at(covered_until_ms + 1)), None);
+}
+
+#[test]
+fn an_old_sample_is_not_passed_on() {
+    let mut positions = Positions::default();
+    positions.record(at(1_000), point(1, 7));
+    assert!(positions.shared(at(1_000 + SHARED_AGE_MAX_MS)).is_some());
+    assert!(positions.shared(at(1_001 + SHARED_AGE_MAX_MS)).is_none());
+    positions.clear();
+    assert!(positions.shared(at(1_000)).is_none());
+}
+
+#[test]
+fn a_point_of_another_instance_does_not_replace_a_newer_one() {
+    let mut positions = Positions::default();
+    positions.record(at(1_000), point(1, 9));
+    positions.record_shared(at(1_100), 500, point(1, 7));
+    assert_eq!(positions.covering(at(1_000)), Some(point(1, 9)));
+    assert_eq!(positions.last_sent_at(), Some(at(1_000)));
+}
--- a/crates/cumincart-protocol/src/relay.rs
+++ b/crates/cumincart-protocol/src/relay.rs
@@ -3,8 +3,9 @@
 
 use {
     crate::{
-        exchange::{Command, LinkFailure, Prepared, Reply, SessionValue},
+        exchange::{Command, LinkFailure, LogPoint, Prepared, Reply, SessionValue},
         name::{EndpointName, OrganisationName, ServiceName},
+        number::Term,
         sorted::SortedVec,
     },
     serde::{Deserialize, Serialize},
@@ -18,6 +19,10 @@
     *value == 0
 }
 
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// A request to run commands at an endpoint over one of the receiver's connections.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayRequest {
@@ -51,6 +56,10 @@
     /// The time within which the answer must arrive, in milliseconds. Later, the sender no longer waits for it.
     #[serde(rename = "d")]
     pub answer_within_ms: u64,
+    /// Whether the sender only needs a recent log point of the endpoint, which is the primary: the receiver may answer
+    /// with [`RelayAnswer::Point`] in place of running the commands.
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub accepts_point: bool,
 }
 
 /// The answer to a [`RelayRequest`].
@@ -78,4 +87,21 @@
     /// The receiver does not hold the slot, or no longer: its transaction is rolled back, and nothing was sent.
     #[serde(rename = "l")]
     NotKept,
+    /// A log point that the receiver has from the primary already; nothing was sent. Only for a request that accepts it.
+    #[serde(rename = "p")]
+    Point(SampledPoint),
+}
+
+/// A log point that covers every commit which the primary of a term had acknowledged at an instant in the past.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SampledPoint {
+    /// The term of the group.
+    #[serde(rename = "t")]
+    pub term: Term,
+    /// The log point.
+    #[serde(rename = "p")]
+    pub point: LogPoint,
+    /// How long before this answer the instant was, on the sender's clock, in milliseconds; rounded up.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
 }
--- a/crates/cumincart-session/src/metrics.rs
+++ b/crates/cumincart-session/src/metrics.rs
@@ -69,6 +69,22 @@
     Lost,
 }
 
+/// The labels of a refresh of a primary's log point.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PointLabels {
+    /// Where the point came from.
+    pub source: PointSource,
+}
+
+/// Where a primary's log point came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum PointSource {
+    /// The primary was asked.
+    Endpoint,
+    /// Another instance of the failure domain had a recent one.
+    Instance,
+}
+
 /// The metrics of one engine.
 #[derive(Debug)]
 pub struct Metrics {
@@ -85,6 +101,8 @@
     pub reads_on_replica: Counter,
     /// Reads and read-only transactions that an endpoint refused because its log had not reached the required point.
     pub lagging: Counter,
+    /// Refreshes of primaries' log points.
+    pub points: Family<PointLabels, Counter>,
     /// Messages of clients that can't be read.
     pub malformed: Counter,
     /// Time from a statement's arrival to its answer, in seconds.
@@ -106,6 +124,7 @@
         let reads_on_primary = Counter::default();
         let reads_on_replica = Counter::default();
         let lagging = Counter::default();
+        let points = Family::default();
         let malformed = Counter::default();
         let latency = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
         registry.register("statements", "Finished statements", statements.clone());
@@ -118,6 +137,7 @@
         registry.register("reads_on_primary", "Stale-tolerant reads on primaries", reads_on_primary.clone());
         registry.register("reads_on_replica", "Reads on replicas", reads_on_replica.clone());
         registry.register("lagging", "Reads that a replica was too far behind for", lagging.clone());
+        registry.register("log_points", "Refreshes of primaries' log points", points.clone());
         registry.register("malformed", "Messages of clients that can't be read", malformed.clone());
         registry.register("latency_seconds", "Time from arrival to answer", latency.clone());
         Self {
@@ -128,6 +148,7 @@
             reads_on_primary,
             reads_on_replica,
             lagging,
+            points,
             malformed,
             latency,
         }
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -108,6 +108,7 @@
             priority: self.priority,
             start_within_ms: whole_ms(start_within),
             answer_within_ms: whole_ms(left),
+            accepts_point: false,
         };
         loop {
             let Some(owner) = self.owners.get(self.owner_index).cloned() else {
@@ -138,7 +139,8 @@
                 Ok(RelayAnswer::Busy { .. }) => {
                     return Err(RelayFailure { failure: LinkFailure::NoSlot, is_endpoint_failure: false });
                 }
-                Ok(RelayAnswer::NotKept) => return Err(RelayFailure::NOT_SENT),
+                // This instance has not said that it accepts a point.
+                Ok(RelayAnswer::NotKept | RelayAnswer::Point(_)) => return Err(RelayFailure::NOT_SENT),
                 Ok(RelayAnswer::NotServed) => {
                     engine.eject(&owner.name);
                     if is_pinned {
@@ -229,6 +231,10 @@
 }
 
 async fn serve_relay(engine: &Engine, from: InstanceName, mut request: RelayRequest) -> RelayAnswer {
+    if request.accepts_point {
+        let point = engine.sampled_point(&request.service, &request.endpoint);
+        return point.map_or(RelayAnswer::NotServed, RelayAnswer::Point);
+    }
     let key = PinnedSlotKey { from, number: request.kept };
     let deadline = tokio::time::Instant::now() + Duration::from_millis(request.answer_within_ms);
     let session = SessionState::with_values(request.values.clone());
--- a/crates/cumincart-session/src/state.rs
+++ b/crates/cumincart-session/src/state.rs
@@ -171,10 +171,12 @@
 #[derive(Debug)]
 pub(crate) struct ServicePositions {
     service: ServiceName,
-    term: Term,
+    pub(crate) term: Term,
     pub(crate) positions: Positions,
-    /// When a read last required a log point.
+    /// When a read, or another instance, last required a log point.
     pub(crate) required_at: Instant,
+    /// The earliest time of the next refresh.
+    pub(crate) next_refresh_at: Instant,
     pub(crate) is_refreshing: bool,
 }
 
@@ -332,6 +334,7 @@
             term: Term::default(),
             positions: Positions::default(),
             required_at: Instant::ZERO,
+            next_refresh_at: Instant::ZERO,
             is_refreshing: false,
         })
     }
