Count what organisations run and report each accounting window once

Entry instances count the requests that began to run at endpoints, by interval of their steady clocks, and send totals with heartbeats. The control leader places them into windows of true time, by the median of the instances' clocks, fixes a window's counts in the log and reports it, with its own term as fence. On only where the settings name the duty.

Not measured on a deployment yet.

--- a/crates/cumincart-control/src/daemon.rs
+++ b/crates/cumincart-control/src/daemon.rs
@@ -134,6 +134,7 @@
             fleet_secret: options.fleet_secret,
             seeds: SortedVec::new(),
             endpoints: EndpointOperations::postgresql(options.endpoint_login),
+            usage: None,
             logger: options.logger,
         },
         folder,
--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -8,7 +8,7 @@
     cumincart_core::{
         control::{
             self, ControlRefusal, Core, Effect, Input, Persist, Probe, PromotedState, Promotion,
-            PromotionError, Settings, Status, Stored, Ticket, detection,
+            PromotionError, Settings, Status, Stored, Ticket, UsageAnswer, UsageCall, detection, usage,
         },
         timing::TICK_INTERVAL_MS,
     },
@@ -64,6 +64,8 @@
     pub seeds: SortedVec<Member>,
     /// The operations on endpoints.
     pub endpoints: EndpointOperations,
+    /// How usage is reported; `None` if it is not.
+    pub usage: Option<UsageReporting>,
     /// The logger of the instance.
     pub logger: Logger,
 }
@@ -77,6 +79,24 @@
 /// Asks an endpoint for the state of its log. Returns `None` if it does not answer.
 pub type ProbeFn = dyn Fn(Probe) -> BoxFuture<Option<LogState>> + Send + Sync;
 
+/// Reports the usage of an accounting window to the platform.
+pub type ReportUsageFn = dyn Fn(UsageCall) -> BoxFuture<UsageAnswer> + Send + Sync;
+
+/// How a control instance reports usage.
+#[derive(Clone)]
+pub struct UsageReporting {
+    /// When it is reported.
+    pub policy: usage::Policy,
+    /// Makes one call. It ends within a few seconds.
+    pub report: Arc<ReportUsageFn>,
+}
+
+impl std::fmt::Debug for UsageReporting {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("UsageReporting").field("policy", &self.policy).finish_non_exhaustive()
+    }
+}
+
 /// The operations of a control instance on endpoints.
 #[derive(Clone)]
 pub struct EndpointOperations {
@@ -249,6 +269,7 @@
     instance: InstanceName,
     fleet_secret: FleetSecret,
     endpoints: EndpointOperations,
+    usage: Option<UsageReporting>,
     logger: Logger,
 }
 
@@ -267,6 +288,7 @@
         if core.probes.is_enabled {
             core.failover.policy.is_dead = detection::probe_finds_dead;
         }
+        core.usage.policy = options.usage.as_ref().map(|usage| usage.policy);
         Self {
             core,
             is_new,
@@ -281,6 +303,7 @@
             instance,
             fleet_secret: options.fleet_secret,
             endpoints: options.endpoints,
+            usage: options.usage,
             logger: options.logger,
         }
     }
@@ -414,6 +437,7 @@
             }
             Effect::Promote(promotion) => self.promote(promotion),
             Effect::Probe(probe) => self.probe(probe),
+            Effect::ReportUsage(call) => self.report_usage(call),
             // The names in it may be of any length.
             Effect::Log(message) => info!(self.logger, "{}", Excerpt(&message)),
         }
@@ -479,6 +503,18 @@
         });
     }
 
+    fn report_usage(&self, call: UsageCall) {
+        let Some(usage) = &self.usage else { return };
+        let messages = self.messages.clone();
+        let answer = (usage.report)(call.clone());
+        self.runtime.spawn(async move {
+            let answer = answer.await;
+            if let Some(messages) = messages.upgrade() {
+                let _ = messages.send(Message::Input(Input::UsageReported(call, answer)));
+            }
+        });
+    }
+
     fn probe(&self, probe: Probe) {
         let Some(ask) = &self.endpoints.probe else { return };
         let messages = self.messages.clone();
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -31,12 +31,14 @@
 pub mod shares;
 pub mod snapshot;
 pub mod status;
+pub mod usage;
 pub mod voting;
 
 pub use {
     probe::Probe,
     promotion::{PromotedState, Promotion, PromotionError},
     status::{EndpointStatus, InstanceStatus, Status},
+    usage::{UsageAnswer, UsageCall},
 };
 
 use {
@@ -117,6 +119,8 @@
     Synced(Duration),
     /// The result of a promotion that was requested with `Effect::Promote`.
     Promoted(Promotion, Result<PromotedState, PromotionError>),
+    /// The result of a call that was requested with `Effect::ReportUsage`.
+    UsageReported(UsageCall, UsageAnswer),
 }
 
 /// An action that the runtime must carry out. Effects are carried out in order: a `Persist` is synced to disk
@@ -139,6 +143,8 @@
     Promote(Promotion),
     /// Query the state of an endpoint's log and report the result with `Input::Probed`.
     Probe(Probe),
+    /// Report the usage of an accounting window and return the result with `Input::UsageReported`.
+    ReportUsage(UsageCall),
     /// Write a line to the log of the process.
     Log(Arc<str>),
 }
@@ -214,6 +220,8 @@
     pub shares: shares::Ledger,
     /// The permits for endpoint connections that entry instances hold; kept by the leader.
     pub permits: permits::Ledger,
+    /// The usage of accounting windows: the last closed ones, which are replicated, and what the leader gathers.
+    pub usage: usage::Usage,
     /// The earliest time for the next join request.
     pub next_join_at: Instant,
 }
@@ -244,6 +252,7 @@
             failover: failover::Failover::default(),
             shares: shares::Ledger::default(),
             permits: permits::Ledger::default(),
+            usage: usage::Usage::open(snapshot.usage),
             next_join_at: Instant::ZERO,
         }
     }
@@ -261,6 +270,7 @@
         Input::Replication(from, message) => on_message(core, now, &from, message, out),
         Input::Heartbeat(ticket, heartbeat) => {
             core.failover.reports.record(now, &heartbeat);
+            usage::on_heartbeat(core, now, &heartbeat);
             read_index::request_read(core, now, ticket, read_index::Read::Heartbeat(heartbeat), out);
         }
         Input::Operator(ticket, change) => operators::on_change(core, now, ticket, change, out),
@@ -270,6 +280,7 @@
         Input::Probed(probe, answer) => probe::on_probed(core, now, &probe, answer, out),
         Input::Synced(duration) => election::on_synced(core, now, duration),
         Input::Promoted(promotion, result) => promotion::on_promoted(core, now, &promotion, &result, out),
+        Input::UsageReported(call, answer) => usage::on_answer(core, now, &call, answer, out),
     }
     commit::advance(core, now, out);
     failover::on_input(core, now, out);
@@ -308,6 +319,7 @@
     probe::on_tick(core, now, out);
     commit::advance(core, now, out);
     failover::on_tick(core, now, out);
+    usage::on_tick(core, now, out);
 }
 
 fn on_message(
@@ -381,5 +393,6 @@
         outcomes: Vec::new(),
         document: None,
         runs: SortedVec::new(),
+        usage: SortedVec::new(),
     }
 }
--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -107,9 +107,11 @@
 ) -> (CatalogueChange, Option<Outcome>) {
     catalogue.revision = revision_of(record.index);
     match &record.command {
-        Command::Open | Command::Members(_) | Command::PutRun(_) | Command::RemoveRun(_) => {
-            (CatalogueChange::Nothing, None)
-        }
+        Command::Open
+        | Command::Members(_)
+        | Command::PutRun(_)
+        | Command::RemoveRun(_)
+        | Command::FixUsage(_) => (CatalogueChange::Nothing, None),
         Command::Operator(change) => {
             let (delta, outcome) = apply_change(catalogue, outcomes, document, change);
             (delta, Some(outcome))
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -1,7 +1,7 @@
 //! Commits records that a quorum holds, and applies them.
 
 use {
-    super::{Core, Effect, catalogue, members, operators, push, read_index, runs, snapshot},
+    super::{Core, Effect, catalogue, members, operators, push, read_index, runs, snapshot, usage},
     cumincart_protocol::{
         heartbeat::CatalogueDelta, name::InstanceName, number::LogIndex, replication::Command, time::Instant,
     },
@@ -78,6 +78,7 @@
     match &command {
         Command::PutRun(run) => runs::on_run_added(core, now, run, out),
         Command::RemoveRun(run) => runs::on_run_removed(core, run),
+        Command::FixUsage(fixed) => usage::on_fixed(core, fixed),
         _ => {}
     }
     if let Some(outcome) = outcome {
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -5,7 +5,7 @@
     super::{
         Core, Effect, announcements::Announcements, failover, leases, members, operators, permits, presence,
         probe, read_index, replicate, replicate::LEADER_HEARTBEAT_MS, response_time::ResponseTime, runs,
-        shares,
+        shares, usage,
     },
     cumincart_protocol::{
         name::InstanceName,
@@ -358,6 +358,7 @@
     presence::on_elected(core);
     runs::on_elected(&mut core.runs);
     probe::on_elected(core);
+    usage::on_elected(&mut core.usage);
     initialise_ledgers(core, now, term);
     replicate::on_elected(core, now);
     replicate::append(core, Command::Open, out);
--- a/crates/cumincart-core/src/control/snapshot.rs
+++ b/crates/cumincart-core/src/control/snapshot.rs
@@ -33,6 +33,7 @@
         outcomes: core.outcomes.to_vec(),
         document: core.document.clone(),
         runs: core.runs.known.clone(),
+        usage: core.usage.windows.clone(),
     }
 }
 
@@ -69,5 +70,6 @@
     core.outcomes = Outcomes::open(snapshot.outcomes);
     core.document = snapshot.document;
     core.runs = Runs::open(snapshot.runs);
+    core.usage.windows = snapshot.usage;
     core.recent_deltas.clear();
 }
--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -21,6 +21,7 @@
 pub mod routing;
 pub mod session;
 pub mod transaction;
+pub mod usage;
 
 pub use {drain::is_ready, dump::dump};
 
@@ -153,6 +154,8 @@
     pub next_maintenance_at: Instant,
     /// Event counters since the start of this process.
     pub counters: counters::Counters,
+    /// The counts of requests that began to run, for usage reports.
+    pub usage: usage::Usage,
 }
 
 impl Core {
@@ -176,6 +179,7 @@
             out_of_service_since: None,
             next_maintenance_at: Instant::ZERO,
             counters: counters::Counters::default(),
+            usage: usage::Usage::default(),
         }
     }
 }
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -5,7 +5,7 @@
         Core,
         freshness::{self, AnswerOutcome},
         permits::{self, ConnectionUse},
-        quota,
+        quota, usage,
     },
     crate::timing::HEARTBEAT_INTERVAL_MS,
     cumincart_protocol::{
@@ -122,6 +122,7 @@
         endpoints,
         shares: quota::report(&mut core.quota, now, acknowledged_until),
         permits: permits::report(&mut core.permits, now, acknowledged_until, uses),
+        usage: usage::report(&mut core.usage, now, acknowledged_until),
     }
 }
 
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -83,6 +83,7 @@
             endpoints: Vec::new(),
             shares: Vec::new(),
             permits: Vec::new(),
+            usage: None,
         };
         self.step(Input::Heartbeat(Ticket(self.now_ms), Box::new(heartbeat)))
     }
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -69,6 +69,7 @@
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: Vec::new(),
+        usage: None,
     }
 }
 
--- a/crates/cumincart-core/tests/malformed_peers.rs
+++ b/crates/cumincart-core/tests/malformed_peers.rs
@@ -20,6 +20,7 @@
             VoteRequest,
         },
         time::Instant,
+        usage::{IntervalCounts, UsageReport},
     },
     proptest::prelude::*,
     rand_chacha::{ChaCha20Rng, rand_core::SeedableRng},
@@ -85,13 +86,32 @@
         .boxed()
 }
 
+fn usage_report() -> BoxedStrategy<UsageReport> {
+    let intervals = prop::collection::vec((number(), any::<u32>()), 0..3);
+    (number(), intervals)
+        .prop_map(|(unix_ms, intervals)| UsageReport {
+            unix_ms,
+            counts: vec![IntervalCounts { organisation: "clinic".into(), intervals }],
+        })
+        .boxed()
+}
+
 fn heartbeat() -> BoxedStrategy<Heartbeat> {
     let flags = (any::<bool>(), any::<bool>(), any::<bool>());
     let reports =
         (prop::collection::vec(share_report(), 0..3), prop::collection::vec(permit_report(), 0..3), number());
-    (number(), instant(), number(), number(), flags, reports)
+    let usage = prop::option::of(usage_report());
+    (number(), instant(), number(), number(), flags, reports, usage)
         .prop_map(
-            |(incarnation, asked_at, revision, instances_digest, flags, (shares, permits, since_ms))| {
+            |(
+                incarnation,
+                asked_at,
+                revision,
+                instances_digest,
+                flags,
+                (shares, permits, since_ms),
+                usage,
+            )| {
                 Heartbeat {
                     instance: "entry-1".into(),
                     incarnation: Incarnation(incarnation),
@@ -109,6 +129,7 @@
                     }],
                     shares,
                     permits,
+                    usage,
                 }
             },
         )
@@ -220,6 +241,8 @@
     let mut core =
         control::Core::open(settings, control::Stored::default(), ChaCha20Rng::seed_from_u64(SEED));
     core.catalogue = catalogue();
+    core.usage.policy =
+        Some(control::usage::Policy { window_ms: 5_000, late_ms: 10_000, takeover_ms: 3_000 });
     core
 }
 
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -691,6 +691,8 @@
         match effect {
             // The simulated endpoints announce the state of their logs themselves.
             Effect::Probe(_) => {}
+            // No simulated control instance has a policy for usage reports.
+            Effect::ReportUsage(_) => {}
             Effect::Persist(persist) => persist_to(&mut self.controls[control].stored, persist),
             Effect::Send(to, message) => {
                 let Some(index) = self.controls.iter().position(|c| *c.name == *to.instance.as_str()) else {
@@ -775,6 +777,7 @@
             endpoints: std::mem::take(&mut node.endpoint_reports),
             shares: Vec::new(),
             permits: Vec::new(),
+            usage: None,
         };
         let (target, name) = (node.target, node.name.clone());
         self.count_entry_bytes(&PeerBody::Heartbeat(Box::new(heartbeat.clone())));
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -154,6 +154,7 @@
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: permits.collect(),
+        usage: None,
     }
 }
 
--- a/crates/cumincart-history/src/simulation/control.rs
+++ b/crates/cumincart-history/src/simulation/control.rs
@@ -299,6 +299,8 @@
         match effect {
             // Simulated endpoints announce the state of their logs themselves.
             Effect::Probe(_) => {}
+            // No simulated control instance has a policy for usage reports.
+            Effect::ReportUsage(_) => {}
             Effect::Persist(persist) => self.controls[index].persist(persist),
             Effect::Send(member, message) => self.send_replication(index, &member.instance, message),
             Effect::AnswerHeartbeat(ticket, body) => self.answer_heartbeat(index, ticket, body),
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -14,6 +14,7 @@
         patch::ListsPatch,
         sorted::{Keyed, SortedVec},
         time::Instant,
+        usage::UsageReport,
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -72,6 +73,9 @@
     /// last report.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub permits: Vec<PermitReport>,
+    /// What organisations ran through the sender; none if it does not count.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<UsageReport>,
 }
 
 /// The reachability of an endpoint as an entry instance observed it.
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod sorted;
 pub mod time;
 pub mod token;
+pub mod usage;
 pub mod verdict;
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -9,6 +9,7 @@
         number::{ControlTerm, Incarnation, LogIndex, LogPosition, Term, Timeline},
         sorted::{Keyed, SortedVec},
         time::Instant,
+        usage::{FixedUsage, UsageWindow},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -64,6 +65,8 @@
     RemoveRun(InstanceIncarnation),
     /// Changes the members of the control group. Takes effect as soon as it is appended, before it is committed.
     Members(Members),
+    /// Fixes the counts of an accounting window before they are reported.
+    FixUsage(Box<FixedUsage>),
 }
 
 /// An entry instance together with one of its incarnations.
@@ -157,6 +160,9 @@
     /// The incarnations of entry instances that may hold leases.
     #[serde(default)]
     pub runs: SortedVec<InstanceIncarnation>,
+    /// The last closed accounting windows.
+    #[serde(default, skip_serializing_if = "SortedVec::is_empty")]
+    pub usage: SortedVec<UsageWindow>,
 }
 
 /// The outcome of a change, returned when the change is sent again.
--- a/crates/cumincart-runtime/src/clock.rs
+++ b/crates/cumincart-runtime/src/clock.rs
@@ -36,6 +36,12 @@
     Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// Returns the time of day, in milliseconds since the start of 1970. It may jump.
+pub fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Creates a random generator seeded by the operating system.
 pub fn random() -> ChaCha20Rng {
     ChaCha20Rng::try_from_rng(&mut SysRng).expect("the operating system's random source works")
--- a/crates/cumincart-runtime/tests/data_folder.rs
+++ b/crates/cumincart-runtime/tests/data_folder.rs
@@ -39,6 +39,7 @@
         outcomes: Vec::new(),
         document: None,
         runs: SortedVec::new(),
+        usage: SortedVec::new(),
     }))
 }
 
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -62,6 +62,8 @@
     pub fleet_secret: FleetSecret,
     /// The driver for connections to endpoints.
     pub driver: Driver,
+    /// Whether requests that begin to run are counted for usage reports.
+    pub counts_usage: bool,
     /// The logger.
     pub logger: Logger,
 }
@@ -123,7 +125,8 @@
         let name = options.core_settings.instance.clone();
         let (running, ended) = watch::channel(());
         let clock = Clock::start();
-        let core = entry::Core::open(options.core_settings.clone(), clock::random());
+        let mut core = entry::Core::open(options.core_settings.clone(), clock::random());
+        core.usage.is_enabled = options.counts_usage;
         let locality = Locality { domain: options.core_settings.domain.clone(), near: options.near_domains };
         let shared = Shared {
             name,
@@ -385,6 +388,7 @@
         }
         state.needs_heartbeat = false;
         let (reports, uses) = state.reports(now);
+        state.core.usage.unix_ms = clock::unix_ms();
         let heartbeat = membership::build_heartbeat(&mut state.core, now, reports, &uses);
         control.send(Box::new(heartbeat));
     }
--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -8,15 +8,18 @@
         relay::{Relay, RelayFailure},
         state::IdleConnection,
     },
-    cumincart_core::interactive::{
-        command::{Command, EndpointErrorKind, Reply},
-        failure::LinkFailure,
-        held_statements::Assignment,
-        pool::{self, ConnectionChoice, IdleInfo},
-        primary_guarantee::PrimaryGuarantee,
-        routing::LAGGING_BACKOFF_MS,
-        session::{ConnectionState, Prepared, SessionState},
-        statement::TransactionState,
+    cumincart_core::{
+        entry::usage,
+        interactive::{
+            command::{Command, EndpointError, EndpointErrorKind, Reply},
+            failure::LinkFailure,
+            held_statements::Assignment,
+            pool::{self, ConnectionChoice, IdleInfo},
+            primary_guarantee::PrimaryGuarantee,
+            routing::LAGGING_BACKOFF_MS,
+            session::{ConnectionState, Prepared, SessionState},
+            statement::TransactionState,
+        },
     },
     cumincart_protocol::{
         name::{EndpointName, OrganisationName, ServiceName},
@@ -68,6 +71,13 @@
     errors.all(|error| error.kind.guarantees_not_run())
 }
 
+/// Returns whether the endpoint began to run the command that it answered.
+fn has_begun(reply: &Reply) -> bool {
+    let is_refused =
+        |error: &EndpointError| error.kind.guarantees_not_run() || error.kind == EndpointErrorKind::Malformed;
+    !reply.result.as_ref().is_err_and(is_refused)
+}
+
 /// Returns the connection's name of the prepared statement that an exchange's commands execute.
 fn executed_name(commands: &[Command]) -> Option<Arc<str>> {
     commands.iter().find_map(|command| match command {
@@ -327,6 +337,8 @@
         let (replies, receiver) = oneshot::channel();
         let expected = commands.len();
         let executed = executed_name(&commands);
+        let is_counted: Vec<bool> = commands.iter().map(|command| command.client_id().is_some()).collect();
+        let organisation = borrowed.organisation.clone();
         if borrowed.connection.exchanges.send(Exchange { commands, replies }).is_err() {
             self.close();
             return Err(LinkFailure::NotSent);
@@ -340,6 +352,7 @@
         let latency = self.engine.now().saturating_since(sent_at);
         self.busy += latency;
         self.observe(latency, &result);
+        self.count_usage(&organisation, sent_at, &is_counted, &result);
         match result {
             Ok(replies) if replies.len() == expected => {
                 self.record_unknown(executed.as_ref(), &replies);
@@ -360,6 +373,29 @@
         }
     }
 
+    /// Counts the client's commands of an exchange that began to run. A command without an answer has usually begun.
+    fn count_usage(
+        &self,
+        organisation: &OrganisationName,
+        sent_at: Instant,
+        is_counted: &[bool],
+        result: &Result<Vec<Reply>, LinkFailure>,
+    ) {
+        let began = match result {
+            Ok(replies) => {
+                let counted = replies.iter().zip(is_counted).filter(|(_, is_counted)| **is_counted);
+                counted.filter(|(reply, _)| has_begun(reply)).count()
+            }
+            Err(failure) if failure.is_not_sent() => 0,
+            Err(_) => is_counted.iter().filter(|is_counted| **is_counted).count(),
+        };
+        let began = u32::try_from(began).unwrap_or(u32::MAX);
+        let mut state = self.engine.lock();
+        // Read while no heartbeat can be built, so that the next one contains the change.
+        let now = self.engine.now();
+        usage::record(&mut state.core.usage, now, sent_at, organisation, began);
+    }
+
     /// Records that the endpoint does not know the statement that an exchange executed, if its replies say so.
     fn record_unknown(&mut self, executed: Option<&Arc<str>>, replies: &[Reply]) {
         let (Some(borrowed), Some(name)) = (&mut self.borrowed, executed) else { return };
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -253,6 +253,7 @@
         fleet_secret: secret(),
         seeds: Default::default(),
         endpoints: endpoint_operations(group),
+        usage: None,
         logger: logger(),
     };
     (ControlEngine::spawn(options, data_folder, stored, received), links)
@@ -290,6 +291,7 @@
         control_addresses: vec![control_links.address.to_string().into()],
         fleet_secret: secret(),
         driver: group.driver(name),
+        counts_usage: false,
         logger: logger(),
     })
 }
