Count operations and show closed accounting windows to operators

An operation is now counted once, with its first command that began, and clients of open databases are left out.

A new leader gives instances 3 s to find it before it closes a window without them. `cumincart usage` and the status show the last windows.

--- a/crates/cumincart-cli/src/commands.rs
+++ b/crates/cumincart-cli/src/commands.rs
@@ -11,6 +11,7 @@
 pub mod instance;
 pub mod key;
 pub mod status;
+pub mod usage;
 
 use {crate::options::json_argument, clap::Command};
 
@@ -35,11 +36,12 @@
 }
 
 /// All commands, in the order in which the help lists them.
-pub const COMMANDS: [CommandEntry; 11] = [
+pub const COMMANDS: [CommandEntry; 12] = [
     CommandEntry { signature: check::signature, examples: check::EXAMPLES },
     CommandEntry { signature: diff::signature, examples: diff::EXAMPLES },
     CommandEntry { signature: apply::signature, examples: apply::EXAMPLES },
     CommandEntry { signature: status::signature, examples: status::EXAMPLES },
+    CommandEntry { signature: usage::signature, examples: usage::EXAMPLES },
     CommandEntry { signature: domain::signature, examples: domain::EXAMPLES },
     CommandEntry { signature: instance::signature, examples: instance::EXAMPLES },
     CommandEntry { signature: key::signature, examples: key::EXAMPLES },
--- a/crates/cumincart-cli/src/lib.rs
+++ b/crates/cumincart-cli/src/lib.rs
@@ -84,6 +84,7 @@
         commands::instance::NAME => commands::instance::run(matches).await,
         commands::key::NAME => commands::key::run(matches),
         commands::status::NAME => commands::status::run(matches).await,
+        commands::usage::NAME => commands::usage::run(matches).await,
         other => unreachable!("the signature has no command `{other}`"),
     }
 }
--- a/crates/cumincart-cli/tests/commands/status.rs
+++ b/crates/cumincart-cli/tests/commands/status.rs
@@ -48,6 +48,45 @@
     assert!(!output.stdout.contains(|character: char| character.is_control() && character != '\n'));
 }
 
+#[tokio::test]
+async fn usage_shows_windows_their_state_and_one_organisations_requests() {
+    let control = FakeControl::bind(|request| {
+        let mut body = status(41);
+        let counts =
+            json!([{"organisation": "bakery", "requests": 40}, {"organisation": "clinic", "requests": 2}]);
+        body["usage"] = json!([
+            {"window": 7, "fence": 3, "counts": counts, "outcome": "Reported"},
+            {"window": 8, "fence": 3, "counts": counts, "outcome": "Missed"},
+            {"window": 9, "fence": 3, "counts": [], "outcome": null}]);
+        (request.line == "GET /v1/status").then_some(FakeResponse::Json(200, body))
+    })
+    .await;
+    let files = Files::write();
+    let arguments = format!("usage --control {} --token-file FILES/token", control.url);
+    let expected = "\
+window 7  reported        42 requests of 2 organisations
+window 8  missed          42 requests of 2 organisations
+window 9  to be reported  0 requests of 0 organisations
+";
+    assert_eq!(files.run(&arguments).await.stdout, expected);
+    let output = files.run(&format!("{arguments} --organisation clinic")).await;
+    assert!(
+        output.stdout.starts_with("window 7  reported        2 requests of 1 organisations"),
+        "{}",
+        output.stdout
+    );
+}
+
+// A control instance of an earlier build sends no windows.
+#[tokio::test]
+async fn usage_says_that_there_are_no_windows() {
+    let control = FakeControl::bind(|_| None).await;
+    let files = Files::write();
+    let output = files.run(&format!("usage --control {} --token-file FILES/token", control.url)).await;
+    assert_eq!(output.code, exit::SUCCESS, "{}", output.stderr);
+    assert_eq!(output.stdout, "no accounting window is closed, or usage is not reported\n");
+}
+
 #[tokio::test]
 async fn diff_prints_every_difference() {
     let control = FakeControl::bind(|request| {
--- a/crates/cumincart-control/src/http/status.rs
+++ b/crates/cumincart-control/src/http/status.rs
@@ -49,6 +49,7 @@
         instances: status.instances.iter().map(instance_body).collect(),
         earlier_leases_left_ms: status.earlier_leases_left_ms,
         groups: catalogue.groups.iter().map(|group| group_body(group, &status.endpoints)).collect(),
+        usage: status.usage.clone(),
     }
 }
 
--- a/crates/cumincart-core/src/control/status.rs
+++ b/crates/cumincart-core/src/control/status.rs
@@ -9,7 +9,9 @@
         name::InstanceName,
         number::{ControlTerm, Incarnation, Revision},
         replication::Members,
+        sorted::SortedVec,
         time::Instant,
+        usage::UsageWindow,
     },
     std::sync::Arc,
 };
@@ -34,6 +36,8 @@
     pub earlier_leases_left_ms: u64,
     /// The last announcement of each endpoint.
     pub endpoints: Vec<EndpointStatus>,
+    /// The last closed accounting windows, with the outcomes that the leader knows.
+    pub usage: SortedVec<UsageWindow>,
 }
 
 /// An entry instance as known to the leader.
@@ -70,6 +74,7 @@
         instances: core.leases.holders().iter().map(|holder| instance_status(holder, now)).collect(),
         earlier_leases_left_ms: whole_ms(core.leases.earlier_leases_until().saturating_since(now)),
         endpoints: core.announcements.all().iter().map(|received| endpoint_status(received, now)).collect(),
+        usage: core.usage.current_windows(),
     }
 }
 
--- a/crates/cumincart-core/src/control/usage.rs
+++ b/crates/cumincart-core/src/control/usage.rs
@@ -28,6 +28,10 @@
 /// leaves time for a change of leader before the report is due.
 pub const CLOSE_AFTER_MS: u64 = 3_000;
 
+/// How long a new leader waits for full reports before it closes a window without them, in milliseconds: the time in which
+/// instances find it and send two heartbeats.
+pub const FULL_REPORTS_MS: u64 = 3_000;
+
 /// The number of closed windows that are kept for operators and for leaders that repeat a report.
 pub const RETAINED_WINDOWS: usize = 16;
 
@@ -105,6 +109,13 @@
         Self { windows, ..Self::default() }
     }
 
+    /// Returns the last closed windows, with the outcomes that are known here.
+    pub fn current_windows(&self) -> SortedVec<UsageWindow> {
+        let with_outcome =
+            |window: &UsageWindow| UsageWindow { outcome: self.outcome(window), ..window.clone() };
+        self.windows.iter().map(with_outcome).collect()
+    }
+
     /// Returns how the report of a window ended, as known here; none while it may still be sent.
     pub fn outcome(&self, window: &UsageWindow) -> Option<WindowOutcome> {
         let known = self.calls.outcomes.iter().find(|(number, _)| *number == window.window);
@@ -220,7 +231,9 @@
     }
     let is_complete =
         core.runs.known.iter().all(|run| core.usage.gathered.has_reported_until(run, offset, end_ms));
-    if !is_complete && unix_ms < end_ms.saturating_add(CLOSE_AFTER_MS) {
+    let is_new_leader =
+        now.saturating_since(core.replication.elected_at()) < Duration::from_millis(FULL_REPORTS_MS);
+    if !is_complete && (is_new_leader || unix_ms < end_ms.saturating_add(CLOSE_AFTER_MS)) {
         return;
     }
     if let Some(last) = last.filter(|last| last.saturating_add(1) < window) {
--- a/crates/cumincart-core/tests/control_usage.rs
+++ b/crates/cumincart-core/tests/control_usage.rs
@@ -144,6 +144,22 @@
     assert_eq!((calls[0].1.window, counts(&calls[0].1)), (EPOCH_WINDOW, vec![("abtel", 4)]));
 }
 
+// A leader elected when the window should be closed already doesn't close it with what the first instance reports.
+#[test]
+fn a_late_leader_gives_instances_time_to_find_it() {
+    let mut leader = Leader::start();
+    let mut entries = [Entry::start("entry-1", 0, 0), Entry::start("entry-2", 700, 0)];
+    entries[1].count("abtel", 900, 4);
+    run_until(&mut leader, &mut entries, 4_500, None);
+    leader.now_ms = 5_000 + CLOSE_AFTER_MS + 100;
+    leader.restart();
+    let elected_ms = leader.now_ms;
+    let calls = run_until(&mut leader, &mut entries[..1], elected_ms + 1_000, None);
+    assert_eq!(calls, []);
+    let calls = run_until(&mut leader, &mut entries, 5_000 + LATE_MS, Some(UsageAnswer::Accepted));
+    assert_eq!((calls[0].1.window, counts(&calls[0].1)), (EPOCH_WINDOW, vec![("abtel", 4)]));
+}
+
 #[test_case(false; "from its log")]
 #[test_case(true; "from a snapshot")]
 fn a_later_leader_repeats_the_same_counts_under_its_own_fence(from_snapshot: bool) {
--- a/crates/cumincart-protocol/src/operator_api.rs
+++ b/crates/cumincart-protocol/src/operator_api.rs
@@ -17,6 +17,8 @@
         name::{DomainName, EndpointName, InstanceName, ServiceName},
         number::{ControlTerm, Incarnation, ListsRevision, LogPosition, Revision, Term, Timeline},
         peer::Leader,
+        sorted::SortedVec,
+        usage::UsageWindow,
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -46,6 +48,9 @@
     pub earlier_leases_left_ms: u64,
     /// The database groups.
     pub groups: Vec<GroupBody>,
+    /// The last closed accounting windows, with the outcomes that the leader knows; empty if usage is not reported.
+    #[serde(default, skip_serializing_if = "SortedVec::is_empty")]
+    pub usage: SortedVec<UsageWindow>,
 }
 
 /// A control instance.
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -49,7 +49,7 @@
 const WRITE_ATTEMPTS: usize = 2;
 
 /// The organisation that is sent to endpoints if the database is open to everyone.
-const NO_ORGANISATION: &str = "-";
+pub(crate) const NO_ORGANISATION: &str = "-";
 
 /// Why a statement was not sent whose preparing the endpoint refused.
 pub(crate) const PREPARE_REFUSED: &str = "the statement could not be prepared";
--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -6,6 +6,7 @@
         engine::Engine,
         metrics::{Opened, OpenedLabels, PrepareOutcome, PreparedLabels},
         relay::{Relay, RelayFailure},
+        session::NO_ORGANISATION,
         state::IdleConnection,
     },
     cumincart_core::{
@@ -114,6 +115,8 @@
     is_reusable: bool,
     /// Whether the slot is idle in transaction.
     is_suspended: bool,
+    /// Whether the statement or transaction is counted as usage.
+    is_counted: bool,
 }
 
 impl Slot {
@@ -138,6 +141,7 @@
             relay: None,
             is_reusable: true,
             is_suspended: false,
+            is_counted: false,
         }
     }
 
@@ -337,7 +341,8 @@
         let (replies, receiver) = oneshot::channel();
         let expected = commands.len();
         let executed = executed_name(&commands);
-        let is_counted: Vec<bool> = commands.iter().map(|command| command.client_id().is_some()).collect();
+        let is_from_client: Vec<bool> =
+            commands.iter().map(|command| command.client_id().is_some()).collect();
         let organisation = borrowed.organisation.clone();
         if borrowed.connection.exchanges.send(Exchange { commands, replies }).is_err() {
             self.close();
@@ -352,7 +357,7 @@
         let latency = self.engine.now().saturating_since(sent_at);
         self.busy += latency;
         self.observe(latency, &result);
-        self.count_usage(&organisation, sent_at, &is_counted, &result);
+        self.count_usage(&organisation, sent_at, &is_from_client, &result);
         match result {
             Ok(replies) if replies.len() == expected => {
                 self.record_unknown(executed.as_ref(), &replies);
@@ -373,27 +378,32 @@
         }
     }
 
-    /// Counts the client's commands of an exchange that began to run. A command without an answer has usually begun.
+    /// Counts the slot's statement or transaction as soon as one of the client's commands has begun to run. A command
+    /// without an answer has usually begun.
     fn count_usage(
-        &self,
+        &mut self,
         organisation: &OrganisationName,
         sent_at: Instant,
-        is_counted: &[bool],
+        is_from_client: &[bool],
         result: &Result<Vec<Reply>, LinkFailure>,
     ) {
-        let began = match result {
-            Ok(replies) => {
-                let counted = replies.iter().zip(is_counted).filter(|(_, is_counted)| **is_counted);
-                counted.filter(|(reply, _)| has_begun(reply)).count()
-            }
-            Err(failure) if failure.is_not_sent() => 0,
-            Err(_) => is_counted.iter().filter(|is_counted| **is_counted).count(),
+        let has_begun = match result {
+            Ok(replies) => replies
+                .iter()
+                .zip(is_from_client)
+                .any(|(reply, is_from_client)| *is_from_client && has_begun(reply)),
+            Err(failure) => !failure.is_not_sent() && is_from_client.contains(&true),
         };
-        let began = u32::try_from(began).unwrap_or(u32::MAX);
+        if !has_begun
+            || organisation.as_str() == NO_ORGANISATION
+            || std::mem::replace(&mut self.is_counted, true)
+        {
+            return;
+        }
         let mut state = self.engine.lock();
         // Read while no heartbeat can be built, so that the next one contains the change.
         let now = self.engine.now();
-        usage::record(&mut state.core.usage, now, sent_at, organisation, began);
+        usage::record(&mut state.core.usage, now, sent_at, organisation, 1);
     }
 
     /// Records that the endpoint does not know the statement that an exchange executed, if its replies say so.
