--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -349,3 +349,36 @@
     assert!(fleet.group.log().contains(&other_id));
     assert!(!fleet.group.log().contains(&id));
 }
+
+/// A transaction counts once however many statements it has, and one that is relayed counts at the owner alone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn usage_reports_count_each_operation_once() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let before = fleet.reported_operations().await;
+    let mut single = session(&fleet, PRIMARY_DATABASE).await;
+    assert_eq!(code(&write(&mut single, "w0").await), None);
+    let mut transaction = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut transaction, false).await;
+    for id in ["w1", "w2"] {
+        assert_eq!(code(&write(&mut transaction, id).await), None);
+    }
+    assert_eq!(code(&commit(&mut transaction, "c1").await), None);
+    let (mut relayed, _) = fleet.begin_relayed().await;
+    assert_eq!(code(&commit(&mut relayed, "c2").await), None);
+    let begun =
+        fleet.group.arrivals().iter().filter(|arrival| arrival.what.starts_with("relayed-")).count() as u64;
+    assert_eq!(fleet.reported_operations().await - before, 2 + begun);
+}
+
+/// Neither what can't be sent to an endpoint nor a transaction without statements is counted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn usage_reports_leave_out_what_did_not_begin() {
+    let fleet = Fleet::start(0).await;
+    let before = fleet.reported_operations().await;
+    let mut spaced = fleet.open_session(PRIMARY_DATABASE, SPACED_KEY).await.expect("the session is opened");
+    assert!(code(&write(&mut spaced, "w1").await).is_some());
+    let mut rolled_back = session(&fleet, PRIMARY_DATABASE).await;
+    begin(&mut rolled_back, false).await;
+    assert_eq!(code(&run(&mut rolled_back, "e1", Action::Rollback).await), None);
+    assert_eq!(fleet.reported_operations().await, before);
+}
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -4,9 +4,11 @@
     crate::group::Group,
     cumincart_control::engine::{
         BoxFuture, EndpointOperations, Engine as ControlEngine, EngineOptions as ControlOptions,
+        UsageReporting,
     },
     cumincart_core::{
-        control, entry,
+        control::{self, UsageAnswer, UsageCall, usage::Policy},
+        entry,
         interactive::statement::{Action as StatementAction, Statement},
     },
     cumincart_protocol::{
@@ -21,6 +23,7 @@
         replication::{Member, Members},
     },
     cumincart_runtime::{
+        clock,
         data_folder::DataFolder,
         link::{handshake::FleetSecret, server::PeerServer},
     },
@@ -31,7 +34,11 @@
     },
     sha2::{Digest, Sha256},
     slog::{Discard, Logger, o},
-    std::{future::Future, sync::Arc, time::Duration},
+    std::{
+        future::Future,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tempfile::TempDir,
     tokio::{
         sync::mpsc,
@@ -63,6 +70,12 @@
 /// How long a test waits for a condition: the time within which what operators order must be in force.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The length of accounting windows, in milliseconds.
+const USAGE_WINDOW_MS: u64 = 250;
+
+/// How long after a window's end its report is due, in milliseconds: longer than any test.
+const USAGE_LATE_MS: u64 = 60_000;
+
 const FLEET_SECRET: &[u8] = b"a secret of these tests";
 
 /// The instance that sessions are opened on.
@@ -74,6 +87,8 @@
 /// The maximum number of attempts to begin a transaction that is relayed to the owner.
 const RELAY_ATTEMPTS: usize = 20;
 
+type UsageCalls = Arc<Mutex<Vec<UsageCall>>>;
+
 pub struct Fleet {
     pub group: Group,
     pub engine: Engine,
@@ -81,6 +96,8 @@
     _owner: Option<PeerServer>,
     control: ControlEngine,
     control_links: Option<PeerServer>,
+    /// The usage reports that the platform has received.
+    usage_calls: UsageCalls,
     synchronous_replicas: u32,
     _folder: TempDir,
 }
@@ -99,7 +116,8 @@
     async fn start_instances(synchronous_replicas: u32, has_owner: bool) -> Self {
         let folder = TempDir::new().expect("a temporary folder can be created");
         let group = Group::open(ENDPOINTS[0]);
-        let (control, control_links) = start_control(&folder, &group).await;
+        let usage_calls = UsageCalls::default();
+        let (control, control_links) = start_control(&folder, &group, &usage_calls).await;
         let owner = if has_owner { Some(start_owner(&group, &control_links).await) } else { None };
         let engine = start_entry(&group, &control_links, ENTRY, DOMAINS[1], "127.0.0.1:1");
         let fleet = Self {
@@ -108,6 +126,7 @@
             _owner: owner,
             control,
             control_links: Some(control_links),
+            usage_calls,
             synchronous_replicas,
             _folder: folder,
         };
@@ -131,6 +150,16 @@
         self.change(Action::Replace(Configuration { version, content })).await
     }
 
+    /// Returns the number of operations in the usage reports, once they cover everything that has run until now.
+    pub async fn reported_operations(&self) -> u64 {
+        let now_ms = clock::unix_ms();
+        let is_covered = |call: &UsageCall| (call.window + 1) * USAGE_WINDOW_MS >= now_ms;
+        let calls = || self.usage_calls.lock().unwrap_or_else(PoisonError::into_inner);
+        await_condition(async || calls().iter().any(is_covered)).await;
+        let calls = calls();
+        calls.iter().flat_map(|call| &call.counts).map(|count| count.requests).sum()
+    }
+
     /// Takes a failure domain out of service, and waits until that is in force at the entry instance.
     pub async fn take_out(&self, domain: &str) {
         let action = Action::SetDomain { domain: domain.into(), out: true };
@@ -235,7 +264,11 @@
     Logger::root(Discard, o!())
 }
 
-async fn start_control(folder: &TempDir, group: &Group) -> (ControlEngine, PeerServer) {
+async fn start_control(
+    folder: &TempDir,
+    group: &Group,
+    usage_calls: &UsageCalls,
+) -> (ControlEngine, PeerServer) {
     let (data_folder, disk, stored) = DataFolder::open(folder.path()).expect("the folder can be opened");
     let (received_sender, received) = mpsc::unbounded_channel();
     let links = PeerServer::bind("127.0.0.1:0", "control-1".into(), secret(), received_sender)
@@ -253,12 +286,22 @@
         fleet_secret: secret(),
         seeds: Default::default(),
         endpoints: endpoint_operations(group),
-        usage: None,
+        usage: Some(usage_reporting(usage_calls)),
         logger: logger(),
     };
     (ControlEngine::spawn(options, data_folder, stored, received), links)
 }
 
+fn usage_reporting(calls: &UsageCalls) -> UsageReporting {
+    let calls = calls.clone();
+    let policy = Policy { window_ms: USAGE_WINDOW_MS, late_ms: USAGE_LATE_MS, takeover_ms: 0 };
+    let report = move |call| -> BoxFuture<_> {
+        calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
+        Box::pin(async { UsageAnswer::Accepted })
+    };
+    UsageReporting { policy, report: Arc::new(report) }
+}
+
 fn endpoint_operations(group: &Group) -> EndpointOperations {
     let (promoted, probed) = (group.clone(), group.clone());
     EndpointOperations {
@@ -291,7 +334,7 @@
         control_addresses: vec![control_links.address.to_string().into()],
         fleet_secret: secret(),
         driver: group.driver(name),
-        counts_usage: false,
+        counts_usage: true,
         logger: logger(),
     })
 }
