--- a/crates/cumincart-session/src/slot.rs
+++ b/crates/cumincart-session/src/slot.rs
@@ -6,17 +6,21 @@
         engine::Engine,
         metrics::{Opened, OpenedLabels, PrepareOutcome, PreparedLabels},
         relay::{Relay, RelayFailure},
+        session::NO_ORGANISATION,
         state::IdleConnection,
     },
-    cumincart_core::interactive::{
-        command::{Command, EndpointErrorKind, Reply},
-        failure::LinkFailure,
-        held_statements::Assignment,
-        pool::{self, ConnectionChoice, IdleInfo},
-        primary_guarantee::PrimaryGuarantee,
-        routing::LAGGING_BACKOFF_MS,
-        session::{ConnectionState, Prepared, SessionState},
-        statement::TransactionState,
+    cumincart_core::{
+        entry::usage,
+        interactive::{
+            command::{Command, EndpointError, EndpointErrorKind, Reply},
+            failure::LinkFailure,
+            held_statements::Assignment,
+            pool::{self, ConnectionChoice, IdleInfo},
+            primary_guarantee::PrimaryGuarantee,
+            routing::LAGGING_BACKOFF_MS,
+            session::{ConnectionState, Prepared, SessionState},
+            statement::TransactionState,
+        },
     },
     cumincart_protocol::{
         name::{EndpointName, OrganisationName, ServiceName},
@@ -68,6 +72,13 @@
     errors.all(|error| error.kind.guarantees_not_run())
 }
 
+/// Returns whether the endpoint began to run the command that it answered.
+fn has_begun(reply: &Reply) -> bool {
+    let is_refused =
+        |error: &EndpointError| error.kind.guarantees_not_run() || error.kind == EndpointErrorKind::Malformed;
+    !reply.result.as_ref().is_err_and(is_refused)
+}
+
 /// Returns the connection's name of the prepared statement that an exchange's commands execute.
 fn executed_name(commands: &[Command]) -> Option<Arc<str>> {
     commands.iter().find_map(|command| match command {
@@ -104,6 +115,8 @@
     is_reusable: bool,
     /// Whether the slot is idle in transaction.
     is_suspended: bool,
+    /// Whether the statement or transaction is counted as usage.
+    is_counted: bool,
 }
 
 impl Slot {
@@ -128,6 +141,7 @@
             relay: None,
             is_reusable: true,
             is_suspended: false,
+            is_counted: false,
         }
     }
 
@@ -327,6 +341,9 @@
         let (replies, receiver) = oneshot::channel();
         let expected = commands.len();
         let executed = executed_name(&commands);
+        let is_from_client: Vec<bool> =
+            commands.iter().map(|command| command.client_id().is_some()).collect();
+        let organisation = borrowed.organisation.clone();
         if borrowed.connection.exchanges.send(Exchange { commands, replies }).is_err() {
             self.close();
             return Err(LinkFailure::NotSent);
@@ -340,6 +357,7 @@
         let latency = self.engine.now().saturating_since(sent_at);
         self.busy += latency;
         self.observe(latency, &result);
+        self.count_usage(&organisation, sent_at, &is_from_client, &result);
         match result {
             Ok(replies) if replies.len() == expected => {
                 self.record_unknown(executed.as_ref(), &replies);
@@ -360,6 +378,34 @@
         }
     }
 
+    /// Counts the slot's statement or transaction as soon as one of the client's commands has begun to run. A command
+    /// without an answer has usually begun.
+    fn count_usage(
+        &mut self,
+        organisation: &OrganisationName,
+        sent_at: Instant,
+        is_from_client: &[bool],
+        result: &Result<Vec<Reply>, LinkFailure>,
+    ) {
+        let has_begun = match result {
+            Ok(replies) => replies
+                .iter()
+                .zip(is_from_client)
+                .any(|(reply, is_from_client)| *is_from_client && has_begun(reply)),
+            Err(failure) => !failure.is_not_sent() && is_from_client.contains(&true),
+        };
+        if !has_begun
+            || organisation.as_str() == NO_ORGANISATION
+            || std::mem::replace(&mut self.is_counted, true)
+        {
+            return;
+        }
+        let mut state = self.engine.lock();
+        // Read while no heartbeat can be built, so that the next one contains the change.
+        let now = self.engine.now();
+        usage::record(&mut state.core.usage, now, sent_at, organisation, 1);
+    }
+
     /// Records that the endpoint does not know the statement that an exchange executed, if its replies say so.
     fn record_unknown(&mut self, executed: Option<&Arc<str>>, replies: &[Reply]) {
         let (Some(borrowed), Some(name)) = (&mut self.borrowed, executed) else { return };
