Drop shared points from before the start of the clock; eject no sampler

Found by review. The age of a shared point was taken off the asker's clock with saturation, so that a point from before the start of the process counted as one from its start; for up to half a second after a restart a read could miss commits older than its bound. A sampler that is slow or of an older build was ejected from relays and tokens too; it is passed over now, and one without a point leaves the question to the second. Refreshes that nobody answered are counted apart.

--- a/crates/cumincart-core/src/interactive/positions.rs
+++ b/crates/cumincart-core/src/interactive/positions.rs
@@ -22,7 +22,7 @@
 /// requests it stays well below the usual staleness bounds.
 pub const SHARED_AGE_MAX_MS: u64 = 700;
 
-/// The greatest difference between the speeds of two instances' clocks, in thousandths.
+/// The greatest difference between the speeds of two instances' clocks, in thousandths. Leases assume the same.
 const CLOCK_DRIFT_PER_MILLE: u64 = 10;
 
 #[derive(Debug, Clone, Copy)]
@@ -39,18 +39,19 @@
 
 impl Positions {
     /// Records a log point from the primary's answer to a request sent at `sent_at`. Ignores it if less than
-    /// [`SAMPLE_INTERVAL_MS`] has passed since the latest sample.
-    pub fn record(&mut self, sent_at: Instant, point: LogPoint) {
+    /// [`SAMPLE_INTERVAL_MS`] has passed since the latest sample, and returns whether it was recorded.
+    pub fn record(&mut self, sent_at: Instant, point: LogPoint) -> bool {
         if let Some(last) = self.samples.back()
             && sent_at.saturating_since(last.sent_at) < Duration::from_millis(SAMPLE_INTERVAL_MS)
         {
-            return;
+            return false;
         }
         self.samples.push_back(Sample { sent_at, point });
         let kept = Duration::from_millis(SAMPLE_KEPT_MS);
         while self.samples.front().is_some_and(|first| sent_at.saturating_since(first.sent_at) > kept) {
             self.samples.pop_front();
         }
+        true
     }
 
     /// Returns the latest point and its age in milliseconds, rounded up, if it is recent enough for other instances.
@@ -62,10 +63,17 @@
     }
 
     /// Records a log point that another instance had sampled this long before it answered a request that was sent at
-    /// `asked_at`. The answer may have been on its way for any time, so the age counts from the request.
-    pub fn record_shared(&mut self, asked_at: Instant, age_ms: u64, point: LogPoint) {
+    /// `asked_at`. The answer may have been on its way for any time, so the age counts from the request. Returns whether
+    /// the point is newer than the latest sample.
+    ///
+    /// A point from before the start of this process's clock is dropped: no instant of the clock says what it covers.
+    pub fn record_shared(&mut self, asked_at: Instant, age_ms: u64, point: LogPoint) -> bool {
+        if age_ms > SHARED_AGE_MAX_MS {
+            return false;
+        }
         let drift_ms = (age_ms * CLOCK_DRIFT_PER_MILLE).div_ceil(1_000);
-        self.record(asked_at - Duration::from_millis(age_ms + drift_ms), point);
+        let sent_at = asked_at.checked_sub(Duration::from_millis(age_ms + drift_ms));
+        sent_at.is_some_and(|sent_at| self.record(sent_at, point))
     }
 
     /// Returns the earliest sampled point that covers every commit acknowledged before `since`: the one that replicas
--- a/crates/cumincart-protocol/src/relay.rs
+++ b/crates/cumincart-protocol/src/relay.rs
@@ -56,8 +56,9 @@
     /// The time within which the answer must arrive, in milliseconds. Later, the sender no longer waits for it.
     #[serde(rename = "d")]
     pub answer_within_ms: u64,
-    /// Whether the sender only needs a recent log point of the endpoint, which is the primary: the receiver may answer
-    /// with [`RelayAnswer::Point`] in place of running the commands.
+    /// Whether the sender only needs a recent log point of the endpoint, which is the primary. The receiver answers with
+    /// [`RelayAnswer::Point`], or [`RelayAnswer::NotServed`] if it has none. The commands are for receivers of older
+    /// builds, which run them.
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub accepts_point: bool,
 }
@@ -81,7 +82,7 @@
         #[serde(rename = "m")]
         retry_after_ms: u64,
     },
-    /// The receiver is stopping or does not know the endpoint; nothing was sent.
+    /// The receiver is stopping, does not know the endpoint, or has no recent log point of it; nothing was sent.
     #[serde(rename = "n")]
     NotServed,
     /// The receiver does not hold the slot, or no longer: its transaction is rolled back, and nothing was sent.
--- a/crates/cumincart-protocol/src/time.rs
+++ b/crates/cumincart-protocol/src/time.rs
@@ -39,6 +39,12 @@
         self.micros / 1_000
     }
 
+    /// Returns the instant `span` earlier, or `None` if that is before the start of the clock.
+    pub fn checked_sub(self, span: Duration) -> Option<Self> {
+        let micros = u64::try_from(span.as_micros()).ok()?;
+        Some(Self { micros: self.micros.checked_sub(micros)? })
+    }
+
     /// Returns the time since `earlier`; zero if `earlier` is later.
     pub const fn saturating_since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.micros.saturating_sub(earlier.micros))
--- a/crates/cumincart-session/src/log_points.rs
+++ b/crates/cumincart-session/src/log_points.rs
@@ -1,5 +1,5 @@
-//! Sampling of the primaries' log points, which reads with bounded staleness require. In each failure domain one instance
-//! samples a primary for all.
+//! Sampling of the primaries' log points, which reads with bounded staleness require. In each failure domain one instance,
+//! and a second one if it is lost, samples a primary for all.
 
 use {
     crate::{
@@ -75,18 +75,19 @@
     async fn refresh_point(self, database: Database) {
         let source = if self.ask_samplers(&database.service).await {
             PointSource::Instance
-        } else {
-            self.sample_primary(&database).await;
+        } else if self.sample_primary(&database).await {
             PointSource::Endpoint
+        } else {
+            PointSource::None
         };
         self.metrics().points.get_or_create(&PointLabels { source }).inc();
         self.lock().positions(&database.service).is_refreshing = false;
     }
 
-    /// Samples the log point of a service's primary.
-    async fn sample_primary(&self, database: &Database) {
+    /// Samples the log point of a service's primary. Returns whether it answered.
+    async fn sample_primary(&self, database: &Database) -> bool {
         let now = self.now();
-        let Some(organisation) = self.any_organisation(&database.service) else { return };
+        let Some(organisation) = self.any_organisation(&database.service) else { return false };
         let request = SlotRequest {
             database,
             organisation: &organisation,
@@ -96,12 +97,10 @@
             start_by: now + REFRESH_TIMEOUT,
         };
         let deadline = tokio::time::Instant::now() + REFRESH_TIMEOUT;
-        if let Ok(mut slot) = self.acquire_slot(&request).await
-            && slot.connect(&organisation, &SessionState::default(), deadline).await.is_ok()
-        {
-            // `exchange` records the log point or the endpoint's reachability.
-            let _ = slot.exchange(vec![Command::Status], deadline).await;
-        }
+        let Ok(mut slot) = self.acquire_slot(&request).await else { return false };
+        // `exchange` records the log point or the endpoint's reachability.
+        slot.connect(&organisation, &SessionState::default(), deadline).await.is_ok()
+            && slot.exchange(vec![Command::Status], deadline).await.is_ok()
     }
 
     /// Asks the instances that sample the service's primary for this failure domain, in order of preference. Returns
@@ -126,13 +125,14 @@
             };
             let asked_at = self.now();
             let link = self.link(&sampler.peer_address);
-            match link.request(PeerBody::Relay(Box::new(request)), SAMPLER_TIMEOUT).await {
-                Ok(PeerBody::RelayAnswer(answer)) => match *answer {
-                    RelayAnswer::Point(sampled) => return self.record_sampled(service, asked_at, &sampled),
-                    // It has no recent point yet, or is of a build that doesn't share them.
-                    _ => return false,
-                },
-                Ok(_) | Err(_) => self.eject(&sampler.name),
+            // A sampler without a recent point, one that is slow and one of a build that shares no points are passed over.
+            // None of them is ejected: it may still serve relays and tokens, which wait longer.
+            if let Ok(PeerBody::RelayAnswer(answer)) =
+                link.request(PeerBody::Relay(Box::new(request)), SAMPLER_TIMEOUT).await
+                && let RelayAnswer::Point(sampled) = *answer
+                && self.record_sampled(service, asked_at, &sampled)
+            {
+                return true;
             }
         }
         false
@@ -153,15 +153,16 @@
         catalogue.group(service)?.primary.clone()
     }
 
-    /// Records another instance's log point. Returns whether it is of the term that this instance knows.
+    /// Records another instance's log point. Returns whether it is of the term that this instance knows, and newer than
+    /// what it has, or whether the latest one is recent enough to be shared, so that the sampler is about to get a newer.
     fn record_sampled(&self, service: &ServiceName, asked_at: Instant, sampled: &SampledPoint) -> bool {
         let mut state = self.lock();
         let known = state.positions(service);
         if known.term != sampled.term {
             return false;
         }
-        known.positions.record_shared(asked_at, sampled.age_ms, sampled.point);
-        true
+        known.positions.record_shared(asked_at, sampled.age_ms, sampled.point)
+            || known.positions.shared(asked_at).is_some()
     }
 
     /// Returns the latest log point of a service's primary for another instance, if it is recent, and keeps it refreshed.
--- a/crates/cumincart-session/src/metrics.rs
+++ b/crates/cumincart-session/src/metrics.rs
@@ -83,6 +83,8 @@
     Endpoint,
     /// Another instance of the failure domain had a recent one.
     Instance,
+    /// Nobody answered in time.
+    None,
 }
 
 /// The metrics of one engine.
