Pace large updates of the catalogue, and pack them

A heartbeat from an instance at an earlier revision was answered with the whole update each time, also while the same update was on its way. On a link of 1.4 Mbit/s an update of 150 kB takes 0.9 s, so each heartbeat of these 0.9 s added another copy; instances without a lease ask ten times a second. An answer that came after its lease had ended was dropped with its changes.

A large update is now a message of its own, sent to each holder once and in turn, within an allowance of bytes; a storm of versions sends the newest. Heartbeats meanwhile are answered without it: with a lease on the earlier lists, no longer than a holder that was cut off acts on them and only while nothing but lists has changed, or with one that is in force once the update is there. Patches of the same elements are joined. Holders that say so get the update compressed, computed once for all.

--- a/crates/cumincart-control/src/metrics.rs
+++ b/crates/cumincart-control/src/metrics.rs
@@ -21,6 +21,35 @@
             u64::try_from(live).unwrap_or(u64::MAX),
         ),
     ];
+    let deliveries = &dump.deliveries;
+    metrics.extend([
+        Metric::counter("large_updates_sent", "Large catalogue updates sent to instances", deliveries.sent),
+        Metric::counter(
+            "large_updates_sent_bytes",
+            "Bytes of large catalogue updates",
+            deliveries.sent_bytes,
+        ),
+        Metric::counter(
+            "large_updates_resent",
+            "Large catalogue updates sent again, as they were not confirmed in time",
+            deliveries.resent,
+        ),
+        Metric::counter(
+            "heartbeats_answered_on_earlier_lists",
+            "Heartbeats answered with a lease on earlier lists while an update was under way",
+            deliveries.held,
+        ),
+        Metric::gauge(
+            "large_updates_unconfirmed_bytes",
+            "Bytes of large catalogue updates that no instance has confirmed yet",
+            deliveries.unconfirmed_bytes,
+        ),
+        Metric::gauge(
+            "large_updates_waiting",
+            "Instances that wait for a large catalogue update",
+            deliveries.waiting,
+        ),
+    ]);
     for group in &dump.groups {
         let label = || Label::new("service", group.service.as_str());
         metrics.push(Metric::gauge("group_term", "The term of a database group", group.term.0).with(label()));
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod commit;
 mod configuration;
+pub mod delivery;
 pub mod detection;
 pub mod dump;
 pub mod election;
@@ -206,6 +207,8 @@
     pub leases: leases::Leases,
     /// The changes that holders of leases must be sent; kept by the leader.
     pub pushes: push::Pushes,
+    /// The pacing of large updates; kept by the leader.
+    pub deliveries: delivery::Deliveries,
     /// The last announcement of each endpoint; kept by the leader.
     pub announcements: announcements::Announcements,
     /// The changes of primary that are in progress; kept by the leader.
@@ -240,6 +243,7 @@
             recent_deltas: catalogue::RecentDeltas::default(),
             leases: leases::Leases::default(),
             pushes: push::Pushes::default(),
+            deliveries: delivery::Deliveries::default(),
             announcements: announcements::Announcements::default(),
             failover: failover::Failover::default(),
             shares: shares::Ledger::default(),
@@ -302,6 +306,7 @@
         return;
     }
     replicate::on_tick(core, now, out);
+    delivery::on_tick(&mut core.deliveries);
     leases::on_tick(core, now, out);
     announcements::on_tick(core, now, out);
     presence::on_tick(core, now, out);
--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -9,6 +9,8 @@
         heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate},
         name::{EndpointName, ServiceName},
         number::{ListsRevision, LogIndex, Revision, Term},
+        packed::PackedUpdate,
+        patch::ListsPatch,
         replication::{Command, Record},
         size::{CONFIGURATION_MAX_BYTES, encoded_bytes},
         sorted::{Keyed, SortedVec},
@@ -23,6 +25,19 @@
 #[derive(Debug, Default)]
 pub struct RecentDeltas {
     deltas: VecDeque<CatalogueDelta>,
+    /// Updates to the newest revision that were computed since the last change. Many holders need the same one.
+    updates: Vec<ComputedUpdate>,
+}
+
+/// An update from a revision to the newest one.
+#[derive(Debug)]
+struct ComputedUpdate {
+    from: Revision,
+    update: CatalogueUpdate,
+    /// Its encoded size in bytes, once it was needed.
+    bytes: Option<usize>,
+    /// The same update for holders that accept it packed, once it was needed.
+    packed: Option<PackedUpdate>,
 }
 
 impl RecentDeltas {
@@ -38,33 +53,86 @@
             }
         }
         self.deltas.push_back(delta);
+        self.updates.clear();
+    }
+
+    /// Forgets the computed updates, which share the catalogue that is about to change.
+    pub fn forget_updates(&mut self) {
+        self.updates.clear();
     }
 
     /// Removes all changes, after a snapshot has replaced the catalogue.
     pub fn clear(&mut self) {
         self.deltas.clear();
+        self.updates.clear();
+    }
+
+    /// Returns whether the retained changes lead from a revision to the newest one.
+    pub fn reaches_back_to(&self, from: Revision) -> bool {
+        let start = self.deltas.partition_point(|delta| delta.from < from);
+        self.deltas.get(start).is_some_and(|delta| delta.from == from)
     }
 
     /// Returns the update from an instance's revision to the revision of the catalogue.
-    pub fn update(&self, catalogue: &Arc<Catalogue>, from: Revision) -> CatalogueUpdate {
+    pub fn update(&mut self, catalogue: &Arc<Catalogue>, from: Revision) -> CatalogueUpdate {
         if from >= catalogue.revision {
             return CatalogueUpdate::None;
         }
-        let start = self.deltas.partition_point(|delta| delta.from < from);
-        match self.deltas.get(start) {
-            Some(delta) if delta.from == from && fit_into_message(self.deltas.iter().skip(start)) => {
-                CatalogueUpdate::Deltas(merge_empty(self.deltas.iter().skip(start)))
+        self.computed(catalogue, from).update.clone()
+    }
+
+    /// Returns a large update, packed where the holder accepts it, and its size in bytes. It is encoded once for all
+    /// holders.
+    pub fn large_update(
+        &mut self,
+        catalogue: &Arc<Catalogue>,
+        from: Revision,
+        accepts_packed: bool,
+    ) -> (CatalogueUpdate, usize) {
+        let computed = self.computed(catalogue, from);
+        if accepts_packed {
+            let packed = computed.packed.get_or_insert_with(|| PackedUpdate::pack(&computed.update)).clone();
+            let bytes = packed.len();
+            return (CatalogueUpdate::Packed(packed), bytes);
+        }
+        let bytes = *computed.bytes.get_or_insert_with(|| encoded_bytes(&computed.update));
+        (computed.update.clone(), bytes)
+    }
+
+    fn computed(&mut self, catalogue: &Arc<Catalogue>, from: Revision) -> &mut ComputedUpdate {
+        // All whole catalogues are the same.
+        let from = if self.reaches_back_to(from) { from } else { Revision::default() };
+        let index = match self.updates.iter().position(|known| known.from == from) {
+            Some(index) => index,
+            None => {
+                let update = self.compute(catalogue, from);
+                self.updates.push(ComputedUpdate { from, update, bytes: None, packed: None });
+                self.updates.len() - 1
             }
-            _ => CatalogueUpdate::Snapshot(Arc::clone(catalogue)),
+        };
+        &mut self.updates[index]
+    }
+
+    fn compute(&self, catalogue: &Arc<Catalogue>, from: Revision) -> CatalogueUpdate {
+        if !self.reaches_back_to(from) {
+            return CatalogueUpdate::Snapshot(Arc::clone(catalogue));
+        }
+        let start = self.deltas.partition_point(|delta| delta.from < from);
+        let deltas = merge(self.deltas.iter().skip(start));
+        let lists_changes = self.deltas.iter().skip(start).filter(|delta| has_lists(&delta.change)).count();
+        if fit_into_message(&deltas, lists_changes) {
+            CatalogueUpdate::Deltas(deltas)
+        } else {
+            CatalogueUpdate::Snapshot(Arc::clone(catalogue))
         }
     }
 }
 
-/// Returns whether the lists in the changes leave room for the rest of a message. One change always does.
-fn fit_into_message<'a>(deltas: impl Iterator<Item = &'a CatalogueDelta>) -> bool {
-    let lists: Vec<&CatalogueChange> =
-        deltas.map(|delta| &delta.change).filter(|change| has_lists(change)).collect();
-    lists.len() <= 1 || lists.into_iter().map(encoded_bytes).sum::<usize>() <= CONFIGURATION_MAX_BYTES
+/// Returns whether the lists in the changes, which were merged from so many changes of them, leave room for the rest of a
+/// message. One change always does.
+fn fit_into_message(deltas: &[CatalogueDelta], lists_changes: usize) -> bool {
+    let lists = deltas.iter().map(|delta| &delta.change).filter(|change| has_lists(change));
+    lists_changes <= 1 || lists.map(encoded_bytes).sum::<usize>() <= CONFIGURATION_MAX_BYTES
 }
 
 fn has_lists(change: &CatalogueChange) -> bool {
@@ -81,18 +149,37 @@
     }
 }
 
-/// Copies the changes and merges consecutive empty ones.
-fn merge_empty<'a>(deltas: impl Iterator<Item = &'a CatalogueDelta>) -> Vec<CatalogueDelta> {
+/// Copies the changes, and merges consecutive empty ones as well as the patches of the lists, which become one at the
+/// place of the last.
+fn merge<'a>(deltas: impl Iterator<Item = &'a CatalogueDelta> + Clone) -> Vec<CatalogueDelta> {
+    let patches: Vec<&ListsPatch> = deltas.clone().filter_map(|delta| patch(&delta.change)).collect();
+    // One patch is shared rather than copied.
+    let joined = if patches.len() > 1 { ListsPatch::join(&patches).map(Arc::new) } else { None };
+    let last = deltas.clone().filter(|delta| patch(&delta.change).is_some()).map(|delta| delta.to).last();
     let mut merged: Vec<CatalogueDelta> = Vec::new();
     for delta in deltas {
+        let change = match (&delta.change, &joined) {
+            (CatalogueChange::ListsPatch(revision, _), Some(joined)) if Some(delta.to) == last => {
+                CatalogueChange::ListsPatch(*revision, Arc::clone(joined))
+            }
+            (CatalogueChange::ListsPatch(..), Some(_)) => CatalogueChange::Nothing,
+            (change, _) => change.clone(),
+        };
         match merged.last_mut() {
-            Some(last) if is_empty(&last.change) && is_empty(&delta.change) => last.to = delta.to,
-            _ => merged.push(delta.clone()),
+            Some(last) if is_empty(&last.change) && is_empty(&change) => last.to = delta.to,
+            _ => merged.push(CatalogueDelta { from: delta.from, to: delta.to, change }),
         }
     }
     merged
 }
 
+fn patch(change: &CatalogueChange) -> Option<&ListsPatch> {
+    match change {
+        CatalogueChange::ListsPatch(_, patch) => Some(patch),
+        _ => None,
+    }
+}
+
 fn is_empty(change: &CatalogueChange) -> bool {
     matches!(change, CatalogueChange::Nothing)
 }
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -1,7 +1,7 @@
 //! Commits records that a quorum holds, and applies them.
 
 use {
-    super::{Core, Effect, catalogue, members, operators, push, read_index, runs, snapshot},
+    super::{Core, Effect, catalogue, delivery, members, operators, push, read_index, runs, snapshot},
     cumincart_protocol::{
         heartbeat::CatalogueDelta, name::InstanceName, number::LogIndex, replication::Command, time::Instant,
     },
@@ -68,11 +68,13 @@
     let index = core.log.applied.next();
     let Some(record) = core.log.get(index) else { return };
     let from = core.catalogue.revision;
+    core.recent_deltas.forget_updates();
     let catalogue = Arc::make_mut(&mut core.catalogue);
     let (change, outcome) = catalogue::apply(catalogue, &mut core.outcomes, &mut core.document, record);
-    let command = record.command.clone();
+    let (command, term) = (record.command.clone(), record.term);
     let to = core.catalogue.revision;
     core.pushes.record(now, to, push::urgency(&command, &change));
+    delivery::record(core, now, term, &change);
     core.recent_deltas.push(CatalogueDelta { from, to, change });
     core.log.applied = index;
     match &command {
--- a/crates/cumincart-core/src/control/dump.rs
+++ b/crates/cumincart-core/src/control/dump.rs
@@ -1,7 +1,11 @@
 //! A snapshot of a control instance's state for diagnostics. Key digests and the lists are not included.
 
 use {
-    super::{Core, EndpointStatus, status},
+    super::{
+        Core, EndpointStatus,
+        delivery::{self, DeliveriesDump},
+        status,
+    },
     cumincart_protocol::{
         announcement::Announcement,
         catalogue::Group,
@@ -48,6 +52,8 @@
     pub holders: Vec<HolderDump>,
     /// The last announcement of each endpoint; known only to the leader.
     pub announcements: Vec<AnnouncementDump>,
+    /// The pacing of large updates; known only to the leader.
+    pub deliveries: DeliveriesDump,
 }
 
 /// An entry instance that holds a lease.
@@ -99,6 +105,7 @@
         groups: catalogue.groups.iter().cloned().collect(),
         holders: holders.collect(),
         announcements: status.endpoints.into_iter().map(announcement_dump).collect(),
+        deliveries: delivery::dump(core),
     }
 }
 
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -6,7 +6,11 @@
 
 use {
     super::{
-        Core, Effect, Ticket, catalogue::revision_of, holder_key::HolderKey, members, permits, runs, shares,
+        Core, Effect, Ticket,
+        catalogue::revision_of,
+        delivery::{self, Delivery, Gap, Turn, Waiting},
+        holder_key::HolderKey,
+        members, permits, runs, shares,
     },
     crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
     cumincart_protocol::{
@@ -51,14 +55,21 @@
     is_ended: bool,
     /// The last heartbeat, which is answered again when the catalogue changes.
     last_heartbeat: Option<LastHeartbeat>,
+    /// The large update that is on its way to the holder.
+    delivery: Option<Delivery>,
+    /// Whether an earlier large update was not confirmed in time.
+    is_resent: bool,
+    accepts_packed: bool,
 }
 
 #[derive(Debug, Clone)]
 struct LastHeartbeat {
     ticket: Ticket,
     asked_at: Instant,
-    /// The revision of the last answer.
+    /// The revision to which the updates that were sent lead.
     sent_revision: Revision,
+    /// Whether the holder waits for a large update that it asked for.
+    waits: bool,
 }
 
 impl Keyed for Holder {
@@ -211,15 +222,24 @@
         release(core, now, ticket, heartbeat, out);
         return;
     }
-    let sent_revision = core.catalogue.revision;
     let shares = shares::on_heartbeat(&mut core.shares, now, &core.catalogue, heartbeat);
     let permits = permits::on_heartbeat(&mut core.permits, now, &core.catalogue, heartbeat);
     runs::on_heartbeat(core, now, heartbeat, out);
-    let last_heartbeat = LastHeartbeat { ticket, asked_at: heartbeat.asked_at, sent_revision };
-    renew(&mut core.leases, now, heartbeat, last_heartbeat);
+    let gap = delivery::gap(core, heartbeat.revision);
+    let last_heartbeat = LastHeartbeat {
+        ticket,
+        asked_at: heartbeat.asked_at,
+        sent_revision: if gap.is_large() { heartbeat.revision } else { core.catalogue.revision },
+        waits: gap.is_large(),
+    };
+    renew(&mut core.leases, now, heartbeat, &last_heartbeat);
     core.leases.update_instance_lists(now);
     let mut answer = answer_base(core, heartbeat.incarnation, heartbeat.asked_at);
-    answer.update = core.recent_deltas.update(&core.catalogue, heartbeat.revision);
+    if !gap.is_large() {
+        answer.update = core.recent_deltas.update(&core.catalogue, heartbeat.revision);
+    } else if let Some(hold_until) = gap.hold_until {
+        hold(core, now, heartbeat.revision, hold_until, &mut answer);
+    }
     answer.shares = shares;
     answer.permits = permits;
     answer.instances = core.leases.instances_update(now, heartbeat.instances_digest);
@@ -229,26 +249,101 @@
     out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
 }
 
-/// Sends a new revision that is due to the holders by answering their last heartbeats again. Extends no lease.
+/// Limits the leases of an answer without update to what a holder may do with its earlier lists. Past the limit the
+/// answer refers to the newest revision, so that it extends no lease before the holder has the update.
+fn hold(
+    core: &mut Core,
+    now: Instant,
+    revision: Revision,
+    hold_until: Instant,
+    answer: &mut HeartbeatAnswer,
+) {
+    let left_ms = u64::try_from(hold_until.saturating_since(now).as_millis()).unwrap_or(u64::MAX);
+    if left_ms == 0 {
+        return;
+    }
+    answer.revision = revision;
+    answer.term_lease_ms = answer.term_lease_ms.min(left_ms);
+    answer.freshness_lease_ms = answer.freshness_lease_ms.min(left_ms);
+    core.deliveries.counters.held += 1;
+}
+
+/// Sends updates to the holders that lack a new revision that is due, and large updates to those that wait for one, by
+/// answering their last heartbeats again. Extends no lease.
 pub fn push(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
     let due = core.pushes.due(now);
-    let revision = core.catalogue.revision;
-    let mut outdated: Vec<(HolderKey, LastHeartbeat)> = Vec::new();
-    for holder in core.leases.holders.iter_mut() {
-        if let Some(heartbeat) =
-            holder.last_heartbeat.as_mut().filter(|heartbeat| heartbeat.sent_revision < due)
-        {
-            outdated.push((holder.key.clone(), heartbeat.clone()));
-            heartbeat.sent_revision = revision;
+    let lacking = |holder: &&Holder| {
+        holder.last_heartbeat.as_ref().is_some_and(|last| last.waits || last.sent_revision < due)
+    };
+    let lacking: Vec<HolderKey> =
+        core.leases.holders.iter().filter(lacking).map(|holder| holder.key.clone()).collect();
+    // Most holders lack the same changes.
+    let mut gaps: Vec<(Revision, Gap)> = Vec::new();
+    let mut small = Vec::new();
+    let mut large = Vec::new();
+    for key in lacking {
+        let Some(holder) = core.leases.holders.get_mut(&key) else { continue };
+        holder.expire_delivery(now);
+        let Some(from) = holder.last_heartbeat.as_ref().map(|last| last.sent_revision) else { continue };
+        let gap = match gaps.iter().find(|(known, _)| *known == from) {
+            Some((_, gap)) => *gap,
+            None => {
+                let gap = delivery::gap(core, from);
+                gaps.push((from, gap));
+                gap
+            }
+        };
+        let Some(holder) = core.leases.holders.get(&key) else { continue };
+        if !gap.is_large() {
+            small.push((key, from));
+        } else if holder.delivery.is_none() {
+            large.push(Waiting {
+                key,
+                domain: holder.domain.clone(),
+                from,
+                is_resent: holder.is_resent,
+                accepts_packed: holder.accepts_packed,
+            });
         }
     }
-    for (key, heartbeat) in outdated {
-        let mut answer = answer_base(core, key.incarnation, heartbeat.asked_at);
-        answer.update = core.recent_deltas.update(&core.catalogue, heartbeat.sent_revision);
-        out.push(Effect::AnswerHeartbeat(heartbeat.ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
+    for (key, from) in small {
+        let update = core.recent_deltas.update(&core.catalogue, from);
+        send_update(core, &key, update, out);
+    }
+    for Turn { holder, update, bytes } in delivery::take_turns(core, large) {
+        let to = core.catalogue.revision;
+        if let Some(known) = core.leases.holders.get_mut(&holder.key) {
+            known.delivery = Some(delivery::begin(now, to, bytes));
+            known.is_resent = false;
+        }
+        send_update(core, &holder.key, update, out);
     }
 }
 
+/// Sends a holder an update to the newest revision.
+fn send_update(core: &mut Core, key: &HolderKey, update: CatalogueUpdate, out: &mut Vec<Effect>) {
+    let revision = core.catalogue.revision;
+    let Some(holder) = core.leases.holders.get_mut(key) else { return };
+    let Some(last) = &mut holder.last_heartbeat else { return };
+    last.sent_revision = revision;
+    last.waits = false;
+    let (ticket, asked_at) = (last.ticket, last.asked_at);
+    let mut answer = answer_base(core, key.incarnation, asked_at);
+    answer.update = update;
+    out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
+}
+
+/// Returns the bytes of the large updates that are on their way to holders.
+pub fn unconfirmed_bytes(leases: &Leases) -> usize {
+    leases.holders.iter().filter_map(|holder| holder.delivery).map(|delivery| delivery.bytes).sum()
+}
+
+/// Returns the number of holders that wait for a large update.
+pub fn waiting_holders(leases: &Leases) -> usize {
+    let waits = |holder: &&Holder| holder.last_heartbeat.as_ref().is_some_and(|last| last.waits);
+    leases.holders.iter().filter(waits).count()
+}
+
 /// Ends expired leases, and removes their holders after `LISTED_AFTER_EXPIRY_MS`.
 pub fn on_tick(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
     let has_expired = |holder: &&Holder| !holder.is_ended && holder.freshness_lease_until <= now;
@@ -292,6 +387,7 @@
     if let Some(holder) = core.leases.holders.get_mut(key) {
         holder.is_ended = true;
         holder.last_heartbeat = None;
+        holder.delivery = None;
     }
     core.leases.instances_changed = true;
     core.failover.reports.forget(&key.instance);
@@ -299,7 +395,7 @@
     permits::on_lease_end(&mut core.permits, now, &key.instance, key.incarnation);
 }
 
-fn renew(leases: &mut Leases, now: Instant, heartbeat: &Heartbeat, last_heartbeat: LastHeartbeat) {
+fn renew(leases: &mut Leases, now: Instant, heartbeat: &Heartbeat, last_heartbeat: &LastHeartbeat) {
     let key = HolderKey::of(heartbeat);
     leases.instances_changed |= leases.holders.get(&key).is_none_or(|holder| holder.is_ended);
     let holder = leases.holders.get_or_insert_with(&key, || Holder {
@@ -311,6 +407,9 @@
         instance_entry: instance_entry(heartbeat),
         is_ended: false,
         last_heartbeat: None,
+        delivery: None,
+        is_resent: false,
+        accepts_packed: heartbeat.accepts_packed,
     });
     holder.is_ended = false;
     holder.domain = heartbeat.domain.clone();
@@ -318,7 +417,29 @@
     holder.revision = holder.revision.max(heartbeat.revision);
     holder.term_lease_until = now + Duration::from_millis(grantor_lease_ms(TERM_LEASE_MS));
     holder.freshness_lease_until = now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS));
-    holder.last_heartbeat = Some(last_heartbeat);
+    holder.expire_delivery(now);
+    let on_its_way = holder.delivery.and(holder.last_heartbeat.as_ref()).map(|last| last.sent_revision);
+    let sent_revision = last_heartbeat.sent_revision.max(on_its_way.unwrap_or_default());
+    let waits = last_heartbeat.waits && holder.delivery.is_none();
+    holder.last_heartbeat = Some(LastHeartbeat { sent_revision, waits, ..last_heartbeat.clone() });
+}
+
+impl Holder {
+    /// Ends the delivery of a large update that was confirmed, or that was not confirmed in time. In the second case the
+    /// holder is sent another one, from the revision that it has confirmed.
+    fn expire_delivery(&mut self, now: Instant) {
+        let Some(delivery) = self.delivery else { return };
+        if delivery.to <= self.revision {
+            self.delivery = None;
+        } else if delivery.resend_at <= now {
+            self.delivery = None;
+            self.is_resent = true;
+            if let Some(last) = &mut self.last_heartbeat {
+                last.sent_revision = self.revision;
+                last.waits = true;
+            }
+        }
+    }
 }
 
 fn instance_entry(heartbeat: &Heartbeat) -> InstanceEntry {
--- a/crates/cumincart-core/src/control/snapshot.rs
+++ b/crates/cumincart-core/src/control/snapshot.rs
@@ -2,7 +2,9 @@
 //! behind up to date.
 
 use {
-    super::{Core, Effect, Persist, election, log::Log, operators::Outcomes, replicate, runs::Runs},
+    super::{
+        Core, Effect, Persist, delivery, election, log::Log, operators::Outcomes, replicate, runs::Runs,
+    },
     cumincart_protocol::{
         number::LogIndex,
         replication::{AppendAnswer, Member, ReplicationBody, Snapshot},
@@ -70,4 +72,5 @@
     core.document = snapshot.document;
     core.runs = Runs::open(snapshot.runs);
     core.recent_deltas.clear();
+    delivery::forget_changes(&mut core.deliveries);
 }
--- a/crates/cumincart-core/src/entry/freshness.rs
+++ b/crates/cumincart-core/src/entry/freshness.rs
@@ -28,6 +28,19 @@
     pub instances: SortedVec<InstanceEntry>,
     /// The highest election term of a control leader that has answered.
     pub control_term: ControlTerm,
+    /// The last lease that was granted on a revision which has not arrived yet.
+    pub awaited: Option<AwaitedLease>,
+}
+
+/// A lease on a revision that is on its way. It is in force once the revision is.
+#[derive(Debug, Clone, Copy)]
+pub struct AwaitedLease {
+    /// The revision that the leases are on.
+    pub revision: Revision,
+    /// The end of the term lease.
+    pub term_lease_until: Instant,
+    /// The end of the freshness lease.
+    pub freshness_lease_until: Instant,
 }
 
 /// The result of applying a heartbeat answer.
@@ -51,7 +64,8 @@
     OldControlTerm,
     /// Its `asked_at` is later than the current time.
     AskedInFuture,
-    /// Its leases expired in transit.
+    /// Its leases expired in transit. The changes of the catalogue that it carries apply all the same: they are
+    /// committed, and a link that is too slow for them once would be too slow for them each time.
     Expired,
 }
 
@@ -98,23 +112,47 @@
     incarnation: Incarnation,
     answer: &HeartbeatAnswer,
 ) -> AnswerOutcome {
-    if let Some(reason) = drop_reason(freshness, now, incarnation, answer) {
-        return AnswerOutcome::Dropped(reason);
+    match drop_reason(freshness, now, incarnation, answer) {
+        Some(DropReason::Expired) => {
+            apply_update(freshness, &answer.update);
+            take_awaited_lease(freshness);
+            return AnswerOutcome::Dropped(DropReason::Expired);
+        }
+        Some(reason) => return AnswerOutcome::Dropped(reason),
+        None => {}
     }
     freshness.control_term = answer.control_term;
     apply_update(freshness, &answer.update);
+    take_awaited_lease(freshness);
     if let Some(update) = &answer.instances {
         update.apply(&mut freshness.instances);
     }
+    let lease = AwaitedLease {
+        revision: answer.revision,
+        term_lease_until: answer.asked_at + Duration::from_millis(answer.term_lease_ms.min(TERM_LEASE_MS)),
+        freshness_lease_until: freshness_lease_end(answer),
+    };
     if freshness.revision() < answer.revision {
+        freshness.awaited = Some(lease);
         return AnswerOutcome::Behind;
     }
-    let term_lease_until = answer.asked_at + Duration::from_millis(answer.term_lease_ms.min(TERM_LEASE_MS));
-    freshness.term_lease_until = freshness.term_lease_until.max(term_lease_until);
-    freshness.freshness_lease_until = freshness.freshness_lease_until.max(freshness_lease_end(answer));
+    take_lease(freshness, lease);
     AnswerOutcome::Leased
 }
 
+/// Puts the lease in force whose revision has arrived. The leader has counted it since it was granted.
+fn take_awaited_lease(freshness: &mut Freshness) {
+    if let Some(lease) = freshness.awaited.filter(|lease| lease.revision <= freshness.catalogue.revision) {
+        freshness.awaited = None;
+        take_lease(freshness, lease);
+    }
+}
+
+fn take_lease(freshness: &mut Freshness, lease: AwaitedLease) {
+    freshness.term_lease_until = freshness.term_lease_until.max(lease.term_lease_until);
+    freshness.freshness_lease_until = freshness.freshness_lease_until.max(lease.freshness_lease_until);
+}
+
 /// Returns the end of the freshness lease that an answer grants.
 fn freshness_lease_end(answer: &HeartbeatAnswer) -> Instant {
     answer.asked_at + Duration::from_millis(answer.freshness_lease_ms.min(FRESHNESS_LEASE_MS))
@@ -144,6 +182,12 @@
 fn apply_update(freshness: &mut Freshness, update: &CatalogueUpdate) {
     match update {
         CatalogueUpdate::None => {}
+        // Without a valid update the revision stays, the answer grants no lease, and the leader sends the update again.
+        CatalogueUpdate::Packed(packed) => {
+            if let Ok(update) = packed.unpack() {
+                apply_update(freshness, &update);
+            }
+        }
         CatalogueUpdate::Snapshot(catalogue) => {
             install_catalogue(freshness, catalogue.clone());
         }
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Core,
-        freshness::{self, AnswerOutcome},
+        freshness::{self, AnswerOutcome, DropReason},
         permits::{self, ConnectionUse},
         quota,
     },
@@ -87,7 +87,7 @@
 fn changes_catalogue(update: &CatalogueUpdate) -> bool {
     match update {
         CatalogueUpdate::None => false,
-        CatalogueUpdate::Snapshot(_) => true,
+        CatalogueUpdate::Snapshot(_) | CatalogueUpdate::Packed(_) => true,
         CatalogueUpdate::Deltas(deltas) => {
             deltas.iter().any(|delta| !matches!(delta.change, CatalogueChange::Nothing))
         }
@@ -114,6 +114,7 @@
         incarnation: core.settings.incarnation,
         domain: core.settings.domain.clone(),
         peer_address: core.settings.peer_address.clone(),
+        accepts_packed: true,
         asked_at: now,
         revision: core.freshness.revision(),
         leaving: core.membership.leaving,
@@ -131,8 +132,14 @@
     quota::drop_expired(&mut core.quota, now);
     permits::drop_expired(&mut core.permits, now);
     let outcome = freshness::apply_answer(&mut core.freshness, now, core.settings.incarnation, answer);
-    if let AnswerOutcome::Dropped(_) = outcome {
-        return outcome;
+    match outcome {
+        AnswerOutcome::Dropped(DropReason::Expired) if changes_catalogue(&answer.update) => {
+            core.membership.confirm_revision = core.freshness.revision();
+            quota::on_lists(&mut core.quota, now, &core.freshness.index);
+            return outcome;
+        }
+        AnswerOutcome::Dropped(_) => return outcome,
+        AnswerOutcome::Behind | AnswerOutcome::Leased => {}
     }
     if is_push(&core.membership, answer) || changes_catalogue(&answer.update) {
         core.membership.confirm_revision = core.freshness.revision();
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -75,6 +75,7 @@
             incarnation: Incarnation(incarnation),
             domain: "quay".into(),
             peer_address: instance.into(),
+            accepts_packed: false,
             asked_at: Instant::from_millis(self.now_ms),
             revision,
             leaving: false,
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -61,6 +61,7 @@
         incarnation: Incarnation(7),
         domain: "sofia-a".into(),
         peer_address: "10.0.0.9:1".into(),
+        accepts_packed: false,
         asked_at: Instant::from_millis(3),
         revision,
         leaving: false,
--- a/crates/cumincart-core/tests/malformed_peers.rs
+++ b/crates/cumincart-core/tests/malformed_peers.rs
@@ -97,6 +97,7 @@
                     incarnation: Incarnation(incarnation),
                     domain: "sofia-a".into(),
                     peer_address: "not an address".into(),
+                    accepts_packed: false,
                     asked_at,
                     revision: Revision(revision),
                     leaving: flags.0,
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -767,6 +767,7 @@
             incarnation: Incarnation(1),
             domain: node.domain.into(),
             peer_address: "10.0.0.1:7000".into(),
+            accepts_packed: false,
             asked_at: now,
             revision: node.catalogue.revision,
             leaving: false,
@@ -1011,6 +1012,7 @@
 fn apply_update(catalogue: &mut Catalogue, update: CatalogueUpdate) {
     match update {
         CatalogueUpdate::None => {}
+        CatalogueUpdate::Packed(packed) => apply_update(catalogue, packed.unpack().expect("it is valid")),
         CatalogueUpdate::Snapshot(snapshot) if snapshot.revision > catalogue.revision => {
             *catalogue = (*snapshot).clone();
         }
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -146,6 +146,7 @@
         incarnation: Incarnation(1),
         domain: format!("region-1-domain-{}", instance % 4).into(),
         peer_address: format!("10.1.{}.{}:7000", instance / 256, instance % 256).into(),
+        accepts_packed: false,
         asked_at,
         revision: Revision(1),
         leaving: false,
--- a/crates/cumincart-history/src/simulation/entry.rs
+++ b/crates/cumincart-history/src/simulation/entry.rs
@@ -571,6 +571,12 @@
 fn hide_service_state(answer: &mut HeartbeatAnswer) {
     match &mut answer.update {
         CatalogueUpdate::None => {}
+        CatalogueUpdate::Packed(packed) => {
+            if let Ok(update) = packed.unpack() {
+                answer.update = update;
+                hide_service_state(answer);
+            }
+        }
         CatalogueUpdate::Deltas(deltas) => {
             for delta in deltas {
                 if matches!(delta.change, CatalogueChange::DomainsOut(_)) {
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -11,6 +11,7 @@
         lists::{Lists, Plan},
         name::{DomainName, EndpointName, InstanceName, OrganisationName},
         number::{ControlTerm, Incarnation, ListsRevision, Revision},
+        packed::PackedUpdate,
         patch::ListsPatch,
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -46,6 +47,9 @@
     /// The address at which other entry instances reach the sender, as `ip:port`.
     #[serde(rename = "a")]
     pub peer_address: Arc<str>,
+    /// Whether the sender accepts [`CatalogueUpdate::Packed`].
+    #[serde(rename = "z", default, skip_serializing_if = "is_false")]
+    pub accepts_packed: bool,
     /// The sender's clock when it sent the heartbeat; returned in the answer.
     #[serde(rename = "t")]
     pub asked_at: Instant,
@@ -292,6 +296,8 @@
     Deltas(Vec<CatalogueDelta>),
     /// The whole catalogue, if the holder is too many revisions behind.
     Snapshot(Arc<Catalogue>),
+    /// A large update, compressed. Sent to holders that accept it.
+    Packed(PackedUpdate),
 }
 
 /// One step from a catalogue revision to a later one.
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod name;
 pub mod number;
 pub mod operator_api;
+pub mod packed;
 pub mod patch;
 pub mod peer;
 pub mod refusal;
--- a/crates/cumincart-protocol/src/patch.rs
+++ b/crates/cumincart-protocol/src/patch.rs
@@ -8,7 +8,7 @@
         sorted::{Keyed, SortedVec},
     },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// The difference between two texts: the part between their common prefix and their common suffix.
@@ -88,6 +88,26 @@
         }
     }
 
+    /// Returns the patch that has the effect of several ones in order.
+    fn join<'a>(patches: impl Iterator<Item = &'a Self>) -> Self
+    where
+        Self: 'a,
+    {
+        let mut put: SortedVec<T> = SortedVec::new();
+        let mut removed: BTreeSet<T::Key> = BTreeSet::new();
+        for patch in patches {
+            for key in &patch.removed {
+                put.remove(key);
+                removed.insert(key.clone());
+            }
+            for item in &patch.put {
+                removed.remove(item.key());
+                put.insert(item.clone());
+            }
+        }
+        Self { put: put.into_items().collect(), removed: removed.into_iter().collect() }
+    }
+
     /// Applies the patch to a vector that is not sorted. Elements that are not part of the patch keep their order.
     fn apply_to_vec(&self, items: &mut Vec<T>) {
         items.retain(|item| !self.removed.contains(item.key()));
@@ -140,6 +160,20 @@
         }
     }
 
+    /// Returns the patch that has the effect of several ones in order, except for the order of organisations, plans and
+    /// services; none if there are no patches.
+    pub fn join(patches: &[&Self]) -> Option<Self> {
+        let last = patches.last()?;
+        Some(Self {
+            organisations: ItemsPatch::join(patches.iter().map(|patch| &patch.organisations)),
+            plans: ItemsPatch::join(patches.iter().map(|patch| &patch.plans)),
+            services: ItemsPatch::join(patches.iter().map(|patch| &patch.services)),
+            databases: ItemsPatch::join(patches.iter().map(|patch| &patch.databases)),
+            limits: ItemsPatch::join(patches.iter().map(|patch| &patch.limits)),
+            idle_transaction_ms: last.idle_transaction_ms,
+        })
+    }
+
     /// Returns the patched lists.
     pub fn apply(&self, old: &Lists) -> Lists {
         let mut lists = old.clone();
