Let leases, votes and replication overtake bulk in links and in the engine

Each link wrote its messages in the order in which they were queued, and the engine's thread handled heartbeats and announcements of a whole fleet before a vote that arrived later. Links have two lanes now: answers without an update, heartbeats, tokens, votes and answers to records go first; updates and records keep their order. The engine handles ticks and messages of the other control instances first, and one tick stands for those behind it.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -4,7 +4,10 @@
 //! It is a separate thread because syncing the data folder blocks: the effects after a `Persist` wait for the sync.
 
 use {
-    crate::heartbeat_replies::HeartbeatReplies,
+    crate::{
+        heartbeat_replies::HeartbeatReplies,
+        inbox::{Inbox, Priority},
+    },
     cumincart_core::{
         control::{
             self, ControlRefusal, Core, Effect, Input, Persist, Probe, PromotedState, Promotion,
@@ -19,7 +22,7 @@
         name::InstanceName,
         peer::PeerBody,
         refusal::{Refusal, RefusalCode},
-        replication::{Member, ReplicationMessage},
+        replication::{Member, ReplicationBody, ReplicationMessage},
         sorted::SortedVec,
         time::Instant,
     },
@@ -119,6 +122,19 @@
     Stop,
 }
 
+/// Messages of other control instances and ticks keep the leadership: they don't wait behind the heartbeats and
+/// announcements of a whole fleet.
+fn priority(message: &Message) -> Priority {
+    match message {
+        Message::Input(Input::Tick) => Priority::FirstOnce,
+        Message::Peer(ReceivedMessage { body: PeerBody::Replication(message), .. }) => match message.body {
+            ReplicationBody::Announcements(_) | ReplicationBody::Presences(_) => Priority::InOrder,
+            _ => Priority::First,
+        },
+        _ => Priority::InOrder,
+    }
+}
+
 type ReadCore = dyn FnOnce(&Core, Instant) + Send;
 
 /// A handle to a running engine. The engine ends on [`Engine::stop`] or when its data folder fails.
@@ -148,7 +164,7 @@
         tokio::spawn(send_ticks(messages.downgrade()));
         tokio::spawn(forward_peer_messages(received, messages.downgrade()));
         thread::spawn(move || {
-            state.run(queue);
+            state.run(Inbox::new(queue, priority));
             ended_sender.send_replace(true);
         });
         Self { messages, ended }
@@ -294,7 +310,7 @@
         self.persist(&Persist::Snapshot(Box::new(snapshot)))
     }
 
-    fn run(mut self, mut queue: mpsc::UnboundedReceiver<Message>) {
+    fn run(mut self, mut queue: Inbox<Message>) {
         if let Err(error) = self.write_first_members() {
             crit!(self.logger, "data folder failed; stopping this instance"; "error" => %error);
             return;
@@ -319,11 +335,7 @@
 
     /// Handles a message and, if it needs a sync of the data folder, the messages that are queued behind it, so that one
     /// sync serves all of them. Returns whether the engine goes on.
-    fn handle_batch(
-        &mut self,
-        first: Message,
-        queue: &mut mpsc::UnboundedReceiver<Message>,
-    ) -> Result<bool, DataFolderError> {
+    fn handle_batch(&mut self, first: Message, queue: &mut Inbox<Message>) -> Result<bool, DataFolderError> {
         let mut effects = Vec::new();
         let mut next = Some(first);
         let mut handled = 0;
@@ -351,7 +363,7 @@
             }
             handled += 1;
             let needs_sync = effects.iter().any(|effect| matches!(effect, Effect::Persist(_)));
-            next = if needs_sync && handled < MESSAGES_PER_SYNC { queue.try_recv().ok() } else { None };
+            next = if needs_sync && handled < MESSAGES_PER_SYNC { queue.try_recv() } else { None };
         }
         self.apply_effects(&mut effects)?;
         Ok(true)
--- a/crates/cumincart-control/src/lib.rs
+++ b/crates/cumincart-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod heartbeat_replies;
 pub mod http;
+pub mod inbox;
 pub mod metrics;
 pub mod options;
 pub mod program;
--- a/crates/cumincart-runtime/src/link.rs
+++ b/crates/cumincart-runtime/src/link.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod codec;
 pub mod handshake;
+pub mod lanes;
 pub mod server;
 pub mod traffic;
 
--- a/crates/cumincart-runtime/src/link/client.rs
+++ b/crates/cumincart-runtime/src/link/client.rs
@@ -4,6 +4,7 @@
     super::{
         LinkError, codec,
         handshake::{self, Challenge, FleetSecret},
+        lanes::{self, LaneReceiver, LaneSender},
         server::{receive, send, socket_config},
         traffic::{self, Direction},
     },
@@ -44,7 +45,7 @@
 /// A link to one peer that reconnects automatically. Dropping all clones closes the link.
 #[derive(Debug, Clone)]
 pub struct PeerLink {
-    outgoing: mpsc::Sender<OutgoingMessage>,
+    outgoing: LaneSender<OutgoingMessage>,
     phase: Arc<AtomicU8>,
 }
 
@@ -81,7 +82,7 @@
         secret: FleetSecret,
         unsolicited: mpsc::UnboundedSender<PeerBody>,
     ) -> Self {
-        let (outgoing, queue) = mpsc::channel(SEND_QUEUE);
+        let (outgoing, queue) = lanes::channel(SEND_QUEUE);
         let phase = Arc::new(AtomicU8::new(OPENING));
         tokio::spawn(run_link(Peer { address, instance, secret, phase: phase.clone() }, queue, unsolicited));
         Self { outgoing, phase }
@@ -95,15 +96,17 @@
 
     /// Sends a message that needs no answer. The message is dropped while the link is down.
     pub fn send(&self, body: PeerBody) {
-        let _ = self.outgoing.try_send(OutgoingMessage { body, answer: None });
+        let is_urgent = lanes::is_urgent(&body);
+        let _ = self.outgoing.try_send(OutgoingMessage { body, answer: None }, is_urgent);
     }
 
     /// Sends a message and waits for its answer. [`LinkError::Down`] and [`LinkError::TooLong`] mean that nothing was
     /// sent.
     pub async fn request(&self, body: PeerBody, wait: Duration) -> Result<PeerBody, LinkError> {
         let (answer, answered) = oneshot::channel();
+        let is_urgent = lanes::is_urgent(&body);
         self.outgoing
-            .try_send(OutgoingMessage { body, answer: Some(answer) })
+            .try_send(OutgoingMessage { body, answer: Some(answer) }, is_urgent)
             .map_err(|_| LinkError::Down)?;
         match timeout(wait, answered).await {
             Ok(Ok(result)) => result,
@@ -122,7 +125,7 @@
 
 async fn run_link(
     peer: Peer,
-    mut queue: mpsc::Receiver<OutgoingMessage>,
+    mut queue: LaneReceiver<OutgoingMessage>,
     unsolicited: mpsc::UnboundedSender<PeerBody>,
 ) {
     for limit in CONNECT_TIMEOUTS.into_iter().cycle() {
@@ -160,7 +163,7 @@
 async fn exchange_messages(
     socket: WebSocketStream<TcpStream>,
     instance: &InstanceName,
-    queue: &mut mpsc::Receiver<OutgoingMessage>,
+    queue: &mut LaneReceiver<OutgoingMessage>,
     unsolicited: &mpsc::UnboundedSender<PeerBody>,
 ) -> Option<()> {
     let mut answers = Answers::default();
@@ -224,7 +227,7 @@
 
 /// Waits before the next connection attempt and rejects messages sent meanwhile with [`LinkError::Down`]. Returns
 /// `false` when the last handle is dropped.
-async fn wait_to_reconnect(queue: &mut mpsc::Receiver<OutgoingMessage>) -> bool {
+async fn wait_to_reconnect(queue: &mut LaneReceiver<OutgoingMessage>) -> bool {
     let pause_ms = rand::rng().random_range(RECONNECT_MS);
     let pause = sleep(Duration::from_millis(pause_ms));
     tokio::pin!(pause);
--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -4,6 +4,7 @@
     super::{
         LinkError, codec,
         handshake::{self, FleetSecret, Hello, Proof},
+        lanes::{self, LaneReceiver, LaneSender},
         traffic::{self, Direction},
     },
     crate::socket,
@@ -49,12 +50,13 @@
     pub reply: Reply,
 }
 
-/// Answers one message over the link on which it arrived. A message may be answered more than once.
+/// Answers one message over the link on which it arrived. A message may be answered more than once. Answers
+/// overtake each other as [`lanes`] says.
 #[derive(Debug)]
 pub struct Reply {
     instance: InstanceName,
     request: u64,
-    answers: mpsc::Sender<Envelope>,
+    answers: LaneSender<Envelope>,
 }
 
 impl Reply {
@@ -64,7 +66,8 @@
         let from = self.instance.clone();
         let envelope = Envelope { version: PEER_VERSION, from, request: self.request, body };
         // A full queue means that the peer has stopped reading. It repeats its request on a new link.
-        let _ = self.answers.try_send(envelope);
+        let is_urgent = lanes::is_urgent(&envelope.body);
+        let _ = self.answers.try_send(envelope, is_urgent);
     }
 }
 
@@ -123,7 +126,7 @@
         return;
     };
     let (sink, incoming) = socket.split();
-    let (answers, outgoing) = mpsc::channel(ANSWER_QUEUE);
+    let (answers, outgoing) = lanes::channel(ANSWER_QUEUE);
     let writer = tokio::spawn(write_answers(sink, outgoing));
     read_messages(incoming, from, answers, context).await;
     // `Reply` handles that still exist would otherwise keep the writer and the socket open.
@@ -133,7 +136,7 @@
 async fn read_messages(
     mut incoming: SplitStream<WebSocketStream<TcpStream>>,
     from: InstanceName,
-    answers: mpsc::Sender<Envelope>,
+    answers: LaneSender<Envelope>,
     mut context: LinkContext,
 ) {
     loop {
@@ -174,7 +177,7 @@
 
 async fn write_answers(
     mut sink: SplitSink<WebSocketStream<TcpStream>, Message>,
-    mut outgoing: mpsc::Receiver<Envelope>,
+    mut outgoing: LaneReceiver<Envelope>,
 ) {
     while let Some(mut envelope) = outgoing.recv().await {
         let Ok(bytes) = codec::encode(&envelope).or_else(|_| {
--- a/crates/cumincart-runtime/tests/link.rs
+++ b/crates/cumincart-runtime/tests/link.rs
@@ -2,11 +2,16 @@
 
 use {
     cumincart_protocol::{
+        catalogue::Catalogue,
         exchange::{Reply, Rows, TransactionState},
+        heartbeat::{CatalogueUpdate, HeartbeatAnswer},
         name::InstanceName,
+        number::{ControlTerm, Incarnation, LogIndex, Revision},
         peer::{Envelope, PEER_MAX_BYTES, PEER_VERSION, PeerBody},
         refusal::{Refusal, RefusalCode},
         relay::RelayAnswer,
+        replication::{Append, DiskId, ReplicationBody, ReplicationMessage, VoteAnswer},
+        time::Instant,
         verdict::Verdict,
     },
     cumincart_runtime::link::{
@@ -95,6 +100,86 @@
     assert_eq!(unsolicited.recv().await, Some(numbered(3)));
 }
 
+fn heartbeat_answer(revision: u64, update: CatalogueUpdate) -> PeerBody {
+    PeerBody::HeartbeatAnswer(Box::new(HeartbeatAnswer {
+        asked_at: Instant::ZERO,
+        incarnation: Incarnation(1),
+        control_term: ControlTerm(1),
+        revision: Revision(revision),
+        term_lease_ms: 1_500,
+        freshness_lease_ms: 2_900,
+        update,
+        shares: Vec::new(),
+        permits: Vec::new(),
+        instances: None,
+        control_addresses: None,
+    }))
+}
+
+fn revision(body: &PeerBody) -> u64 {
+    let PeerBody::HeartbeatAnswer(answer) = body else { panic!("{body:?}") };
+    answer.revision.0
+}
+
+/// The writer does not run between the sends. Updates keep their order, and the lease overtakes them.
+#[tokio::test]
+async fn a_lease_does_not_wait_behind_updates_that_are_queued() {
+    let mut server = bind("a fleet secret of the test").await;
+    let (unsolicited_sender, mut unsolicited) = mpsc::unbounded_channel();
+    let secret = secret("a fleet secret of the test");
+    let link = PeerLink::spawn_with(server.address.clone(), "client".into(), secret, unsolicited_sender);
+    let requests_sent = tokio::spawn(async move { (request_when_up(&link, numbered(1)).await, link) });
+    let request = server.received.recv().await.expect("the server is open");
+    for revision in 1..=200 {
+        let update = CatalogueUpdate::Snapshot(Arc::new(Catalogue::default()));
+        request.reply.send(heartbeat_answer(revision, update));
+    }
+    request.reply.send(heartbeat_answer(0, CatalogueUpdate::None));
+    let (answer, _link) = requests_sent.await.expect("the task ends");
+    let mut revisions = vec![revision(&answer.expect("the peer answers"))];
+    while revisions.len() < 201 {
+        revisions.push(revision(&unsolicited.recv().await.expect("the link is open")));
+    }
+    assert_eq!(revisions, (0..=200).collect::<Vec<_>>());
+}
+
+fn replication(term: u64, body: ReplicationBody) -> PeerBody {
+    PeerBody::Replication(ReplicationMessage {
+        disk: DiskId("disk-1".into()),
+        peer_address: "127.0.0.1:1".into(),
+        incarnation: Incarnation(1),
+        term: ControlTerm(term),
+        body,
+    })
+}
+
+#[tokio::test]
+async fn a_vote_does_not_wait_behind_records_that_are_queued() {
+    let mut server = bind("a fleet secret of the test").await;
+    let link = PeerLink::spawn(server.address.clone(), "client".into(), secret("a fleet secret of the test"));
+    let append = || {
+        ReplicationBody::Append(Append {
+            previous_index: LogIndex(1),
+            previous_term: ControlTerm(1),
+            records: Vec::new(),
+            commit: LogIndex(1),
+            sent_at: Instant::ZERO,
+        })
+    };
+    for term in 1..=200 {
+        link.send(replication(term, append()));
+    }
+    let granted = VoteAnswer { term: ControlTerm(9), granted: true };
+    link.send(replication(0, ReplicationBody::VoteAnswer(granted)));
+    let mut terms = Vec::new();
+    while terms.len() < 201 {
+        let received = server.received.recv().await.expect("the server is open");
+        let PeerBody::Replication(message) = received.body else { panic!("{:?}", received.body) };
+        terms.push(message.term.0);
+    }
+    assert_eq!(terms, (0..=200).collect::<Vec<_>>());
+}
+
 #[tokio::test]
 async fn a_lost_link_fails_its_pending_request_and_reconnects() {
     let mut server = bind("a fleet secret of the test").await;
