--- a/crates/cumincart-core/tests/control_usage/fixture.rs
+++ b/crates/cumincart-core/tests/control_usage/fixture.rs
@@ -162,6 +162,7 @@
             incarnation: Incarnation(self.incarnation),
             domain: "sofia-a".into(),
             peer_address: "10.0.0.9:1".into(),
+            accepts_packed: false,
             asked_at: now,
             revision: Revision(0),
             leaving: self.is_leaving,
