--- a/crates/cumincart-control/src/metrics.rs
+++ b/crates/cumincart-control/src/metrics.rs
@@ -2,12 +2,17 @@
 
 use {
     cumincart_core::control::dump::Dump,
+    cumincart_protocol::usage::WindowOutcome,
     cumincart_runtime::metrics::{Label, Metric},
 };
 
 /// Returns the metrics to publish.
 pub fn control_metrics(dump: &Dump) -> Vec<Metric> {
     let live = dump.holders.iter().filter(|holder| holder.lease_left_ms > 0).count();
+    let windows = |outcome: Option<WindowOutcome>| {
+        let count = dump.usage.iter().filter(|window| window.outcome == outcome).count();
+        u64::try_from(count).unwrap_or(u64::MAX)
+    };
     let mut metrics = vec![
         Metric::gauge("leads", "Whether this control instance leads", u64::from(dump.leads)),
         Metric::gauge("election_term", "The greatest election term seen", dump.ballot.term.0),
@@ -20,6 +25,16 @@
             "Entry instances that hold a lease",
             u64::try_from(live).unwrap_or(u64::MAX),
         ),
+        Metric::gauge(
+            "usage_windows_open",
+            "Closed accounting windows that are not reported yet",
+            windows(None),
+        ),
+        Metric::gauge(
+            "usage_windows_missed",
+            "Accounting windows among the last ones that were not reported in time",
+            windows(Some(WindowOutcome::Missed)),
+        ),
     ];
     for group in &dump.groups {
         let label = || Label::new("service", group.service.as_str());
--- a/crates/cumincart-core/src/control/dump.rs
+++ b/crates/cumincart-core/src/control/dump.rs
@@ -8,7 +8,9 @@
         name::{DomainName, InstanceName},
         number::{ControlTerm, Incarnation, ListsRevision, LogIndex, Revision},
         replication::{Ballot, DiskId, Members},
+        sorted::SortedVec,
         time::Instant,
+        usage::UsageWindow,
     },
     serde::Serialize,
 };
@@ -48,6 +50,8 @@
     pub holders: Vec<HolderDump>,
     /// The last announcement of each endpoint; known only to the leader.
     pub announcements: Vec<AnnouncementDump>,
+    /// The last closed accounting windows, with the outcomes that are known here.
+    pub usage: SortedVec<UsageWindow>,
 }
 
 /// An entry instance that holds a lease.
@@ -99,6 +103,7 @@
         groups: catalogue.groups.iter().cloned().collect(),
         holders: holders.collect(),
         announcements: status.endpoints.into_iter().map(announcement_dump).collect(),
+        usage: status.usage,
     }
 }
 
--- a/crates/cumincart-core/src/control/usage.rs
+++ b/crates/cumincart-core/src/control/usage.rs
@@ -229,19 +229,26 @@
     if unix_ms < end_ms.saturating_add(SETTLE_MS) {
         return;
     }
-    let is_complete =
-        core.runs.known.iter().all(|run| core.usage.gathered.has_reported_until(run, offset, end_ms));
+    let gathered = &core.usage.gathered;
+    let missing: Vec<&str> = core
+        .runs
+        .known
+        .iter()
+        .filter(|run| !gathered.has_reported_until(run, offset, end_ms))
+        .map(|run| run.instance.as_str())
+        .collect();
     let is_new_leader =
         now.saturating_since(core.replication.elected_at()) < Duration::from_millis(FULL_REPORTS_MS);
-    if !is_complete && (is_new_leader || unix_ms < end_ms.saturating_add(CLOSE_AFTER_MS)) {
+    if !missing.is_empty() && (is_new_leader || unix_ms < end_ms.saturating_add(CLOSE_AFTER_MS)) {
         return;
     }
     if let Some(last) = last.filter(|last| last.saturating_add(1) < window) {
         let message = format!("usage: windows {} to {} can't be reported in time", last + 1, window - 1);
         out.push(Effect::Log(message.into()));
     }
-    if !is_complete {
-        let message = format!("usage: window {window} is closed without the counts of some instances");
+    if !missing.is_empty() {
+        let message =
+            format!("usage: window {window} is closed without the counts of {}", missing.join(", "));
         out.push(Effect::Log(message.into()));
     }
     let counts = core.usage.gathered.counts(offset, start_ms, end_ms).into_items().collect();
