--- a/crates/cumincart-core/src/control/dump.rs
+++ b/crates/cumincart-core/src/control/dump.rs
@@ -12,7 +12,9 @@
         name::{DomainName, InstanceName},
         number::{ControlTerm, Incarnation, ListsRevision, LogIndex, Revision},
         replication::{Ballot, DiskId, Members},
+        sorted::SortedVec,
         time::Instant,
+        usage::UsageWindow,
     },
     serde::Serialize,
 };
@@ -54,6 +56,8 @@
     pub announcements: Vec<AnnouncementDump>,
     /// The pacing of large updates; known only to the leader.
     pub deliveries: DeliveriesDump,
+    /// The last closed accounting windows, with the outcomes that are known here.
+    pub usage: SortedVec<UsageWindow>,
 }
 
 /// An entry instance that holds a lease.
@@ -106,6 +110,7 @@
         holders: holders.collect(),
         announcements: status.endpoints.into_iter().map(announcement_dump).collect(),
         deliveries: delivery::dump(core),
+        usage: status.usage,
     }
 }
 
