Report and grant connections only where an instance uses them, and retry slower

At each heartbeat the leader made a holding of every endpoint for every instance, and an instance that got no answer for 0.6 s reported every endpoint of the fleet, ten times a second. At 98 machines with a database for each few of them control processes took 3 MB a second each and answered hardly any heartbeat. Endpoints that an instance has never used are left out of both; after 20 heartbeats without an answer it asks at the regular interval.

--- a/crates/cumincart-core/src/control/permits.rs
+++ b/crates/cumincart-core/src/control/permits.rs
@@ -239,8 +239,12 @@
     let allows_kept = catalogue.lists.interactive.databases.is_empty();
     let mut grants = Vec::new();
     for endpoint in catalogue.groups.iter().flat_map(|group| group.endpoints.iter()) {
-        let holding =
+        let is_near = holder.domain == endpoint.domain;
+        // All other holders are granted something only once they have reported a use.
+        if allows_kept && is_near {
             holder.holdings.get_or_insert_with(&endpoint.name, || Holding::new(endpoint.name.clone()));
+        }
+        let Some(holding) = holder.holdings.get_mut(&endpoint.name) else { continue };
         let totals = totals_of(&mut ledger.totals, &endpoint.name);
         totals.subtract(holding);
         holding.decay_extra_demand();
@@ -254,7 +258,7 @@
                     totals,
                     holding,
                     &context,
-                    holder.domain == endpoint.domain && !kept_unknown,
+                    is_near && !kept_unknown,
                     may_be_closing,
                     allows_kept,
                 )
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -26,6 +26,10 @@
 /// revision, in milliseconds.
 pub const CONFIRM_INTERVAL_MS: u64 = 20;
 
+/// The number of heartbeats without an answer after which an instance without a lease asks at the regular interval. It
+/// covers an election, and bounds what a fleet asks of a leader that is too busy to answer.
+pub const QUICK_RETRIES: u32 = 20;
+
 /// The state of the heartbeat exchange.
 #[derive(Debug, Default)]
 pub struct Membership {
@@ -43,6 +47,8 @@
     acknowledged_at: Option<Instant>,
     /// Since when every heartbeat carries a full report; none while heartbeats carry only changes.
     full_reports_since: Option<Instant>,
+    /// The number of heartbeats sent since the last answer.
+    unanswered: u32,
     /// Whether the next heartbeats must carry full reports, because a new leader answers.
     needs_full_report: bool,
 }
@@ -57,10 +63,11 @@
         return true;
     }
     let is_recent = since < Duration::from_millis(HEARTBEAT_MIN_INTERVAL_MS);
-    if !is_recent && !core.freshness.holds_term_lease(now) {
+    let asks_quickly = core.membership.unanswered < QUICK_RETRIES;
+    if !is_recent && asks_quickly && !core.freshness.holds_term_lease(now) {
         return true;
     }
-    if core.membership.needs_full_report && !is_recent {
+    if core.membership.needs_full_report && asks_quickly && !is_recent {
         return true;
     }
     if is_recent {
@@ -103,6 +110,7 @@
     uses: &SortedVec<ConnectionUse>,
 ) -> Heartbeat {
     core.membership.last_sent_at = Some(now);
+    core.membership.unanswered = core.membership.unanswered.saturating_add(1);
     core.membership.last_revision = core.freshness.revision();
     if core.membership.leaving {
         quota::drop_all(&mut core.quota, now);
@@ -139,7 +147,7 @@
             return outcome;
         }
         AnswerOutcome::Dropped(_) => return outcome,
-        AnswerOutcome::Behind | AnswerOutcome::Leased => {}
+        AnswerOutcome::Behind | AnswerOutcome::Leased => core.membership.unanswered = 0,
     }
     if is_push(&core.membership, answer) || changes_catalogue(&answer.update) {
         core.membership.confirm_revision = core.freshness.revision();
--- a/crates/cumincart-core/src/entry/permits.rs
+++ b/crates/cumincart-core/src/entry/permits.rs
@@ -155,6 +155,9 @@
     let mut reports = Vec::new();
     for held in permits.held.iter_mut() {
         let report = report_of(held, uses.get(&held.endpoint));
+        if held.last_report.is_none() && is_nothing(&report) {
+            continue;
+        }
         let is_acknowledged =
             held.reported_at.is_some_and(|at| acknowledged_until.is_some_and(|until| at <= until));
         if is_acknowledged && held.last_report.as_ref() == Some(&report) {
@@ -167,6 +170,12 @@
     reports
 }
 
+/// Returns whether a report says what the leader assumes of an endpoint that was never reported. At an instance most
+/// endpoints of a large fleet are such.
+fn is_nothing(report: &PermitReport) -> bool {
+    report.grant_number == 0 && report.held == 0 && report.kept == 0 && report.wanted == 0
+}
+
 fn report_of(held: &HeldPermits, used: Option<&ConnectionUse>) -> PermitReport {
     PermitReport {
         endpoint: held.endpoint.clone(),
--- a/crates/cumincart-core/tests/entry_confirms.rs
+++ b/crates/cumincart-core/tests/entry_confirms.rs
@@ -3,7 +3,12 @@
 
 use {
     cumincart_core::{
-        entry::{Core, Effect, Input, Settings, membership::CONFIRM_INTERVAL_MS, step},
+        entry::{
+            Core, Effect, Input, Settings,
+            membership::{self, CONFIRM_INTERVAL_MS, HEARTBEAT_MIN_INTERVAL_MS, QUICK_RETRIES},
+            permits::ConnectionUse,
+            step,
+        },
         timing::{FRESHNESS_LEASE_MS, HEARTBEAT_INTERVAL_MS, TERM_LEASE_MS, TICK_INTERVAL_MS},
     },
     cumincart_protocol::{
@@ -98,3 +103,39 @@
     entry.advance_ms(2 * TICK_INTERVAL_MS);
     assert_eq!(entry.heartbeats.len(), 3);
 }
+
+/// Guards against a fleet that asks a leader which is too busy to answer ever faster than it can answer.
+#[test]
+fn an_instance_without_answers_asks_quickly_for_a_while_and_then_at_the_regular_interval() {
+    let mut entry = Entry::open();
+    entry.advance_ms(u64::from(QUICK_RETRIES) * HEARTBEAT_MIN_INTERVAL_MS);
+    let quick = entry.heartbeats.len();
+    assert!(quick >= QUICK_RETRIES as usize, "{quick} heartbeats");
+    entry.advance_ms(20 * HEARTBEAT_INTERVAL_MS);
+    let slow = entry.heartbeats.len() - quick;
+    assert!((19..=21).contains(&slow), "{slow} heartbeats in 20 intervals");
+    entry.answer(1);
+    entry.advance_ms(TERM_LEASE_MS + HEARTBEAT_INTERVAL_MS);
+    let before = entry.heartbeats.len();
+    entry.advance_ms(10 * HEARTBEAT_MIN_INTERVAL_MS);
+    assert!(entry.heartbeats.len() - before >= 9, "quickly again after an answer");
+}
+
+/// Guards against full reports that grow with the endpoints of the whole fleet.
+#[test]
+fn a_full_report_leaves_out_endpoints_that_the_instance_has_never_used() {
+    let mut entry = Entry::open();
+    let used = |number: u32| ConnectionUse {
+        endpoint: format!("db-{number:03}").as_str().into(),
+        open: 0,
+        wanted: u32::from(number == 7),
+    };
+    let uses = (0..300).map(used).collect();
+    let heartbeat = membership::build_heartbeat(&mut entry.core, entry.now, Vec::new(), &uses);
+    assert!(heartbeat.complete);
+    let reported: Vec<&str> = heartbeat.permits.iter().map(|report| report.endpoint.as_str()).collect();
+    assert_eq!(reported, ["db-007"]);
+    let none = (0..300).map(|number| ConnectionUse { wanted: 0, ..used(number) }).collect();
+    let heartbeat = membership::build_heartbeat(&mut entry.core, entry.now, Vec::new(), &none);
+    assert_eq!(heartbeat.permits.len(), 1, "what was reported is reported until it is known to have ended");
+}
--- a/crates/cumincart-protocol/tests/packed.rs
+++ b/crates/cumincart-protocol/tests/packed.rs
@@ -26,15 +26,15 @@
     ciborium::from_reader(message.as_slice()).expect("any bytes are accepted")
 }
 
-#[test_case(update(); "changes")]
-#[test_case(CatalogueUpdate::Snapshot(Arc::new(Catalogue::default())); "whole catalogue")]
-fn an_update_is_the_same_after_a_message(sent: CatalogueUpdate) {
+#[test_case(&update(); "changes")]
+#[test_case(&CatalogueUpdate::Snapshot(Arc::new(Catalogue::default())); "whole catalogue")]
+fn an_update_is_the_same_after_a_message(sent: &CatalogueUpdate) {
     let mut message = Vec::new();
-    ciborium::into_writer(&CatalogueUpdate::Packed(PackedUpdate::pack(&sent)), &mut message)
+    ciborium::into_writer(&CatalogueUpdate::Packed(PackedUpdate::pack(sent)), &mut message)
         .expect("writing to a vector can't fail");
     let received: CatalogueUpdate = ciborium::from_reader(message.as_slice()).expect("it is valid");
     let CatalogueUpdate::Packed(packed) = received else { panic!("{received:?}") };
-    assert_eq!(packed.unpack().expect("it is valid"), sent);
+    assert_eq!(packed.unpack().expect("it is valid"), *sent);
 }
 
 #[test_case(&[]; "nothing")]
