Bound the leader's work for many endpoints: presences by address, probes in turn

Each presence message of an endpoint was compared with those of all others to find a later run at its address, all endpoints were checked in every tick, and while no group has a primary, as at a start, every endpoint was probed ten times a second. Presences are looked up by address, the check of all endpoints runs every 100 ms, and first and urgent probes are bounded for each tick; endpoints beyond the bound are probed at the regular interval. Up to 50 endpoints without a primary are probed as often as before.

--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -13,13 +13,17 @@
         sorted::{Keyed, SortedVec},
         time::Instant,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// How long an endpoint must be silent before it is removed from its group, in milliseconds: several of the
 /// longest usual intervals between presence messages.
 pub const EXPIRE_AFTER_MS: u64 = 15_000;
 
+/// The interval between two checks of all endpoints, in milliseconds. A message that changes an endpoint's entry takes
+/// effect when it arrives; the check is for those that had to wait for a record or for the lists.
+const CHECK_INTERVAL_MS: u64 = 100;
+
 /// The connections of each endpoint that are reserved for the control instances' probes.
 pub const PROBE_CONNECTIONS: u32 = 2;
 
@@ -44,6 +48,25 @@
 #[derive(Debug, Default)]
 pub struct Presences {
     received: SortedVec<ReceivedPresence>,
+    /// The endpoints that were announced at each address.
+    addresses: SortedVec<AddressUse>,
+    /// When all endpoints are checked next.
+    next_check_at: Instant,
+}
+
+/// The endpoints that were announced at an address.
+#[derive(Debug)]
+struct AddressUse {
+    address: Arc<str>,
+    endpoints: Vec<EndpointName>,
+}
+
+impl Keyed for AddressUse {
+    type Key = Arc<str>;
+
+    fn key(&self) -> &Arc<str> {
+        &self.address
+    }
 }
 
 impl Presences {
@@ -56,21 +79,42 @@
     /// that the endpoint's own run has ended. Only runs of configured services count.
     pub fn has_newer_run_at_address(&self, lists: &Lists, entry: &EndpointEntry) -> bool {
         let born_ms = self.get(&entry.name).map(|presence| presence.born_ms);
-        self.configured(lists).any(|other| {
-            other.address == entry.address
-                && other.endpoint != entry.name
+        self.configured_at(lists, &entry.address).any(|other| {
+            other.endpoint != entry.name
                 && !other.ended
                 && born_ms.is_none_or(|born_ms| other.born_ms > born_ms)
         })
     }
 
-    /// Returns the last presence messages of the endpoints of configured services.
-    fn configured(&self, lists: &Lists) -> impl Iterator<Item = &Presence> {
-        self.received
-            .iter()
-            .map(|received| &received.presence)
+    /// Returns the last presence messages of the endpoints of configured services at an address.
+    fn configured_at<'a>(
+        &'a self,
+        lists: &'a Lists,
+        address: &Arc<str>,
+    ) -> impl Iterator<Item = &'a Presence> {
+        let endpoints = self.addresses.get(address).into_iter().flat_map(|known| &known.endpoints);
+        endpoints
+            .filter_map(|endpoint| self.get(endpoint))
             .filter(|presence| is_configured(lists, &presence.service))
     }
+
+    fn insert(&mut self, received: ReceivedPresence) {
+        self.remove(&received.presence.endpoint.clone());
+        let (address, endpoint) = (&received.presence.address, &received.presence.endpoint);
+        let at = || AddressUse { address: address.clone(), endpoints: Vec::new() };
+        self.addresses.get_or_insert_with(address, at).endpoints.push(endpoint.clone());
+        self.received.insert(received);
+    }
+
+    fn remove(&mut self, endpoint: &EndpointName) {
+        let Some(received) = self.received.remove(endpoint) else { return };
+        let address = &received.presence.address;
+        let Some(known) = self.addresses.get_mut(address) else { return };
+        known.endpoints.retain(|other| other != endpoint);
+        if known.endpoints.is_empty() {
+            self.addresses.remove(address);
+        }
+    }
 }
 
 /// Returns whether the lists name a service. Endpoints of other services may be announced by other systems, or before
@@ -109,9 +153,10 @@
 /// Updates the entries of endpoints from their presence messages, and removes endpoints that have been silent
 /// for long.
 pub fn on_tick(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
-    if !failover::is_established_leader(core) {
+    if !failover::is_established_leader(core) || now < core.presences.next_check_at {
         return;
     }
+    core.presences.next_check_at = now + Duration::from_millis(CHECK_INTERVAL_MS);
     let received: Vec<EndpointName> =
         core.presences.received.iter().map(|received| received.presence.endpoint.clone()).collect();
     for endpoint in received {
@@ -138,12 +183,9 @@
             return true;
         }
     }
-    presences.configured(lists).any(|other| {
-        other.address == presence.address
-            && other.endpoint != presence.endpoint
-            && !other.ended
-            && other.born_ms > presence.born_ms
-    })
+    presences
+        .configured_at(lists, &presence.address)
+        .any(|other| other.endpoint != presence.endpoint && !other.ended && other.born_ms > presence.born_ms)
 }
 
 fn record(core: &mut Core, now: Instant, presence: Presence, out: &mut Vec<Effect>) {
@@ -158,7 +200,7 @@
         out.push(Effect::Log(text.into()));
     }
     let proposed = core.presences.received.get(&endpoint).map(|last| last.proposed).unwrap_or_default();
-    core.presences.received.insert(ReceivedPresence { presence, received_at: now, proposed });
+    core.presences.insert(ReceivedPresence { presence, received_at: now, proposed });
     if failover::is_established_leader(core) {
         sync_entry(core, now, &endpoint, out);
     }
@@ -191,7 +233,7 @@
     }
 }
 
-fn describe(command: &Command) -> std::sync::Arc<str> {
+fn describe(command: &Command) -> Arc<str> {
     match command {
         Command::PutEndpoint(service, entry) => format!(
             "{service}: endpoint {} at {} in {}, leaving: {}",
@@ -208,10 +250,20 @@
 fn forget_unconfigured(core: &mut Core, now: Instant) {
     let lists = &core.catalogue.lists;
     let timeout = Duration::from_millis(EXPIRE_AFTER_MS);
-    core.presences.received.retain(|received| {
-        is_configured(lists, &received.presence.service)
-            || now.saturating_since(received.received_at) < timeout
-    });
+    let is_forgotten = |received: &&ReceivedPresence| {
+        !is_configured(lists, &received.presence.service)
+            && now.saturating_since(received.received_at) >= timeout
+    };
+    let forgotten: Vec<EndpointName> = core
+        .presences
+        .received
+        .iter()
+        .filter(is_forgotten)
+        .map(|received| received.presence.endpoint.clone())
+        .collect();
+    for endpoint in forgotten {
+        core.presences.remove(&endpoint);
+    }
 }
 
 fn remove_expired(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
@@ -234,7 +286,7 @@
     }
     for (service, endpoint) in expired {
         out.push(Effect::Log(format!("{service}: endpoint {endpoint} is silent and was removed").into()));
-        core.presences.received.remove(&endpoint);
+        core.presences.remove(&endpoint);
         replicate::propose(core, now, Command::RemoveEndpoint(service, endpoint), out);
     }
 }
--- a/crates/cumincart-core/src/control/probe.rs
+++ b/crates/cumincart-core/src/control/probe.rs
@@ -19,6 +19,13 @@
 /// milliseconds.
 pub const PROBE_URGENT_INTERVAL_MS: u64 = 100;
 
+/// The number of urgent probes in a tick. Beyond it endpoints are probed at [`PROBE_INTERVAL_MS`], so that a start of
+/// everything, when no group has a primary, does not cost the leader five times what it can bear afterwards.
+pub const URGENT_PROBES_PER_TICK: usize = 5;
+
+/// The number of endpoints that are probed for the first time in a tick.
+pub const FIRST_PROBES_PER_TICK: usize = 10;
+
 /// The timeout of a probe, in milliseconds: a round trip between regions plus the time that the probe waits
 /// in the endpoint's queue.
 pub const PROBE_TIMEOUT_MS: u64 = 600;
@@ -71,30 +78,53 @@
         return;
     }
     let catalogue = Arc::clone(&core.catalogue);
+    let mut left = ProbesLeft { first: FIRST_PROBES_PER_TICK, urgent: URGENT_PROBES_PER_TICK };
     for group in &catalogue.groups {
         for entry in &group.endpoints {
-            send_if_due(&mut core.probes, now, group, entry, out);
+            send_if_due(&mut core.probes, now, group, entry, &mut left, out);
         }
     }
 }
 
+/// The probes that may still be sent in a tick, beside those that are due at the regular interval.
+struct ProbesLeft {
+    first: usize,
+    urgent: usize,
+}
+
+/// Takes one of what is left. Returns whether there was one.
+fn take(left: &mut usize) -> bool {
+    let is_left = *left > 0;
+    *left = left.saturating_sub(1);
+    is_left
+}
+
 fn send_if_due(
     probes: &mut Probes,
     now: Instant,
     group: &Group,
     entry: &EndpointEntry,
+    left: &mut ProbesLeft,
     out: &mut Vec<Effect>,
 ) {
     let probe_state = probes.states.get(&entry.name);
     let is_urgent = !group.writable || probe_state.is_some_and(|probe_state| probe_state.has_failed);
     let interval_ms = if is_urgent { PROBE_URGENT_INTERVAL_MS } else { PROBE_INTERVAL_MS };
+    let since = probe_state.map(|probe_state| now.saturating_since(probe_state.sent_at));
     let is_due = probe_state.is_none_or(|probe_state| {
         let wait_ms = if probe_state.is_waiting { 2 * PROBE_TIMEOUT_MS } else { interval_ms };
-        now.saturating_since(probe_state.sent_at) >= Duration::from_millis(wait_ms)
+        since >= Some(Duration::from_millis(wait_ms))
     });
     if !is_due {
         return;
     }
+    let is_allowed = match since {
+        None => take(&mut left.first),
+        Some(since) => since >= Duration::from_millis(PROBE_INTERVAL_MS) || take(&mut left.urgent),
+    };
+    if !is_allowed {
+        return;
+    }
     let has_failed = probe_state.is_some_and(|probe_state| probe_state.has_failed);
     probes.states.insert(ProbeState {
         endpoint: entry.name.clone(),
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -8,7 +8,7 @@
         detection::{Evidence, PROBE_SILENT_AGREED_MS, probe_finds_dead},
         members::{LEADERLESS_JOIN_MS, RETIRE_EVEN_MS},
         presence::{EXPIRE_AFTER_MS, PROBE_CONNECTIONS},
-        probe::PROBE_INTERVAL_MS,
+        probe::{FIRST_PROBES_PER_TICK, PROBE_INTERVAL_MS, URGENT_PROBES_PER_TICK},
         step,
     },
     cumincart_protocol::{
@@ -302,6 +302,58 @@
     assert_eq!(received.received_at, probe.sent_at, "the answer describes the time of the probe or later");
 }
 
+/// Load: 200 endpoints whose group has no primary, as at a start of everything.
+#[test]
+fn the_probes_of_many_endpoints_are_bounded_and_leave_none_out() {
+    let mut node = Node::elected_leader(3);
+    node.apply_configuration(1, "{}");
+    for number in 0..200 {
+        let address = format!("10.0.1.{number}:5432").into();
+        node.step(Input::Present(Presence { address, ..presence(&format!("db-{number:03}"), 100, 1) }));
+    }
+    node.acknowledge_all_records(2..=3);
+    let mut asked: Vec<Vec<Probe>> = Vec::new();
+    for _ in 0..200 {
+        node.now_ms += 10;
+        let sent = probes(&node.step(Input::Tick));
+        let answer =
+            LogState { role: Role::Replica, timeline: Timeline(3), position: LogPosition(7), lag_ms: 0 };
+        for probe in &sent {
+            node.step(Input::Probed(probe.clone(), Some(answer)));
+        }
+        node.acknowledge_all_records(2..=3);
+        asked.push(sent);
+    }
+    assert!(asked.iter().all(|sent| sent.len() <= FIRST_PROBES_PER_TICK + 2 * URGENT_PROBES_PER_TICK));
+    for number in 0..200 {
+        let name = format!("db-{number:03}");
+        let times: Vec<usize> = (0..asked.len())
+            .filter(|tick| asked[*tick].iter().any(|probe| probe.endpoint.as_str() == name))
+            .collect();
+        assert!(times.first().is_some_and(|first| *first < 30), "{name}: {times:?}");
+        let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+        let limit = usize::try_from(PROBE_INTERVAL_MS).expect("it is small") / 10 + 1;
+        assert!(gaps.max().is_some_and(|longest| longest <= limit), "{name}: {times:?}");
+    }
+}
+
+/// An endpoint that has moved no longer counts at its earlier address.
+#[test]
+fn a_run_at_an_address_that_another_endpoint_has_left_is_not_outdated() {
+    let mut node = with_endpoint();
+    node.step(Input::Present(Presence { address: "10.0.0.9:5432".into(), ..presence("db", 500, 1) }));
+    node.acknowledge_all_records(2..=3);
+    node.step(Input::Present(Presence {
+        address: presence("db", 1, 1).address,
+        ..presence("other", 300, 1)
+    }));
+    node.acknowledge_all_records(2..=3);
+    assert_eq!(endpoints(&node), ["db", "other"]);
+    node.step(Input::Present(Presence { address: "10.0.0.9:5432".into(), ..presence("late", 400, 1) }));
+    node.acknowledge_all_records(2..=3);
+    assert_eq!(endpoints(&node), ["db", "other"], "a later run has that address");
+}
+
 #[test]
 fn an_endpoint_without_presences_and_answers_is_removed() {
     let mut node = with_endpoint();
