Keep what clients can cost within the memory and descriptors of a process

Cause: each connection buffered its own messages, values, shapes and answers, with no sum over connections; connections had no cap.

Change: each process opens an account with the limit of its settings. A connection has a holder in it; reading waits for memory, statements that need more than is left are refused with BUSY, and the worst holder is closed, those without a login first. Connections in the handshake of a peer link are bounded, and a failure to accept one no longer spins.

--- a/crates/cumincart-core/src/interactive/session.rs
+++ b/crates/cumincart-core/src/interactive/session.rs
@@ -15,6 +15,9 @@
 /// use.
 pub const SESSION_ENTRIES_MAX: usize = 256;
 
+/// The bytes that a value or prepared statement uses besides its texts: two pointers with lengths and counts.
+const ENTRY_BYTES: usize = 80;
+
 /// The state that lasts as long as a session.
 #[derive(Debug, Default)]
 pub struct SessionState {
@@ -63,6 +66,14 @@
         &self.values
     }
 
+    /// Returns the bytes that the values and prepared statements use.
+    pub fn held_bytes(&self) -> usize {
+        let values = self.values.iter().map(|value| value.name.len() + value.value.len());
+        let prepared = self.prepared.iter().map(|prepared| prepared.name.len() + prepared.shape.len());
+        let entries = self.values.len() + self.prepared.len();
+        values.chain(prepared).sum::<usize>() + entries * ENTRY_BYTES
+    }
+
     fn is_full(&self) -> bool {
         self.values.len() + self.prepared.len() >= SESSION_ENTRIES_MAX
     }
--- a/crates/cumincart-runtime/src/lib.rs
+++ b/crates/cumincart-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod link;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod pending;
 pub mod secret_files;
--- a/crates/cumincart-runtime/src/link/server.rs
+++ b/crates/cumincart-runtime/src/link/server.rs
@@ -17,11 +17,11 @@
         stream::{SplitSink, SplitStream},
     },
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{mpsc, watch},
-        time::timeout,
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch},
+        time::{sleep, timeout},
     },
     tokio_tungstenite::{
         WebSocketStream, accept_async_with_config,
@@ -32,6 +32,12 @@
 /// The timeout of the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The pause after a connection could not be accepted, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The number of connections that may be in the handshake at a time. Others are closed at once; peers try again.
+const HANDSHAKES_MAX: usize = 128;
+
 /// The size of a link's read and write buffers, in bytes. Most messages are smaller, and an instance has many links.
 const BUFFER_BYTES: usize = 4 * 1_024;
 
@@ -104,24 +110,32 @@
 }
 
 async fn accept_links(listener: TcpListener, mut context: LinkContext) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES_MAX));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = context.closing.changed() => return,
         };
-        if let Ok((stream, _)) = accepted {
-            tokio::spawn(serve_link(stream, context.clone()));
+        let Ok((stream, _)) = accepted else {
+            // Without descriptors, accepting would fail again at once.
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without a permit the stream is dropped.
+        if let Ok(permit) = handshakes.clone().try_acquire_owned() {
+            tokio::spawn(serve_link(stream, context.clone(), permit));
         }
     }
 }
 
-async fn serve_link(stream: TcpStream, context: LinkContext) {
+async fn serve_link(stream: TcpStream, context: LinkContext, permit: OwnedSemaphorePermit) {
     // Without the options the link works, but its loss is detected late.
     let _ = socket::prepare(&stream);
     let Ok(Ok((socket, from))) = timeout(HANDSHAKE_TIMEOUT, accept_handshake(stream, &context.secret)).await
     else {
         return;
     };
+    drop(permit);
     let (sink, incoming) = socket.split();
     let (answers, outgoing) = mpsc::channel(ANSWER_QUEUE);
     let writer = tokio::spawn(write_answers(sink, outgoing));
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -460,6 +460,27 @@
         }
     }
 
+    /// Returns whether the client's key belongs to an organisation on the lists in force.
+    pub fn has_credential(&self) -> bool {
+        let state = self.engine.lock();
+        let index = &state.core.freshness.index;
+        self.key_digest.as_ref().is_some_and(|digest| index.organisation_by_key(digest).is_some())
+    }
+
+    /// Returns the bytes that the session's values and prepared statements use.
+    pub fn held_bytes(&self) -> usize {
+        self.state.held_bytes()
+    }
+
+    /// Refuses a statement that this instance has no memory for. An open transaction is rolled back, because the client is
+    /// told that nothing is kept.
+    pub async fn refuse_for_memory(&mut self) -> Answer {
+        if self.is_in_transaction() {
+            self.abort_transaction().await;
+        }
+        self.refuse(FailureCode::Busy, "this instance has no memory for the statement")
+    }
+
     /// Returns the answer to a statement that can't be parsed.
     pub fn malformed(&self) -> Answer {
         self.refuse(FailureCode::Malformed, "the statement can't be read")
