--- a/crates/cumincart-core/src/interactive/held_statements.rs
+++ b/crates/cumincart-core/src/interactive/held_statements.rs
@@ -2,6 +2,7 @@
 
 use {
     cumincart_protocol::exchange::{Access, Prepared},
+    sha2::{Digest, Sha256},
     std::sync::Arc,
 };
 
@@ -15,24 +16,25 @@
 /// clients can prepare any number of different statements.
 pub const HELD_STATEMENTS_MAX: usize = 256;
 
+/// What identifies a statement: its access, and the SHA-256 digest of its shape. A connection outlives the sessions whose
+/// statements it holds, so it does not keep their shapes in memory.
+type Content = (Access, [u8; 32]);
+
+fn content(prepared: &Prepared) -> Content {
+    (prepared.access, Sha256::digest(prepared.shape.as_bytes()).into())
+}
+
 /// A statement that a connection holds.
 #[derive(Debug, Clone)]
 struct HeldStatement {
-    access: Access,
-    shape: Arc<str>,
+    content: Content,
     /// The number that the name is made of.
     number: usize,
     name: Arc<str>,
     last_use: u64,
 }
 
-impl HeldStatement {
-    fn content(&self) -> (Access, &str) {
-        (self.access, &self.shape)
-    }
-}
-
-/// The statements that a connection holds, sorted by access and shape. Their names are numbers that belong to this
+/// The statements that a connection holds, sorted by what identifies them. Their names are numbers that belong to this
 /// connection alone: no client's text is part of a name, and different statements never share one.
 #[derive(Debug, Clone, Default)]
 pub struct HeldStatements {
@@ -84,8 +86,7 @@
         let Err(index) = self.position(prepared) else { return };
         self.uses += 1;
         let statement = HeldStatement {
-            access: prepared.access,
-            shape: prepared.shape.clone(),
+            content: content(prepared),
             number: assignment.number,
             name: assignment.name.clone(),
             last_use: self.uses,
@@ -99,8 +100,8 @@
     }
 
     fn position(&self, prepared: &Prepared) -> Result<usize, usize> {
-        let content = (prepared.access, &*prepared.shape);
-        self.statements.binary_search_by(|statement| statement.content().cmp(&content))
+        let content = content(prepared);
+        self.statements.binary_search_by(|statement| statement.content.cmp(&content))
     }
 
     /// Returns the lowest number below `end` that no statement has.
