Pack the whole catalogue once while instances start

Cause: after a stop of everything each instance's run makes a revision of the catalogue, and the packed catalogue of the last revision was thrown away with each of them.

A packed catalogue is kept until the lists change or the retained changes don't reach back to it. Holders get it with the revision that it is of; the small changes since follow in the next answer, and a lease counts once they are there, as before.

--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -27,6 +27,26 @@
     deltas: VecDeque<CatalogueDelta>,
     /// Updates to the newest revision that were computed since the last change. Many holders need the same one.
     updates: Vec<ComputedUpdate>,
+    /// The whole catalogue as it was packed last, which outlasts small changes.
+    whole: Option<PackedCatalogue>,
+}
+
+/// The whole catalogue at a revision, packed.
+#[derive(Debug)]
+struct PackedCatalogue {
+    revision: Revision,
+    packed: PackedUpdate,
+}
+
+/// An update that is encoded once for all holders that need it.
+#[derive(Debug)]
+pub struct LargeUpdate {
+    /// The update.
+    pub update: CatalogueUpdate,
+    /// Its size, in bytes.
+    pub bytes: usize,
+    /// The revision that it leads to.
+    pub to: Revision,
 }
 
 /// An update from a revision to the newest one.
@@ -65,6 +85,7 @@
     pub fn clear(&mut self) {
         self.deltas.clear();
         self.updates.clear();
+        self.whole = None;
     }
 
     /// Returns whether the retained changes lead from a revision to the newest one.
@@ -81,22 +102,44 @@
         self.computed(catalogue, from).update.clone()
     }
 
-    /// Returns a large update, packed where the holder accepts it, and its size in bytes. It is encoded once for all
-    /// holders.
+    /// Returns a large update, packed where the holder accepts it. It may lead to an earlier revision than the newest one:
+    /// while many instances start, each of their runs makes a revision, and packing the whole catalogue for each of them
+    /// would take the leader's processor for seconds. The changes since are small and follow.
     pub fn large_update(
         &mut self,
         catalogue: &Arc<Catalogue>,
         from: Revision,
         accepts_packed: bool,
-    ) -> (CatalogueUpdate, usize) {
+    ) -> LargeUpdate {
+        let to = catalogue.revision;
+        if !accepts_packed {
+            let computed = self.computed(catalogue, from);
+            let bytes = *computed.bytes.get_or_insert_with(|| encoded_bytes(&computed.update));
+            return LargeUpdate { update: computed.update.clone(), bytes, to };
+        }
+        if !self.reaches_back_to(from)
+            && let Some(whole) = self.current_whole(to)
+        {
+            let packed = whole.packed.clone();
+            let (bytes, to) = (packed.len(), whole.revision);
+            return LargeUpdate { update: CatalogueUpdate::Packed(packed), bytes, to };
+        }
         let computed = self.computed(catalogue, from);
-        if accepts_packed {
-            let packed = computed.packed.get_or_insert_with(|| PackedUpdate::pack(&computed.update)).clone();
-            let bytes = packed.len();
-            return (CatalogueUpdate::Packed(packed), bytes);
+        let packed = computed.packed.get_or_insert_with(|| PackedUpdate::pack(&computed.update)).clone();
+        if matches!(computed.update, CatalogueUpdate::Snapshot(_)) {
+            self.whole = Some(PackedCatalogue { revision: to, packed: packed.clone() });
         }
-        let bytes = *computed.bytes.get_or_insert_with(|| encoded_bytes(&computed.update));
-        (computed.update.clone(), bytes)
+        LargeUpdate { bytes: packed.len(), update: CatalogueUpdate::Packed(packed), to }
+    }
+
+    /// Returns the packed catalogue if the retained changes lead from it to the newest revision, and none of them is one of
+    /// the lists.
+    fn current_whole(&self, newest: Revision) -> Option<&PackedCatalogue> {
+        let whole = self.whole.as_ref()?;
+        let is_reached = whole.revision == newest || self.reaches_back_to(whole.revision);
+        let start = self.deltas.partition_point(|delta| delta.from < whole.revision);
+        let has_lists = self.deltas.iter().skip(start).any(|delta| has_lists(&delta.change));
+        (is_reached && !has_lists).then_some(whole)
     }
 
     fn computed(&mut self, catalogue: &Arc<Catalogue>, from: Revision) -> &mut ComputedUpdate {
--- a/crates/cumincart-core/src/control/delivery.rs
+++ b/crates/cumincart-core/src/control/delivery.rs
@@ -15,7 +15,7 @@
 //!   leadership: one that an earlier leader has acknowledged may be older than this instance can know.
 
 use {
-    super::{Core, holder_key::HolderKey, leases},
+    super::{Core, catalogue::LargeUpdate, holder_key::HolderKey, leases},
     crate::timing::FRESHNESS_LEASE_MS,
     cumincart_protocol::{
         heartbeat::{CatalogueChange, CatalogueUpdate},
@@ -204,6 +204,8 @@
     pub update: CatalogueUpdate,
     /// The size of the update, in bytes.
     pub bytes: usize,
+    /// The revision that the update leads to.
+    pub to: Revision,
 }
 
 /// Returns the holders that get their large update now, and spends the allowance.
@@ -214,7 +216,7 @@
     let mut unconfirmed_bytes = leases::unconfirmed_bytes(&core.leases);
     let mut taken = Vec::new();
     for holder in in_turns(waiting) {
-        let (update, bytes) =
+        let LargeUpdate { update, bytes, to } =
             core.recent_deltas.large_update(&core.catalogue, holder.from, holder.accepts_packed);
         let is_full = unconfirmed_bytes > 0 && unconfirmed_bytes + bytes > UNCONFIRMED_MAX_BYTES;
         if core.deliveries.allowance_bytes <= 0 || is_full {
@@ -226,7 +228,7 @@
         deliveries.counters.sent += 1;
         deliveries.counters.sent_bytes += bytes as u64;
         deliveries.counters.resent += u64::from(holder.is_resent);
-        taken.push(Turn { holder, update, bytes });
+        taken.push(Turn { holder, update, bytes, to });
     }
     taken
 }
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -308,21 +308,25 @@
     }
     for (key, from) in small {
         let update = core.recent_deltas.update(&core.catalogue, from);
-        send_update(core, &key, update, out);
+        send_update(core, &key, update, core.catalogue.revision, out);
     }
-    for Turn { holder, update, bytes } in delivery::take_turns(core, large) {
-        let to = core.catalogue.revision;
+    for Turn { holder, update, bytes, to } in delivery::take_turns(core, large) {
         if let Some(known) = core.leases.holders.get_mut(&holder.key) {
             known.delivery = Some(delivery::begin(now, to, bytes));
             known.is_resent = false;
         }
-        send_update(core, &holder.key, update, out);
+        send_update(core, &holder.key, update, to, out);
     }
 }
 
-/// Sends a holder an update to the newest revision.
-fn send_update(core: &mut Core, key: &HolderKey, update: CatalogueUpdate, out: &mut Vec<Effect>) {
-    let revision = core.catalogue.revision;
+/// Sends a holder an update to a revision. The leases in the answer are on the newest one.
+fn send_update(
+    core: &mut Core,
+    key: &HolderKey,
+    update: CatalogueUpdate,
+    revision: Revision,
+    out: &mut Vec<Effect>,
+) {
     let Some(holder) = core.leases.holders.get_mut(key) else { return };
     let Some(last) = &mut holder.last_heartbeat else { return };
     last.sent_revision = revision;
--- a/crates/cumincart-core/tests/control_delivery.rs
+++ b/crates/cumincart-core/tests/control_delivery.rs
@@ -4,6 +4,7 @@
     cumincart_core::{
         control::{
             self, Core, Effect, Input, Settings, Stored, Ticket,
+            catalogue::{DELTA_WINDOW, RecentDeltas},
             delivery::{BURST_BYTES, BYTES_PER_TICK, HOLD_MS, LARGE_UPDATE_BYTES, UNCONFIRMED_MAX_BYTES},
             step,
         },
@@ -11,11 +12,12 @@
         timing::{HEARTBEAT_INTERVAL_MS, TICK_INTERVAL_MS, grantor_lease_ms},
     },
     cumincart_protocol::{
+        catalogue::Catalogue,
         change::{Action, Change, ChangeId, Configuration, ConfigurationContent},
-        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer},
+        heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate, Heartbeat, HeartbeatAnswer},
         instances,
         lists::{Consistency, Database, InteractiveList, Lists},
-        number::{Incarnation, Revision},
+        number::{Incarnation, ListsRevision, Revision},
         peer::PeerBody,
         replication::{DiskId, Member, Members},
         size::encoded_bytes,
@@ -491,3 +493,33 @@
     assert_eq!(outcome, AnswerOutcome::Leased);
     assert_eq!(freshness.freshness_lease_until, awaited.freshness_lease_until);
 }
+
+/// Load: hundreds of instances start after a stop of everything, and the log gets a record for each of their runs.
+#[test]
+fn the_whole_catalogue_is_packed_once_until_the_lists_change() {
+    let lists = Arc::new(lists(500, 0, 0));
+    let mut catalogue =
+        Arc::new(Catalogue { lists: lists.clone(), revision: Revision(100), ..Catalogue::default() });
+    let mut deltas = RecentDeltas::default();
+    let first = deltas.large_update(&catalogue, Revision::default(), true);
+    assert_eq!(first.to, Revision(100));
+    let mut apply = |deltas: &mut RecentDeltas, change: CatalogueChange| {
+        deltas.forget_updates();
+        let catalogue = Arc::make_mut(&mut catalogue);
+        let from = catalogue.revision;
+        catalogue.revision = Revision(from.0 + 1);
+        deltas.push(CatalogueDelta { from, to: catalogue.revision, change });
+        deltas.large_update(&Arc::new(catalogue.clone()), Revision::default(), true)
+    };
+    for _ in 0..300 {
+        let update = apply(&mut deltas, CatalogueChange::Nothing);
+        assert_eq!((update.to, &update.update), (first.to, &first.update));
+    }
+    let update = apply(&mut deltas, CatalogueChange::Lists(ListsRevision(2), lists.clone()));
+    assert_eq!(update.to, Revision(401), "the lists have changed");
+    for _ in 0..DELTA_WINDOW {
+        apply(&mut deltas, CatalogueChange::Nothing);
+    }
+    let update = apply(&mut deltas, CatalogueChange::Nothing);
+    assert!(update.to > Revision(401), "the changes since are not retained any more");
+}
