--- a/crates/cumincart-core/src/control/runs.rs
+++ b/crates/cumincart-core/src/control/runs.rs
@@ -10,6 +10,7 @@
     cumincart_protocol::{
         heartbeat::Heartbeat,
         name::InstanceName,
+        number::ControlTerm,
         replication::{Command, InstanceIncarnation},
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -25,6 +26,10 @@
     accounted_for: Vec<InstanceName>,
     /// Whether all of these runs are accounted for.
     all_accounted_for: bool,
+    /// Instances whose runs from earlier leaderships have adopted this leader or have ended, in order.
+    adopted_by: Vec<InstanceName>,
+    /// Whether all of these runs have.
+    all_adopted: bool,
     /// Runs that are proposed but not applied yet.
     proposed: SortedVec<InstanceIncarnation>,
 }
@@ -41,6 +46,8 @@
     runs.accounted_for.clear();
     runs.proposed = SortedVec::new();
     runs.all_accounted_for = false;
+    runs.adopted_by.clear();
+    runs.all_adopted = false;
 }
 
 /// Returns whether the heartbeat's run is recorded, so that it may be granted a lease. If it is not, proposes
@@ -61,11 +68,14 @@
 /// Records what a heartbeat shows about the leases of earlier leaders. Called after the ledgers have
 /// processed its reports.
 pub fn on_heartbeat(core: &mut Core, now: Instant, heartbeat: &Heartbeat, out: &mut Vec<Effect>) {
-    if core.runs.all_accounted_for {
+    if core.runs.all_accounted_for && core.runs.all_adopted {
         return;
     }
+    if has_adopted(heartbeat, core.election.ballot.term) {
+        insert_sorted(&mut core.runs.adopted_by, &heartbeat.instance);
+    }
     if heartbeat.complete {
-        mark_accounted_for(&mut core.runs, &heartbeat.instance);
+        insert_sorted(&mut core.runs.accounted_for, &heartbeat.instance);
     }
     end_lease_recovery_if_accounted_for(core, now, out);
 }
@@ -76,7 +86,7 @@
     core.runs.proposed.remove(&run.instance);
     let Some(earlier) = core.runs.known.insert(run.clone()) else { return };
     if earlier.incarnation < run.incarnation {
-        mark_accounted_for(&mut core.runs, &run.instance);
+        mark_ended(&mut core.runs, &run.instance);
         if core.election.is_leader() {
             leases::on_run_replaced(core, now, &earlier);
         }
@@ -98,25 +108,44 @@
     }
 }
 
-fn mark_accounted_for(runs: &mut Runs, instance: &InstanceName) {
-    if let Err(position) = runs.accounted_for.binary_search(instance) {
-        runs.accounted_for.insert(position, instance.clone());
+/// Whether a run has adopted this leader, which it does only after a complete report. Until then an answer of an earlier
+/// leader that comes late may still give it a share that its reports don't show. A run that doesn't report whom it has
+/// adopted counts from its complete report on.
+fn has_adopted(heartbeat: &Heartbeat, control_term: ControlTerm) -> bool {
+    heartbeat.grants_term.map_or(heartbeat.complete, |term| term == control_term)
+}
+
+fn mark_ended(runs: &mut Runs, instance: &InstanceName) {
+    insert_sorted(&mut runs.accounted_for, instance);
+    insert_sorted(&mut runs.adopted_by, instance);
+}
+
+fn insert_sorted(instances: &mut Vec<InstanceName>, instance: &InstanceName) {
+    if let Err(position) = instances.binary_search(instance) {
+        instances.insert(position, instance.clone());
     }
 }
 
-/// Ends the recovery period once every run that may hold a lease of an earlier leader is accounted for.
+/// Ends the recovery period once every run that may hold a lease of an earlier leader is accounted for; that of the
+/// shares once each has adopted this leader.
 fn end_lease_recovery_if_accounted_for(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
-    if core.runs.all_accounted_for || !failover::is_established_leader(core) {
+    if !failover::is_established_leader(core) {
         return;
     }
     let runs = &core.runs;
-    if !runs.known.iter().all(|run| runs.accounted_for.binary_search(run.key()).is_ok()) {
-        return;
+    let has_all =
+        |instances: &[InstanceName]| runs.known.iter().all(|run| instances.binary_search(run.key()).is_ok());
+    let all_accounted_for = !runs.all_accounted_for && has_all(&runs.accounted_for);
+    let all_adopted = !runs.all_adopted && has_all(&runs.adopted_by);
+    if all_accounted_for {
+        core.runs.all_accounted_for = true;
+        if leases::end_lease_recovery(&mut core.leases, now) {
+            out.push(Effect::Log("all earlier leases are accounted for".into()));
+        }
+        permits::end_lease_recovery(&mut core.permits, now);
     }
-    core.runs.all_accounted_for = true;
-    if leases::end_lease_recovery(&mut core.leases, now) {
-        out.push(Effect::Log("all earlier leases are accounted for".into()));
+    if all_adopted {
+        core.runs.all_adopted = true;
+        shares::end_lease_recovery(&mut core.shares, now);
     }
-    shares::end_lease_recovery(&mut core.shares, now);
-    permits::end_lease_recovery(&mut core.permits, now);
 }
--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -5,8 +5,9 @@
 //! grant or the holder's lease has expired. Each grant names the grant that it replaces, so a lost, duplicate
 //! or late answer has no effect.
 //!
-//! The ledger is not replicated. A new leader issues no new grants until every lease from an earlier leader
-//! has expired, or its holder has reported what it holds.
+//! The ledger is not replicated. Until every lease from an earlier leader has expired, or its holder has reported
+//! what it holds, a new leader only moves shares between holders that have reported: what they hold together is
+//! known to be theirs, so it can follow demand, while the rest of the plan may belong to others.
 
 mod holder;
 mod organisation_quota;
@@ -44,6 +45,8 @@
     last_grant_number: u64,
     /// The time until which leases of an earlier leader that are unknown here may be valid.
     earlier_leases_until: Instant,
+    /// Whether shares of an earlier leader that are unknown here may exist.
+    recovering: bool,
     next_expiry_check_at: Instant,
     lists: Arc<Lists>,
     /// The catalogue revision at which `lists` was applied.
@@ -83,6 +86,7 @@
         control_term,
         last_grant_number: first_grant_number(control_term),
         earlier_leases_until: now + Duration::from_millis(grantor_lease_ms(FRESHNESS_LEASE_MS)),
+        recovering: true,
         ..Ledger::default()
     };
 }
@@ -98,6 +102,17 @@
 /// been reported or released.
 pub fn end_lease_recovery(ledger: &mut Ledger, now: Instant) {
     ledger.earlier_leases_until = ledger.earlier_leases_until.min(now);
+    end_recovery_if_due(ledger, now);
+}
+
+fn end_recovery_if_due(ledger: &mut Ledger, now: Instant) {
+    if !ledger.recovering || now < ledger.earlier_leases_until {
+        return;
+    }
+    ledger.recovering = false;
+    for quota in ledger.quotas.iter_mut() {
+        quota.end_recovery(now);
+    }
 }
 
 /// Applies the reports of a heartbeat and returns the grants for the answer. Ignores a heartbeat that is not
@@ -109,6 +124,7 @@
     heartbeat: &Heartbeat,
 ) -> Vec<ShareGrant> {
     release_expired(ledger, now);
+    end_recovery_if_due(ledger, now);
     apply_lists(ledger, now, catalogue);
     let key = HolderKey::of(heartbeat);
     let mut holder = detach_holder(ledger, &key, &heartbeat.domain);
@@ -118,6 +134,7 @@
     }
     holder.last_asked_at = Some(heartbeat.asked_at);
     holder.last_heartbeat_at = now;
+    holder.has_reported_all |= heartbeat.complete;
     set_in_service(ledger, &mut holder, is_in_service(catalogue, heartbeat));
     let topology = topology_of(ledger, &holder);
     let has_current_lists = heartbeat.revision >= ledger.lists_known_since;
@@ -237,7 +254,7 @@
     }
     ledger.lists = lists.clone();
     ledger.lists_known_since = catalogue.revision;
-    let earlier_leases_until = ledger.earlier_leases_until;
+    let recovering = ledger.recovering;
     let mut plans = lists.plans.plans.clone();
     plans.sort_by(|a, b| a.name.cmp(&b.name));
     for quota in ledger.quotas.iter_mut() {
@@ -249,7 +266,7 @@
             continue;
         };
         let quota = ledger.quotas.get_or_insert_with(organisation.key(), || {
-            OrganisationQuota::new(organisation.name.clone(), now.max(earlier_leases_until))
+            OrganisationQuota::new(organisation.name.clone(), now, recovering)
         });
         quota.set_limit(Share::of_plan(&plans[found]));
     }
@@ -278,10 +295,9 @@
     topology: &Topology,
     has_current_lists: bool,
 ) {
-    let recovering = now < ledger.earlier_leases_until;
-    let earlier_leases_until = ledger.earlier_leases_until;
+    let recovering = ledger.recovering;
     let quota = ledger.quotas.get_or_insert_with(&report.organisation, || {
-        OrganisationQuota::new(report.organisation.clone(), now.max(earlier_leases_until))
+        OrganisationQuota::new(report.organisation.clone(), now, recovering)
     });
     quota.refill(now);
     let holding = holder
@@ -289,7 +305,9 @@
         .get_or_insert_with(&report.organisation, || Holding::new(report.organisation.clone()));
     quota.subtract(holding);
     let earlier_leader = grant_term(report.grant_number) < ledger.control_term;
-    holding.apply_report(report, recovering && earlier_leader);
+    if let Some(adopted) = holding.apply_report(report, recovering && earlier_leader) {
+        quota.adopt(&adopted);
+    }
     holding.excess_demand_milli_per_s =
         report.demand_milli_per_s.saturating_sub(topology.instance_floor(quota.allocatable.rate_milli_per_s));
     quota.credit_returned_tokens(holding, report, has_current_lists);
@@ -305,7 +323,7 @@
     holder: &mut Holder,
     topology: &Topology,
 ) -> Vec<ShareGrant> {
-    let recovering = now < ledger.earlier_leases_until;
+    let may_move = !ledger.recovering || holder.has_reported_all;
     let mut grants = Vec::new();
     for quota in ledger.quotas.iter_mut() {
         quota.refill(now);
@@ -313,11 +331,10 @@
         let holding =
             holder.holdings.get_or_insert_with(&organisation, || Holding::new(organisation.clone()));
         if holding.outstanding.is_none() {
-            let next = if recovering {
-                holding.reissued_grant(ledger.control_term)
-            } else {
-                target::next_grant(quota, holding, topology, now)
-            };
+            // An earlier leader's share is first confirmed as it is, so that its holder adopts this leader.
+            let reissued = holding.reissued_grant(ledger.control_term).filter(|_| ledger.recovering);
+            let moved = || target::next_grant(quota, holding, topology, now).filter(|_| may_move);
+            let next = reissued.or_else(moved);
             if let Some(next) = next {
                 ledger.last_grant_number += 1;
                 quota.record_grant(holding, Grant { grant_number: ledger.last_grant_number, ..next });
--- a/crates/cumincart-core/src/control/shares/holder.rs
+++ b/crates/cumincart-core/src/control/shares/holder.rs
@@ -24,6 +24,8 @@
     pub last_asked_at: Option<Instant>,
     /// The leader's clock when that heartbeat arrived.
     pub last_heartbeat_at: Instant,
+    /// Whether the holder has reported everything that it holds to this leader.
+    pub has_reported_all: bool,
     /// The shares held, by organisation.
     pub holdings: SortedVec<Holding>,
 }
@@ -45,6 +47,7 @@
             in_service: false,
             last_asked_at: None,
             last_heartbeat_at: Instant::ZERO,
+            has_reported_all: false,
             holdings: SortedVec::new(),
         }
     }
@@ -120,6 +123,9 @@
     pub confirmed: Grant,
     /// A grant that was sent but not confirmed; it may be in force.
     pub outstanding: Option<Grant>,
+    /// A share of an earlier leader that the holder has reported, until the holder confirms that it is in force under
+    /// this leader.
+    pub reported: Option<Grant>,
     /// The demand that the holder reported.
     pub demand_milli_per_s: u64,
     /// The number of requests that wait for a token at the holder.
@@ -145,6 +151,7 @@
             organisation,
             confirmed: Grant::default(),
             outstanding: None,
+            reported: None,
             demand_milli_per_s: 0,
             waiting_requests: 0,
             returned_milli: None,
@@ -177,30 +184,37 @@
         self.demand_milli_per_s > 0 || self.waiting_requests > 0
     }
 
-    /// Returns the number of tokens in the outstanding grant.
+    /// Returns the number of tokens in the outstanding grant that count against the reserve's capacity: those beyond the
+    /// burst that the grant adds, in which the holder has room for them.
     pub fn tokens_in_flight_milli(&self) -> u64 {
-        self.outstanding.unwrap_or_default().tokens_milli
+        let outstanding = self.outstanding.unwrap_or_default();
+        let raised_milli = outstanding.share.burst_milli.saturating_sub(self.confirmed.share.burst_milli);
+        outstanding.tokens_milli.saturating_sub(raised_milli)
     }
 
     /// Applies a report. If it names a grant that this ledger has no record of, the share that it reports is
-    /// recorded only if `trusted`; otherwise the holder counts as holding nothing.
-    pub fn apply_report(&mut self, report: &ShareReport, trusted: bool) {
+    /// recorded only if `trusted`; otherwise the holder counts as holding nothing. Returns an earlier leader's share that
+    /// the holder now confirms under this one.
+    pub fn apply_report(&mut self, report: &ShareReport, trusted: bool) -> Option<Grant> {
         self.demand_milli_per_s = report.demand_milli_per_s;
         self.waiting_requests = u64::from(report.waiting);
         if let Some(outstanding) = self.outstanding.filter(|sent| sent.grant_number == report.grant_number) {
             self.confirmed = outstanding;
             self.outstanding = None;
-            return;
+            return self.reported.take();
         }
         if report.grant_number == self.confirmed.grant_number {
-            return;
+            return None;
         }
         self.outstanding = None;
+        self.reported = None;
         self.confirmed = Grant { grant_number: report.grant_number, ..Grant::default() };
         if trusted {
             self.confirmed.share = report.held;
             self.confirmed.basis = report.basis;
+            self.reported = Some(self.confirmed);
         }
+        None
     }
 
     /// Returns a grant that reissues a share granted by an earlier leader under this leader's term; none if
--- a/crates/cumincart-core/src/control/shares/organisation_quota.rs
+++ b/crates/cumincart-core/src/control/shares/organisation_quota.rs
@@ -37,7 +37,7 @@
     pub demand_milli_per_s: u64,
     /// The total demand of all holders above their parts of the floor.
     pub excess_demand_milli_per_s: u64,
-    /// The total of tokens in outstanding grants.
+    /// The total of tokens in outstanding grants that count against the reserve's capacity.
     pub tokens_in_flight_milli: u64,
     /// The total of requests that wait for a token.
     pub waiting_requests: u64,
@@ -45,6 +45,11 @@
     pub holders_with_demand: u64,
     /// The time since which demand exceeds the plan.
     pub overloaded_since: Option<Instant>,
+    /// What holders have confirmed or reported to a new leader, while shares of an earlier leader may exist that it
+    /// doesn't know of; none at other times. Only this much may be allocated. A share that is only reported counts here
+    /// as long as it counts as allocated, so it can't be moved: the report may be older than a grant of the earlier leader
+    /// that gave the share to another holder. A holder that confirms it under this leader still had it.
+    adopted: Option<Adopted>,
     /// The tokens in the reserve, in billionths.
     reserve_nano: u64,
     refilled_at: Instant,
@@ -52,6 +57,13 @@
     overallocated: bool,
 }
 
+/// A total of shares of earlier leaders.
+#[derive(Debug, Clone, Copy, Default)]
+struct Adopted {
+    share: Share,
+    fractions: Fraction,
+}
+
 impl Keyed for OrganisationQuota {
     type Key = OrganisationName;
 
@@ -61,8 +73,9 @@
 }
 
 impl OrganisationQuota {
-    /// Returns a quota with an empty plan. Its reserve starts to fill at `from`.
-    pub fn new(organisation: OrganisationName, from: Instant) -> Self {
+    /// Returns a quota with an empty plan. Its reserve starts to fill at `from`. While the ledger is `recovering`, only
+    /// adopted shares can be granted.
+    pub fn new(organisation: OrganisationName, from: Instant, recovering: bool) -> Self {
         Self {
             organisation,
             limit: Share::default(),
@@ -75,6 +88,7 @@
             waiting_requests: 0,
             holders_with_demand: 0,
             overloaded_since: None,
+            adopted: recovering.then(Adopted::default),
             reserve_nano: 0,
             refilled_at: from,
             overallocated: false,
@@ -97,12 +111,20 @@
     }
 
     /// Returns what may still be allocated: within the allocatable maximum, and so that the holders'
-    /// fractions do not add up to more than 1.
+    /// fractions do not add up to more than 1. While the ledger recovers, both are also limited by what was adopted.
     pub fn unallocated(&self) -> Share {
-        let rate_left_ppb = MAX_RATE_FRACTION_PPB.saturating_sub(self.fractions.rate_ppb);
-        let burst_left_ppb = WHOLE_PPB.saturating_sub(self.fractions.burst_ppb);
-        let rate_left = self.allocatable.rate_milli_per_s.saturating_sub(self.allocated.rate_milli_per_s);
-        let burst_left = self.allocatable.burst_milli.saturating_sub(self.allocated.burst_milli);
+        let (mut share_max, mut rate_max_ppb, mut burst_max_ppb) =
+            (self.allocatable, MAX_RATE_FRACTION_PPB, WHOLE_PPB);
+        if let Some(adopted) = self.adopted {
+            share_max.rate_milli_per_s = share_max.rate_milli_per_s.min(adopted.share.rate_milli_per_s);
+            share_max.burst_milli = share_max.burst_milli.min(adopted.share.burst_milli);
+            rate_max_ppb = rate_max_ppb.min(adopted.fractions.rate_ppb);
+            burst_max_ppb = burst_max_ppb.min(adopted.fractions.burst_ppb);
+        }
+        let rate_left_ppb = rate_max_ppb.saturating_sub(self.fractions.rate_ppb);
+        let burst_left_ppb = burst_max_ppb.saturating_sub(self.fractions.burst_ppb);
+        let rate_left = share_max.rate_milli_per_s.saturating_sub(self.allocated.rate_milli_per_s);
+        let burst_left = share_max.burst_milli.saturating_sub(self.allocated.burst_milli);
         Share {
             rate_milli_per_s: rate_left.min(apply_ppb(rate_left_ppb, self.limit.rate_milli_per_s)),
             burst_milli: burst_left.min(apply_ppb(burst_left_ppb, self.limit.burst_milli)),
@@ -132,6 +154,32 @@
         self.refilled_at = self.refilled_at.max(now);
     }
 
+    /// Counts an earlier leader's share as one that may be moved.
+    pub fn adopt(&mut self, share: &Grant) {
+        let Some(adopted) = &mut self.adopted else { return };
+        let fraction = share.fraction();
+        adopted.share.rate_milli_per_s += share.share.rate_milli_per_s;
+        adopted.share.burst_milli += share.share.burst_milli;
+        adopted.fractions.rate_ppb += fraction.rate_ppb;
+        adopted.fractions.burst_ppb += fraction.burst_ppb;
+    }
+
+    fn disown(&mut self, share: &Grant) {
+        let Some(adopted) = &mut self.adopted else { return };
+        let fraction = share.fraction();
+        adopted.share.rate_milli_per_s -= share.share.rate_milli_per_s;
+        adopted.share.burst_milli -= share.share.burst_milli;
+        adopted.fractions.rate_ppb -= fraction.rate_ppb;
+        adopted.fractions.burst_ppb -= fraction.burst_ppb;
+    }
+
+    /// Ends the recovery: no unknown shares exist, so all of the plan can be granted. The reserve gains from the rest
+    /// of the rate from `now` on.
+    pub fn end_recovery(&mut self, now: Instant) {
+        self.refill(now);
+        self.adopted = None;
+    }
+
     /// Returns the tokens in the reserve, in thousandths.
     pub fn reserve_milli(&self) -> u64 {
         self.reserve_nano / NANO_PER_MILLI
@@ -159,6 +207,9 @@
         self.waiting_requests -= holding.waiting_requests;
         self.holders_with_demand -= u64::from(holding.has_demand());
         self.tokens_in_flight_milli -= holding.tokens_in_flight_milli();
+        if let Some(reported) = &holding.reported {
+            self.disown(reported);
+        }
     }
 
     /// Adds a holding to the totals. Called after the holding has changed.
@@ -174,6 +225,9 @@
         self.waiting_requests += holding.waiting_requests;
         self.holders_with_demand += u64::from(holding.has_demand());
         self.tokens_in_flight_milli += holding.tokens_in_flight_milli();
+        if let Some(reported) = &holding.reported {
+            self.adopt(reported);
+        }
     }
 
     /// Adds the tokens that a holder has returned since its last report to the reserve. The first report of a
--- a/crates/cumincart-core/src/control/shares/target.rs
+++ b/crates/cumincart-core/src/control/shares/target.rs
@@ -2,7 +2,9 @@
 //!
 //! A tenth, the floor, is divided equally among the failure domains that have instances in service. The rest
 //! follows demand. Up to half of the rate without demand goes to the holders with demand, and the leader's
-//! reserve keeps the rest. If a plan is too small to be divided among the holders with demand, all of it
+//! reserve keeps the rest. If an instance's part of the floor is less than a token, there is no floor, and nearly
+//! everything goes to the holders with demand: such a plan has few of them, which lend each other tokens also while
+//! no leader answers. If a plan is too small to be divided among the holders with demand, all of it
 //! stays in the reserve, which sends its tokens to instances with waiting requests.
 
 use {
@@ -25,9 +27,12 @@
 /// The part of the rate without demand that is divided among the holders with demand, in thousandths.
 const UNUSED_RATE_SPREAD_PER_MILLE: u64 = 500;
 
+/// The same where the floor is too small to be of use, in thousandths: of the burst and of the rate without demand.
+const LENT_SPREAD_PER_MILLE: u64 = 900;
+
 /// The time for which the burst above the floor may cover the holder's own demand, in milliseconds. Keeps the
 /// first holder with demand from taking the whole burst.
-const BURST_COVER_MS: u64 = 500;
+const BURST_COVER_MS: u64 = 2_000;
 
 /// A share changes only by more than its value divided by this number, so that small fluctuations cause no
 /// grants.
@@ -61,6 +66,11 @@
         let parts = self.domains.max(1) * self.instances_in_domain.max(1);
         total * FLOOR_PER_MILLE / 1_000 / parts
     }
+
+    /// Returns whether the holder's part of the floor is a token at least, so that it can be granted.
+    fn has_usable_floor(&self, quota: &OrganisationQuota) -> bool {
+        self.instance_floor(quota.allocatable.burst_milli) >= TOKEN_MILLI
+    }
 }
 
 /// Returns the next grant for a holder, without its number. Returns none if the share is up to date and no
@@ -81,9 +91,20 @@
     let tokens_milli = whole_tokens(quota.reserve_milli()).min(waiting_requests * TOKEN_MILLI);
     let unserved_requests = waiting_requests - tokens_milli / TOKEN_MILLI;
     let next_token_ms = if unserved_requests == 0 { 0 } else { next_token_ms(quota, tokens_milli, now) };
+    let tokens_milli = tokens_milli + tokens_of_share(quota, holding, share, tokens_milli);
     Some(Grant { share, basis: quota.limit, tokens_milli, next_token_ms, ..Grant::default() })
 }
 
+/// Returns the tokens to send along with a larger burst, besides the `taken_milli` for waiting requests: those for which
+/// the reserve has no room once the burst is granted.
+fn tokens_of_share(quota: &OrganisationQuota, holding: &Holding, share: Share, taken_milli: u64) -> u64 {
+    let raised_milli = share.burst_milli.saturating_sub(holding.confirmed.share.burst_milli);
+    let room_milli =
+        quota.unallocated().burst_milli.saturating_sub(raised_milli + quota.tokens_in_flight_milli);
+    let excess_milli = quota.reserve_milli().saturating_sub(taken_milli + room_milli);
+    whole_tokens(excess_milli.min(raised_milli.saturating_sub(taken_milli)))
+}
+
 fn next_share(
     quota: &OrganisationQuota,
     holding: &Holding,
@@ -124,6 +145,14 @@
 
 fn rate_target(quota: &OrganisationQuota, holding: &Holding, topology: &Topology) -> u64 {
     let total = quota.allocatable.rate_milli_per_s;
+    let demand = holding.demand_milli_per_s;
+    if !topology.has_usable_floor(quota) {
+        if quota.demand_milli_per_s > total {
+            return proportion(total, demand, quota.demand_milli_per_s);
+        }
+        let spread = (total - quota.demand_milli_per_s) * LENT_SPREAD_PER_MILLE / 1_000;
+        return demand + proportion(spread, demand, quota.demand_milli_per_s).min(demand);
+    }
     let floor = topology.instance_floor(total);
     let total_floor = total * FLOOR_PER_MILLE / 1_000;
     let needed = total_floor + quota.excess_demand_milli_per_s;
@@ -136,7 +165,6 @@
             );
     }
     let spread = (total - needed) * UNUSED_RATE_SPREAD_PER_MILLE / 1_000;
-    let demand = holding.demand_milli_per_s;
     let slack = proportion(spread, demand, quota.demand_milli_per_s).min(demand / 2);
     floor.max(demand) + slack
 }
@@ -144,12 +172,16 @@
 /// Returns the burst in whole tokens; at least one token if there is demand.
 fn burst_target(quota: &OrganisationQuota, holding: &Holding, topology: &Topology) -> u64 {
     let total = quota.allocatable.burst_milli;
-    let total_floor = total * FLOOR_PER_MILLE / 1_000;
-    let spread = (total - total_floor) * BURST_SPREAD_PER_MILLE / 1_000;
+    let (floor, spread) = if topology.has_usable_floor(quota) {
+        let total_floor = total * FLOOR_PER_MILLE / 1_000;
+        (topology.instance_floor(total), (total - total_floor) * BURST_SPREAD_PER_MILLE / 1_000)
+    } else {
+        (0, total * LENT_SPREAD_PER_MILLE / 1_000)
+    };
     let demand = holding.demand_milli_per_s;
     let coverable_milli = demand * BURST_COVER_MS / 1_000;
     let beyond_floor = proportion(spread, demand, quota.demand_milli_per_s).min(coverable_milli);
-    let target = whole_tokens(topology.instance_floor(total) + beyond_floor);
+    let target = whole_tokens(floor + beyond_floor);
     if demand > 0 { target.max(TOKEN_MILLI) } else { target }
 }
 
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -39,6 +39,8 @@
     pub leaving: bool,
     /// The election term of the leader whose grants are in force.
     grants_term: ControlTerm,
+    /// The term that the last heartbeat reported.
+    reported_term: ControlTerm,
     /// When the latest heartbeat that a leader of that term answered was sent.
     acknowledged_at: Option<Instant>,
     /// Since when every heartbeat carries a full report; none while heartbeats carry only changes.
@@ -60,7 +62,8 @@
     if !is_recent && !core.freshness.holds_term_lease(now) {
         return true;
     }
-    if core.membership.needs_full_report && !is_recent {
+    let is_new_term = core.membership.grants_term > core.membership.reported_term;
+    if (core.membership.needs_full_report || is_new_term) && !is_recent {
         return true;
     }
     if is_recent {
@@ -104,6 +107,7 @@
 ) -> Heartbeat {
     core.membership.last_sent_at = Some(now);
     core.membership.last_revision = core.freshness.revision();
+    core.membership.reported_term = core.membership.grants_term;
     if core.membership.leaving {
         quota::drop_all(&mut core.quota, now);
         permits::drop_all(&mut core.permits);
@@ -118,6 +122,7 @@
         revision: core.freshness.revision(),
         leaving: core.membership.leaving,
         complete: acknowledged_until.is_none(),
+        grants_term: Some(core.membership.grants_term),
         instances_digest: instances::digest(&core.freshness.instances),
         endpoints,
         shares: quota::report(&mut core.quota, now, acknowledged_until),
--- a/crates/cumincart-core/src/entry/quota.rs
+++ b/crates/cumincart-core/src/entry/quota.rs
@@ -54,6 +54,17 @@
     },
 }
 
+/// Why a request got no token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// This instance holds no lease on the lists and shares.
+    NoLease,
+    /// The organisation asks for more than its plan allows over all instances.
+    OverLimit,
+    /// The organisation is within its plan as far as is known, but no token has come to this instance in time.
+    NoToken,
+}
+
 /// Requests one token for a request that must start before `deadline`.
 pub fn acquire(
     quota: &mut Quota,
@@ -82,9 +93,9 @@
         return QuotaDecision::Refused { retry_after_ms: HEARTBEAT_INTERVAL_MS };
     };
     let bucket = quota.buckets.get_or_insert_with(organisation, || Bucket::new(organisation.clone(), now));
-    bucket.demand.record_arrival(now);
+    bucket.record_arrival(now, priority);
     bucket.refill(now);
-    if bucket.waiting.is_empty() && bucket.take_token() {
+    if bucket.position_of(priority) == 0 && bucket.take_token_for(priority) {
         return QuotaDecision::Admitted;
     }
     let wait_until = deadline.min(now + Duration::from_millis(QUOTA_WAIT_MS));
@@ -114,6 +125,38 @@
     out
 }
 
+/// Returns why a request of an organisation that was refused now got no token.
+pub fn refusal_cause(quota: &Quota, now: Instant, organisation: &OrganisationName) -> RefusalCause {
+    if now >= quota.lease_until {
+        return RefusalCause::NoLease;
+    }
+    let plan = plan_limit(&quota.index, organisation).unwrap_or_default();
+    match quota.buckets.get(organisation) {
+        Some(bucket) if bucket.is_over_limit(now) => RefusalCause::OverLimit,
+        Some(bucket) if bucket.demand.last_average() > plan.rate_milli_per_s => RefusalCause::OverLimit,
+        _ => RefusalCause::NoToken,
+    }
+}
+
+/// Takes one token of this instance's own share for a request at another instance that has none. Returns `false`
+/// if this instance needs its tokens itself, or holds no lease.
+pub fn lend(quota: &mut Quota, now: Instant, organisation: &OrganisationName) -> bool {
+    let leased = now < quota.lease_until && plan_limit(&quota.index, organisation).is_some();
+    leased && quota.buckets.get_mut(organisation).is_some_and(|bucket| bucket.lend_token(now))
+}
+
+/// Whether other instances may have a token to lend for a waiting request of an organisation.
+pub fn may_borrow(quota: &Quota, now: Instant, organisation: &OrganisationName) -> bool {
+    now < quota.lease_until && quota.buckets.get(organisation).is_some_and(|bucket| bucket.may_borrow(now))
+}
+
+/// Records that no other instance has a token of an organisation to lend.
+pub fn on_no_loan(quota: &mut Quota, now: Instant, organisation: &OrganisationName) {
+    if let Some(bucket) = quota.buckets.get_mut(organisation) {
+        bucket.on_no_loan(now);
+    }
+}
+
 /// Removes a waiting request that was cancelled.
 pub fn cancel(quota: &mut Quota, ticket: Ticket) {
     for bucket in quota.buckets.iter_mut() {
--- a/crates/cumincart-core/src/entry/quota/bucket.rs
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -34,6 +34,29 @@
 /// make up most reports.
 const SMALL_DEMAND_MILLI_PER_S: u64 = 1_000;
 
+/// The time for which a bucket keeps tokens for its own demand when it lends to other instances, in milliseconds. More
+/// would leave tokens of a small plan unused at every holder.
+const LENDER_COVER_MS: u64 = 100;
+
+/// The time for which a full bucket keeps tokens for its own demand when it returns tokens to the leader, in
+/// milliseconds. Covers the time without a leader that an election usually takes.
+const KEPT_COVER_MS: u64 = 1_500;
+
+/// How long no token is borrowed after every lender has refused, in milliseconds. Bounds the messages of an
+/// organisation that has no token anywhere.
+const BORROW_PAUSE_MS: u64 = 100;
+
+/// The time for which tokens are kept back for the demand of higher priorities while demand exceeds the share, in
+/// milliseconds. About the time that a request may wait for a token.
+const PRIORITY_COVER_MS: u64 = 300;
+
+/// The arrivals of one priority.
+#[derive(Debug)]
+struct PriorityDemand {
+    priority: u32,
+    demand: Demand,
+}
+
 /// A request that waits for a token.
 #[derive(Debug)]
 pub struct Waiter {
@@ -76,8 +99,14 @@
     returned_milli: u64,
     /// The earliest time at which the leader's reserve may have a token for this instance.
     reserve_available_at: Instant,
+    /// The time until which the leader expects no token for this organisation at any instance.
+    over_limit_until: Instant,
+    /// The earliest time at which other instances may have a token to lend.
+    lenders_available_at: Instant,
     /// The rate of arrivals.
     pub demand: Demand,
+    /// The rate of arrivals of each priority, sorted by priority.
+    priorities: Vec<PriorityDemand>,
     last_report: Option<Reported>,
     /// The waiting requests, by priority and then in order of arrival.
     pub waiting: VecDeque<Waiter>,
@@ -106,7 +135,10 @@
             refilled_at: now,
             returned_milli: 0,
             reserve_available_at: now,
+            over_limit_until: now,
+            lenders_available_at: now,
             demand: Demand::new(now),
+            priorities: Vec::new(),
             last_report: None,
             waiting: VecDeque::new(),
         }
@@ -120,8 +152,38 @@
         self.refilled_at = self.refilled_at.max(now);
     }
 
+    /// Counts the arrival of a request.
+    pub fn record_arrival(&mut self, now: Instant, priority: u32) {
+        self.demand.record_arrival(now);
+        let position = match self.priorities.binary_search_by_key(&priority, |entry| entry.priority) {
+            Ok(position) => position,
+            Err(position) => {
+                self.priorities.insert(position, PriorityDemand { priority, demand: Demand::new(now) });
+                position
+            }
+        };
+        self.priorities[position].demand.record_arrival(now);
+    }
+
+    /// Takes one token for a request of this priority, if there is one that isn't kept back for a higher priority.
+    pub fn take_token_for(&mut self, priority: u32) -> bool {
+        self.tokens_nano >= TOKEN_NANO + self.kept_back_nano(priority) && self.take_token()
+    }
+
+    /// Returns the tokens that are kept back from a priority for the demand of higher ones, in billionths; none while
+    /// this instance's share suffices for all its demand.
+    fn kept_back_nano(&self, priority: u32) -> u64 {
+        if self.demand.last_average() <= self.share.rate_milli_per_s {
+            return 0;
+        }
+        let higher = self.priorities.iter().take_while(|entry| entry.priority < priority);
+        let milli_per_s: u64 = higher.map(|entry| entry.demand.last_average()).sum();
+        let most = (self.capacity_nano() / 2).min(self.capacity_nano().saturating_sub(TOKEN_NANO));
+        (milli_per_s.saturating_mul(PRIORITY_COVER_MS) / 1_000 * NANO_PER_MILLI).min(most)
+    }
+
     /// Takes one token if there is one.
-    pub fn take_token(&mut self) -> bool {
+    fn take_token(&mut self) -> bool {
         if self.tokens_nano < TOKEN_NANO {
             return false;
         }
@@ -129,6 +191,34 @@
         true
     }
 
+    /// Takes one token for another instance, if enough are left for this instance's own requests.
+    pub fn lend_token(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        let kept_nano = self.demand_nano(LENDER_COVER_MS);
+        self.waiting.is_empty() && self.tokens_nano >= TOKEN_NANO + kept_nano && self.take_token()
+    }
+
+    /// Whether other instances may have a token to lend for a request that finds none here.
+    pub fn may_borrow(&self, now: Instant) -> bool {
+        now >= self.lenders_available_at && !self.is_over_limit(now)
+    }
+
+    /// Records that no other instance has a token to lend.
+    pub fn on_no_loan(&mut self, now: Instant) {
+        self.lenders_available_at = now + Duration::from_millis(BORROW_PAUSE_MS);
+    }
+
+    /// Whether the leader expects no token for this organisation at any instance within the time that a request may
+    /// wait, because the organisation's demand exceeds its limit.
+    pub fn is_over_limit(&self, now: Instant) -> bool {
+        now < self.over_limit_until
+    }
+
+    /// Returns the tokens that this instance's own demand uses in a time, in billionths.
+    fn demand_nano(&self, cover_ms: u64) -> u64 {
+        self.demand.last_average().saturating_mul(cover_ms) / 1_000 * NANO_PER_MILLI
+    }
+
     /// Returns the level in thousandths of a token, rounded down.
     pub fn tokens_milli(&self) -> u64 {
         self.tokens_nano / NANO_PER_MILLI
@@ -222,6 +312,8 @@
         self.must_report = true;
         self.grant_number = grant.grant_number;
         self.reserve_available_at = now + Duration::from_millis(grant.next_token_ms);
+        self.over_limit_until =
+            if grant.next_token_ms > QUOTA_WAIT_MS { self.reserve_available_at } else { now };
         self.lowered = is_lower(grant.share, self.granted);
         self.granted = grant.share;
         self.basis = grant.basis;
@@ -261,6 +353,7 @@
         self.tokens_nano = 0;
         self.refilled_at = self.refilled_at.max(now);
         self.reserve_available_at = now;
+        self.over_limit_until = now;
         self.must_report = true;
     }
 
@@ -268,6 +361,9 @@
     /// one whose last report the leader has acknowledged and that has not changed since.
     pub fn report(&mut self, now: Instant, acknowledged_until: Option<Instant>) -> Option<ShareReport> {
         let demand_milli_per_s = self.demand.average(now);
+        for entry in &mut self.priorities {
+            entry.demand.average(now);
+        }
         let has_no_demand = demand_milli_per_s == 0 && self.last_demand_milli_per_s() == 0;
         let idle = has_no_demand && self.waiting.is_empty() && self.granted == Share::default();
         if idle && !self.must_report {
@@ -277,7 +373,9 @@
         if !self.must_report && self.is_known(&report, acknowledged_until) {
             return None;
         }
-        self.return_idle_tokens(now);
+        if acknowledged_until.is_some() {
+            self.return_idle_tokens(now);
+        }
         let report = ShareReport { returned_milli: self.returned_milli, ..report };
         self.must_report = false;
         self.lowered = false;
@@ -320,7 +418,8 @@
 
     fn admit_waiting(&mut self, now: Instant, out: &mut Vec<(Ticket, QuotaDecision)>) {
         while let Some(first) = self.waiting.front() {
-            if first.until <= now || self.tokens_nano < TOKEN_NANO {
+            let kept_back_nano = self.kept_back_nano(first.priority);
+            if first.until <= now || self.tokens_nano < TOKEN_NANO + kept_back_nano {
                 return;
             }
             out.push((first.ticket, QuotaDecision::Admitted));
@@ -329,12 +428,15 @@
         }
     }
 
-    /// Returns the upper half of a full bucket to the leader, because other instances may need it more.
+    /// Returns the upper half of a full bucket to the leader, because other instances may need it more, except for
+    /// what this instance's own demand needs. Not called while no leader answers, since a new one doesn't count what
+    /// was returned before its first report.
     fn return_idle_tokens(&mut self, now: Instant) {
         self.refill(now);
         let half_nano = self.capacity_nano() / 2;
         if self.waiting.is_empty() && self.tokens_nano >= self.capacity_nano() - TOKEN_NANO.min(half_nano) {
-            let surplus_milli = (self.tokens_nano - half_nano) / NANO_PER_MILLI;
+            let kept_nano = half_nano.max(self.demand_nano(KEPT_COVER_MS)).min(self.tokens_nano);
+            let surplus_milli = (self.tokens_nano - kept_nano) / NANO_PER_MILLI;
             self.tokens_nano -= surplus_milli * NANO_PER_MILLI;
             self.returned_milli += surplus_milli;
         }
--- a/crates/cumincart-core/src/entry/quota/demand.rs
+++ b/crates/cumincart-core/src/entry/quota/demand.rs
@@ -37,6 +37,11 @@
         self.arrivals += 1;
     }
 
+    /// Returns the average at the last update, in thousandths of a request per second.
+    pub fn last_average(&self) -> u64 {
+        self.milli_per_s
+    }
+
     /// Updates the average and returns it, in thousandths of a request per second.
     pub fn average(&mut self, now: Instant) -> u64 {
         let interval_ms = millis_between(self.counted_from, now);
--- a/crates/cumincart-core/src/interactive/ownership.rs
+++ b/crates/cumincart-core/src/interactive/ownership.rs
@@ -8,7 +8,7 @@
 use cumincart_protocol::{
     catalogue::EndpointEntry,
     fnv::Fnv,
-    heartbeat::InstanceEntry,
+    heartbeat::{InstanceEntry, Share},
     name::{DomainName, EndpointName, InstanceName, OrganisationName},
     sorted::SortedVec,
 };
@@ -42,6 +42,25 @@
     if near.is_empty() { instances.iter().collect() } else { near }
 }
 
+/// The number of instances per failure domain from which on medium plans have token owners too.
+const MANY_INSTANCES_PER_DOMAIN: usize = 4;
+
+/// How many times the smallest useful share an instance must get of a plan without token owners, where there are many
+/// instances: with less, each holds only a few tokens, and while the control leader can't move them, some instances
+/// refuse while others have tokens left.
+const AMPLE_SHARES: u64 = 4;
+
+/// Returns whether an organisation's rate is too small to be split over all instances, so that one instance of each
+/// failure domain holds it.
+pub fn has_token_owners(instances: &SortedVec<InstanceEntry>, limit: Share) -> bool {
+    let count = instances.len() as u64;
+    if !limit.is_divisible_among(count) {
+        return true;
+    }
+    instances.len() >= MANY_INSTANCES_PER_DOMAIN * domains_of(instances).len()
+        && !limit.is_divisible_among(count * AMPLE_SHARES)
+}
+
 /// Returns the instances that hold a failure domain's share of a small organisation's rate, in order of preference.
 ///
 /// Split over all instances, the share of each would be less than one token: every operation would have to ask the
@@ -54,6 +73,24 @@
     rank(in_domain(instances, domain), OWNERS_MAX, "tokens", organisation.as_str())
 }
 
+/// Returns the instances that may lend a token of a small organisation's rate to a failure domain whose own share has
+/// none: the first token owner of each other domain. They start with the domain that follows in the order of names, so
+/// that the domains don't all ask the same one first.
+pub fn token_lenders<'a>(
+    instances: &'a SortedVec<InstanceEntry>,
+    domain: &DomainName,
+    organisation: &OrganisationName,
+) -> Vec<&'a InstanceEntry> {
+    let mut domains = domains_of(instances);
+    let next = domains.partition_point(|other| *other <= domain);
+    domains.rotate_left(next);
+    domains
+        .into_iter()
+        .filter(|other| *other != domain)
+        .filter_map(|other| token_owners(instances, other, organisation).into_iter().next())
+        .collect()
+}
+
 /// Returns whether an instance is one of the observers in its failure domain that periodically confirm to the control
 /// leader that an endpoint answers.
 ///
@@ -68,6 +105,13 @@
     observers.iter().any(|observer| observer.name == *instance)
 }
 
+fn domains_of(instances: &SortedVec<InstanceEntry>) -> Vec<&DomainName> {
+    let mut domains: Vec<&DomainName> = instances.iter().map(|instance| &instance.domain).collect();
+    domains.sort();
+    domains.dedup();
+    domains
+}
+
 fn in_domain<'a>(instances: &'a SortedVec<InstanceEntry>, domain: &DomainName) -> Vec<&'a InstanceEntry> {
     instances.iter().filter(|instance| instance.domain == *domain).collect()
 }
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -79,6 +79,7 @@
             revision,
             leaving: false,
             complete,
+            grants_term: None,
             instances_digest: 0,
             endpoints: Vec::new(),
             shares: Vec::new(),
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -65,6 +65,7 @@
         revision,
         leaving: false,
         complete: true,
+        grants_term: None,
         instances_digest: 0,
         endpoints: Vec::new(),
         shares: Vec::new(),
--- a/crates/cumincart-core/tests/limits_faults.rs
+++ b/crates/cumincart-core/tests/limits_faults.rs
@@ -149,13 +149,23 @@
 
 #[test]
 fn no_schedule_of_faults_admits_more_than_the_plan() {
+    check_schedules_of_faults(7, false);
+}
+
+#[test]
+fn no_schedule_of_faults_admits_more_than_the_plan_after_recoveries_that_end_early() {
+    check_schedules_of_faults(9, true);
+}
+
+fn check_schedules_of_faults(seed_byte: u8, recovers_when_reported: bool) {
     let config = Config { cases: 48, failure_persistence: None, ..Config::default() };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed_byte; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let schedules = (any::<u8>(), vec((event(), 20_u64..1_500), 5..25));
     runner
         .run(&schedules, |(seed, schedule)| {
             let mut scenario = Scenario::new(u64::from(seed));
+            scenario.fleet.recovers_when_reported = recovers_when_reported;
             for (event, pause_ms) in schedule {
                 scenario.apply_event(event);
                 scenario.run_ms(pause_ms);
--- a/crates/cumincart-core/tests/limits_support/fleet.rs
+++ b/crates/cumincart-core/tests/limits_support/fleet.rs
@@ -7,13 +7,14 @@
         entry::{
             Core, Settings, Ticket, membership,
             permits::ConnectionUse,
-            quota::{self, QuotaDecision},
+            quota::{self, QuotaDecision, RefusalCause},
         },
+        interactive::ownership,
         timing::{CLOCK_DRIFT_PER_MILLE, FRESHNESS_LEASE_MS, TERM_LEASE_MS},
     },
     cumincart_protocol::{
         catalogue::Catalogue,
-        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, Share},
+        heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry, Share},
         lists::{Lists, Organisation, Plan},
         name::{DomainName, InstanceName, OrganisationName},
         number::{ControlTerm, Incarnation},
@@ -22,7 +23,7 @@
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha20Rng,
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 const OVER_LIMIT: &str = "the fleet admitted more than burst + rate × length";
@@ -33,6 +34,9 @@
 /// The deadline of each request after it is sent, in milliseconds.
 pub const DEADLINE_MS: u64 = 2_000;
 
+/// The time that a request for a loan takes, there and back between regions, in microseconds.
+const LOAN_ROUND_TRIP_US: u64 = 26_000;
+
 /// A clock with an offset and a speed that may differ from true time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Clock {
@@ -82,6 +86,8 @@
     /// The connections open and wanted, by endpoint.
     pub connections: SortedVec<ConnectionUse>,
     pub counts: Counts,
+    /// The numbers of requests of each priority; refusals and waits aren't counted here.
+    pub priorities: BTreeMap<u32, Counts>,
 }
 
 #[derive(Debug)]
@@ -90,6 +96,13 @@
     organisation_index: usize,
     sent_us: u64,
     within_limit: bool,
+    priority: u32,
+    /// Whether the request is in the queue for a token of the own share.
+    queued: bool,
+    /// The position of the lender to ask next, and when.
+    next_lender: usize,
+    next_loan_us: u64,
+    until_us: u64,
 }
 
 /// The numbers of requests by outcome.
@@ -98,6 +111,8 @@
     pub admitted: u64,
     pub refused: u64,
     pub sent: u64,
+    /// The number of requests that were admitted without a wait.
+    pub at_once: u64,
     /// The total time that admitted requests waited for a token, in microseconds.
     pub waited_us: u64,
 }
@@ -107,6 +122,8 @@
     pub permits: permit_ledger::Ledger,
     pub control_term: ControlTerm,
     pub clock: Clock,
+    /// The instances that have adopted this leader.
+    reported: Vec<usize>,
 }
 
 pub struct Fleet {
@@ -125,6 +142,14 @@
     pub ideal_buckets: Vec<LimitBucket>,
     /// The number of requests of each organisation that were refused although its ideal bucket had a token.
     pub wrongly_refused: Vec<u64>,
+    /// The number of refused requests of each organisation.
+    pub refused: Vec<u64>,
+    /// The number of refused requests by cause: no lease, over the limit, no token.
+    pub refused_by_cause: [u64; 3],
+    /// The instances, if they lend each other tokens of plans that are too small to be split over all of them.
+    pub lending: Option<SortedVec<InstanceEntry>>,
+    /// Whether a leader ends its recovery once every instance alive has adopted it.
+    pub recovers_when_reported: bool,
     /// The retry delay given with the last refusal.
     pub last_retry_after_ms: Option<u64>,
     pub random: ChaCha20Rng,
@@ -187,6 +212,10 @@
             limits_pending: false,
             ideal_buckets: Vec::new(),
             wrongly_refused: vec![0; limits.len()],
+            refused: vec![0; limits.len()],
+            refused_by_cause: [0; 3],
+            lending: None,
+            recovers_when_reported: false,
             last_retry_after_ms: None,
             random: ChaCha20Rng::seed_from_u64(seed),
             bytes_to_leader: 0,
@@ -224,6 +253,7 @@
             waiting: Vec::new(),
             connections: SortedVec::new(),
             counts: Counts::default(),
+            priorities: BTreeMap::new(),
         });
         self.nodes.len() - 1
     }
@@ -245,6 +275,7 @@
             permits: permit_ledger::Ledger::default(),
             control_term,
             clock,
+            reported: Vec::new(),
         };
         let now = clock.at(self.now_us);
         share_ledger::on_elected(&mut leader.shares, now, control_term);
@@ -283,39 +314,144 @@
 
     /// Sends one request of an organisation to an instance.
     pub fn request(&mut self, node: usize, organisation_index: usize) {
+        self.request_within(node, organisation_index, DEADLINE_MS);
+    }
+
+    /// Sends one request of an organisation to an instance, which must start within `deadline_ms`.
+    pub fn request_within(&mut self, node: usize, organisation_index: usize, deadline_ms: u64) {
+        self.request_with_priority(node, organisation_index, deadline_ms, 0);
+    }
+
+    /// Sends one request of a priority to an instance, which must start within `deadline_ms`.
+    pub fn request_with_priority(
+        &mut self,
+        index: usize,
+        organisation_index: usize,
+        deadline_ms: u64,
+        priority: u32,
+    ) {
         let now_us = self.now_us;
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        let node = &mut self.nodes[node];
+        let node = &mut self.nodes[index];
         if !node.alive {
             return;
         }
         node.counts.sent += 1;
+        node.priorities.entry(priority).or_default().sent += 1;
         let within_limit = self.ideal_buckets[organisation_index].try_admit(now_us);
         let now = node.clock.at(now_us);
-        let deadline = now + Duration::from_millis(DEADLINE_MS);
+        let deadline = now + Duration::from_millis(deadline_ms);
         let name = organisation(organisation_index);
-        match quota::acquire(&mut node.core.quota, now, &name, ticket, deadline) {
+        let mut request = WaitingRequest {
+            ticket,
+            organisation_index,
+            sent_us: now_us,
+            within_limit,
+            priority,
+            queued: true,
+            next_lender: 0,
+            next_loan_us: now_us + LOAN_ROUND_TRIP_US,
+            until_us: now_us + deadline_ms * 1_000,
+        };
+        match quota::acquire_with_priority(&mut node.core.quota, now, &name, ticket, deadline, priority) {
             QuotaDecision::Admitted => {
                 node.counts.admitted += 1;
+                let counts = node.priorities.entry(priority).or_default();
+                counts.admitted += 1;
+                counts.at_once += 1;
                 self.limit_buckets[organisation_index].admit(now_us);
             }
-            QuotaDecision::Waiting => {
-                node.waiting.push(WaitingRequest {
-                    ticket,
-                    organisation_index,
-                    sent_us: now_us,
-                    within_limit,
-                });
-            }
+            QuotaDecision::Waiting => node.waiting.push(request),
             QuotaDecision::Refused { retry_after_ms } => {
                 self.last_retry_after_ms = Some(retry_after_ms);
-                node.counts.refused += 1;
-                self.wrongly_refused[organisation_index] += u64::from(within_limit);
+                if self.lending.is_some() && quota::may_borrow(&node.core.quota, now, &name) {
+                    request.queued = false;
+                    node.waiting.push(request);
+                } else {
+                    self.refuse(index, organisation_index, within_limit);
+                }
             }
         }
     }
 
+    fn refuse(&mut self, index: usize, organisation_index: usize, within_limit: bool) {
+        let node = &mut self.nodes[index];
+        node.counts.refused += 1;
+        self.refused[organisation_index] += 1;
+        self.wrongly_refused[organisation_index] += u64::from(within_limit);
+        let now = node.clock.at(self.now_us);
+        let cause = quota::refusal_cause(&node.core.quota, now, &organisation(organisation_index));
+        let position = match cause {
+            RefusalCause::NoLease => 0,
+            RefusalCause::OverLimit => 1,
+            RefusalCause::NoToken => 2,
+        };
+        self.refused_by_cause[position] += 1;
+    }
+
+    /// Asks lenders for a token for each request that waits at an instance, one after the other.
+    fn borrow(&mut self, index: usize) {
+        let Some(instances) = self.lending.clone() else { return };
+        let due = |request: &WaitingRequest| {
+            request.next_loan_us <= self.now_us || (!request.queued && request.until_us <= self.now_us)
+        };
+        let tickets: Vec<Ticket> = self.nodes[index]
+            .waiting
+            .iter()
+            .filter(|request| due(request))
+            .map(|request| request.ticket)
+            .collect();
+        for ticket in tickets {
+            self.borrow_for(index, ticket, &instances);
+        }
+    }
+
+    fn borrow_for(&mut self, index: usize, ticket: Ticket, instances: &SortedVec<InstanceEntry>) {
+        let now_us = self.now_us;
+        let node = &mut self.nodes[index];
+        let now = node.clock.at(now_us);
+        let position = node.waiting.iter().position(|request| request.ticket == ticket);
+        let position = position.expect("the request waits");
+        let request = &mut node.waiting[position];
+        let organisation_index = request.organisation_index;
+        let name = organisation(organisation_index);
+        let (rate, burst) = self.limits[organisation_index];
+        let plan = Share { rate_milli_per_s: (rate * 1_000.0) as u64, burst_milli: u64::from(burst) * 1_000 };
+        let lenders = ownership::token_lenders(instances, &node.core.settings.domain, &name);
+        let is_small = ownership::has_token_owners(instances, plan);
+        let may_borrow =
+            is_small && request.until_us > now_us && quota::may_borrow(&node.core.quota, now, &name);
+        if let Some(lender) = lenders.get(request.next_lender).filter(|_| may_borrow) {
+            request.next_lender += 1;
+            request.next_loan_us = now_us + LOAN_ROUND_TRIP_US;
+            let is_cut_off = node.partitioned;
+            let is_reachable = |other: &Node| other.alive && other.partitioned == is_cut_off;
+            let found = self.nodes.iter_mut().find(|other| other.core.settings.instance == lender.name);
+            let lent = found.filter(|other| is_reachable(other)).is_some_and(|other| {
+                let now = other.clock.at(now_us);
+                quota::lend(&mut other.core.quota, now, &name)
+            });
+            if lent {
+                let node = &mut self.nodes[index];
+                let request = node.waiting.swap_remove(position);
+                quota::cancel(&mut node.core.quota, ticket);
+                node.counts.admitted += 1;
+                node.counts.waited_us += now_us - request.sent_us;
+                self.limit_buckets[organisation_index].admit(now_us);
+            }
+            return;
+        }
+        if may_borrow {
+            quota::on_no_loan(&mut node.core.quota, now, &name);
+        }
+        request.next_loan_us = u64::MAX;
+        if !request.queued {
+            let request = node.waiting.swap_remove(position);
+            self.refuse(index, organisation_index, request.within_limit);
+        }
+    }
+
     /// Advances true time by one step: delivers messages, releases waiting requests, sends heartbeats and
     /// checks the invariants.
     pub fn step(&mut self) {
@@ -323,6 +459,7 @@
         self.deliver();
         for index in 0..self.nodes.len() {
             self.release(index);
+            self.borrow(index);
             self.send_heartbeat(index);
         }
         self.apply_pending_limits();
@@ -337,6 +474,11 @@
         }
     }
 
+    /// Ends the leader without a successor.
+    pub fn silence_leader(&mut self) -> Option<Leader> {
+        self.leader.take()
+    }
+
     /// Returns the counts of all instances together.
     pub fn counts(&self) -> Counts {
         let mut sum = Counts::default();
@@ -356,6 +498,7 @@
             return;
         }
         let now = node.clock.at(now_us);
+        let mut refused = Vec::new();
         for (ticket, decision) in quota::take_decisions(&mut node.core.quota, now) {
             let position = node.waiting.iter().position(|waiting| waiting.ticket == ticket);
             let request = node.waiting.swap_remove(position.expect("only waiting requests are released"));
@@ -363,16 +506,19 @@
                 QuotaDecision::Admitted => {
                     node.counts.admitted += 1;
                     node.counts.waited_us += now_us - request.sent_us;
+                    node.priorities.entry(request.priority).or_default().admitted += 1;
                     self.limit_buckets[request.organisation_index].admit(now_us);
                 }
                 QuotaDecision::Refused { retry_after_ms } => {
                     self.last_retry_after_ms = Some(retry_after_ms);
-                    node.counts.refused += 1;
-                    self.wrongly_refused[request.organisation_index] += u64::from(request.within_limit);
+                    refused.push(request);
                 }
                 QuotaDecision::Waiting => panic!("a released request is still waiting"),
             }
         }
+        for request in refused {
+            self.refuse(index, request.organisation_index, request.within_limit);
+        }
     }
 
     fn send_heartbeat(&mut self, index: usize) {
@@ -424,6 +570,21 @@
         let shares = share_ledger::on_heartbeat(&mut leader.shares, now, &self.catalogue, heartbeat);
         let permits = permit_ledger::on_heartbeat(&mut leader.permits, now, &self.catalogue, heartbeat);
         self.leader_time += started.elapsed();
+        if self.recovers_when_reported
+            && heartbeat.grants_term == Some(leader.control_term)
+            && !leader.reported.contains(&from)
+        {
+            leader.reported.push(from);
+            if self
+                .nodes
+                .iter()
+                .enumerate()
+                .all(|(index, node)| !node.alive || leader.reported.contains(&index))
+            {
+                share_ledger::end_lease_recovery(&mut leader.shares, now);
+                permit_ledger::end_lease_recovery(&mut leader.permits, now);
+            }
+        }
         let current = heartbeat.revision == self.catalogue.revision;
         let update =
             if current { CatalogueUpdate::None } else { CatalogueUpdate::Snapshot(self.catalogue.clone()) };
@@ -476,7 +637,7 @@
     /// Checks that the ledger's totals are right, that all shares in force are within the plan, that all
     /// tokens held are within what a single bucket with the whole plan holds now, and that no more was
     /// admitted than that bucket allows.
-    fn check_invariants(&mut self) {
+    pub fn check_invariants(&mut self) {
         if let Some(leader) = &self.leader {
             assert_eq!(share_ledger::find_violations(&leader.shares), Vec::new(), "at {} us", self.now_us);
         }
--- a/crates/cumincart-core/tests/malformed_peers.rs
+++ b/crates/cumincart-core/tests/malformed_peers.rs
@@ -101,6 +101,7 @@
                     revision: Revision(revision),
                     leaving: flags.0,
                     complete: flags.1,
+                    grants_term: None,
                     instances_digest,
                     endpoints: vec![EndpointReport {
                         endpoint: "pbx-1".into(),
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -771,6 +771,7 @@
             revision: node.catalogue.revision,
             leaving: false,
             complete: true,
+            grants_term: None,
             instances_digest: 0,
             endpoints: std::mem::take(&mut node.endpoint_reports),
             shares: Vec::new(),
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -150,6 +150,7 @@
         revision: Revision(1),
         leaving: false,
         complete: true,
+        grants_term: None,
         instances_digest: 0,
         endpoints: Vec::new(),
         shares: Vec::new(),
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -58,6 +58,10 @@
     /// Whether `shares` and `permits` list everything the sender holds, not only what has changed.
     #[serde(rename = "c", default, skip_serializing_if = "is_false")]
     pub complete: bool,
+    /// The election term of the leader whose grants are in force at the sender; no grant of an earlier one can apply any
+    /// more. Absent if the sender doesn't report it.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub grants_term: Option<ControlTerm>,
     /// The digest of the sender's list of entry instances; see [`crate::instances::digest`].
     #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
     pub instances_digest: u64,
--- a/crates/cumincart-protocol/src/token.rs
+++ b/crates/cumincart-protocol/src/token.rs
@@ -18,6 +18,17 @@
     /// The time within which the token must arrive, in milliseconds. Later, the sender no longer waits for it.
     #[serde(rename = "b")]
     pub within_ms: u64,
+    /// Whether the token is borrowed for another failure domain: the receiver gives one that it doesn't need itself, at
+    /// once or not at all.
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub loan: bool,
+    /// Whether the sender understands [`TokenAnswer::OverLimit`].
+    #[serde(rename = "e", default, skip_serializing_if = "is_false")]
+    pub explains: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// The answer to a [`TokenRequest`].
@@ -29,6 +40,9 @@
     /// No token became available in time.
     #[serde(rename = "r")]
     Refused,
+    /// No token became available in time, since the organisation asks for more than its plan allows over all instances.
+    #[serde(rename = "o")]
+    OverLimit,
     /// The receiver is stopping or holds no lease on shares; another instance may be able to answer.
     #[serde(rename = "n")]
     NotServed,
--- a/crates/cumincart-session/src/metrics.rs
+++ b/crates/cumincart-session/src/metrics.rs
@@ -69,6 +69,42 @@
     Lost,
 }
 
+/// The labels of an operation that got no token of its organisation's rate.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TokenRefusalLabels {
+    /// Why there was no token.
+    pub cause: TokenRefusal,
+}
+
+/// Why an operation got no token of its organisation's rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum TokenRefusal {
+    /// The organisation asks for more than its plan allows over all instances.
+    OverLimit,
+    /// The organisation is within its plan as far as is known, but no token came in time.
+    NoToken,
+    /// The instances that hold the tokens did not answer or had no lease, and this one had none.
+    HolderUnreachable,
+    /// This instance holds no lease on the lists and shares.
+    NoLease,
+}
+
+/// The labels of a token that was borrowed from another failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LoanLabels {
+    /// Whether a token was lent.
+    pub lent: Lent,
+}
+
+/// Whether an instance of another failure domain lent a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Lent {
+    /// One was lent.
+    Yes,
+    /// None had a token to spare.
+    No,
+}
+
 /// The metrics of one engine.
 #[derive(Debug)]
 pub struct Metrics {
@@ -85,6 +121,10 @@
     pub reads_on_replica: Counter,
     /// Reads and read-only transactions that an endpoint refused because its log had not reached the required point.
     pub lagging: Counter,
+    /// Operations that got no token of their organisation's rate.
+    pub token_refusals: Family<TokenRefusalLabels, Counter>,
+    /// Requests to other failure domains for a token.
+    pub token_loans: Family<LoanLabels, Counter>,
     /// Messages of clients that can't be read.
     pub malformed: Counter,
     /// Time from a statement's arrival to its answer, in seconds.
@@ -106,6 +146,8 @@
         let reads_on_primary = Counter::default();
         let reads_on_replica = Counter::default();
         let lagging = Counter::default();
+        let token_refusals = Family::default();
+        let token_loans = Family::default();
         let malformed = Counter::default();
         let latency = Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
         registry.register("statements", "Finished statements", statements.clone());
@@ -118,6 +160,12 @@
         registry.register("reads_on_primary", "Stale-tolerant reads on primaries", reads_on_primary.clone());
         registry.register("reads_on_replica", "Reads on replicas", reads_on_replica.clone());
         registry.register("lagging", "Reads that a replica was too far behind for", lagging.clone());
+        registry.register(
+            "token_refusals",
+            "Operations without a token of their organisation's rate",
+            token_refusals.clone(),
+        );
+        registry.register("token_loans", "Tokens asked of other failure domains", token_loans.clone());
         registry.register("malformed", "Messages of clients that can't be read", malformed.clone());
         registry.register("latency_seconds", "Time from arrival to answer", latency.clone());
         Self {
@@ -128,6 +176,8 @@
             reads_on_primary,
             reads_on_replica,
             lagging,
+            token_refusals,
+            token_loans,
             malformed,
             latency,
         }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         engine::{Engine, StopPhase, empty_rows},
-        metrics::{Outcome, StatementLabels},
+        metrics::{Outcome, StatementLabels, TokenRefusalLabels},
         slot::{ConnectFailure, Slot},
         slot_request::{SlotError, SlotRequest},
         stop,
@@ -168,11 +168,13 @@
         }
         let wait = Duration::from_millis(operation.database.objective_ms) * TOKEN_WAIT_PER_MILLE / 1_000;
         let priority = operation.database.priority;
-        if self.engine.take_token(&operation.organisation, arrived_at + wait, priority).await {
-            return Ok(operation);
+        match self.engine.take_token(&operation.organisation, arrived_at + wait, priority).await {
+            Ok(()) => Ok(operation),
+            Err(cause) => {
+                self.engine.metrics().token_refusals.get_or_create(&TokenRefusalLabels { cause }).inc();
+                Err(Failure::new(FailureCode::Busy, cause.text(&operation.organisation)))
+            }
         }
-        let text = format!("the rate of {} is used up here", operation.organisation);
-        Err(Failure::new(FailureCode::Busy, text))
     }
 
     /// Runs a statement.
