Divide lent plans by demand, however many instances have some

Cause: a plan counted as divisible by the number of instances with any demand. After a fault many instances had served a request or two in place of a holder; the plan then lost all its shares for seconds, and every token came from the leader's reserve.

Change: plans with token owners are always divided in whole tokens by demand; they are told by the same rule that the holders lend by.

--- a/crates/cumincart-core/src/control/shares.rs
+++ b/crates/cumincart-core/src/control/shares.rs
@@ -348,6 +348,7 @@
 fn topology_of(ledger: &Ledger, holder: &Holder) -> Topology {
     Topology {
         domains: ledger.domains.len() as u64,
+        instances: ledger.domains.iter().map(|count| count.instances).sum(),
         instances_in_domain: ledger.domains.get(&holder.domain).map_or(0, |count| count.instances),
         in_service: holder.in_service,
     }
--- a/crates/cumincart-core/src/control/shares/target.rs
+++ b/crates/cumincart-core/src/control/shares/target.rs
@@ -2,9 +2,8 @@
 //!
 //! A tenth, the floor, is divided equally among the failure domains that have instances in service. The rest
 //! follows demand. Up to half of the rate without demand goes to the holders with demand, and the leader's
-//! reserve keeps the rest. If an instance's part of the floor is less than a token, there is no floor, and nearly
-//! everything goes to the holders with demand: such a plan has few of them, which lend each other tokens also while
-//! no leader answers. If a plan is too small to be divided among the holders with demand, all of it
+//! reserve keeps the rest. If one instance of each failure domain holds the plan's tokens, there is no floor, and nearly
+//! everything goes to the holders with demand, which lend each other tokens also while no leader answers. If a plan is too small to be divided among the holders with demand, all of it
 //! stays in the reserve, which sends its tokens to instances with waiting requests.
 
 use {
@@ -12,7 +11,9 @@
         holder::{Grant, Holding},
         organisation_quota::{OrganisationQuota, TOKEN_MILLI},
     },
-    crate::{entry::membership::HEARTBEAT_MIN_INTERVAL_MS, timing::HEARTBEAT_INTERVAL_MS},
+    crate::{
+        entry::membership::HEARTBEAT_MIN_INTERVAL_MS, interactive::ownership, timing::HEARTBEAT_INTERVAL_MS,
+    },
     cumincart_protocol::{heartbeat::Share, time::Instant},
     std::time::Duration,
 };
@@ -27,7 +28,7 @@
 /// The part of the rate without demand that is divided among the holders with demand, in thousandths.
 const UNUSED_RATE_SPREAD_PER_MILLE: u64 = 500;
 
-/// The same where the floor is too small to be of use, in thousandths: of the burst and of the rate without demand.
+/// The same where holders lend each other tokens, in thousandths: of the burst and of the rate without demand.
 const LENT_SPREAD_PER_MILLE: u64 = 900;
 
 /// The time for which the burst above the floor may cover the holder's own demand, in milliseconds. Keeps the
@@ -53,6 +54,8 @@
     pub domains: u64,
     /// The number of instances in service in the holder's failure domain.
     pub instances_in_domain: u64,
+    /// The number of instances in service.
+    pub instances: u64,
     /// Whether the holder is in service.
     pub in_service: bool,
 }
@@ -67,9 +70,9 @@
         total * FLOOR_PER_MILLE / 1_000 / parts
     }
 
-    /// Returns whether the holder's part of the floor is a token at least, so that it can be granted.
-    fn has_usable_floor(&self, quota: &OrganisationQuota) -> bool {
-        self.instance_floor(quota.allocatable.burst_milli) >= TOKEN_MILLI
+    /// Returns whether one instance of each failure domain holds the plan's tokens for the others, and lends them.
+    fn is_lent(&self, quota: &OrganisationQuota) -> bool {
+        ownership::is_small_for(self.instances, self.domains, quota.limit)
     }
 }
 
@@ -90,7 +93,8 @@
     }
     let tokens_milli = whole_tokens(quota.reserve_milli()).min(waiting_requests * TOKEN_MILLI);
     let unserved_requests = waiting_requests - tokens_milli / TOKEN_MILLI;
-    let next_token_ms = if unserved_requests == 0 { 0 } else { next_token_ms(quota, tokens_milli, now) };
+    let next_token_ms =
+        if unserved_requests == 0 { 0 } else { next_token_ms(quota, topology, tokens_milli, now) };
     let tokens_milli = tokens_milli + tokens_of_share(quota, holding, share, tokens_milli);
     Some(Grant { share, basis: quota.limit, tokens_milli, next_token_ms, ..Grant::default() })
 }
@@ -133,7 +137,7 @@
 }
 
 fn target_of(quota: &OrganisationQuota, holding: &Holding, topology: &Topology) -> Share {
-    if !topology.in_service || !quota.is_divisible() {
+    if !topology.in_service || !is_divisible(quota, topology) {
         return Share::default();
     }
     let burst_milli = burst_target(quota, holding, topology);
@@ -143,10 +147,16 @@
     Share { rate_milli_per_s: rate_target(quota, holding, topology), burst_milli }
 }
 
+/// Returns whether holders get shares of the plan. With few holders that lend, any plan of a token a second and a burst
+/// of two can be divided.
+fn is_divisible(quota: &OrganisationQuota, topology: &Topology) -> bool {
+    if topology.is_lent(quota) { quota.allocatable.is_divisible_among(1) } else { quota.is_divisible() }
+}
+
 fn rate_target(quota: &OrganisationQuota, holding: &Holding, topology: &Topology) -> u64 {
     let total = quota.allocatable.rate_milli_per_s;
     let demand = holding.demand_milli_per_s;
-    if !topology.has_usable_floor(quota) {
+    if topology.is_lent(quota) {
         if quota.demand_milli_per_s > total {
             return proportion(total, demand, quota.demand_milli_per_s);
         }
@@ -172,16 +182,18 @@
 /// Returns the burst in whole tokens; at least one token if there is demand.
 fn burst_target(quota: &OrganisationQuota, holding: &Holding, topology: &Topology) -> u64 {
     let total = quota.allocatable.burst_milli;
-    let (floor, spread) = if topology.has_usable_floor(quota) {
-        let total_floor = total * FLOOR_PER_MILLE / 1_000;
-        (topology.instance_floor(total), (total - total_floor) * BURST_SPREAD_PER_MILLE / 1_000)
-    } else {
-        (0, total * LENT_SPREAD_PER_MILLE / 1_000)
-    };
     let demand = holding.demand_milli_per_s;
     let coverable_milli = demand * BURST_COVER_MS / 1_000;
+    if topology.is_lent(quota) {
+        // No token for each holder with demand: instances that once served a request in place of the holder would share
+        // out a small burst among them.
+        let spread = total * LENT_SPREAD_PER_MILLE / 1_000;
+        return whole_tokens(proportion(spread, demand, quota.demand_milli_per_s).min(coverable_milli));
+    }
+    let total_floor = total * FLOOR_PER_MILLE / 1_000;
+    let spread = (total - total_floor) * BURST_SPREAD_PER_MILLE / 1_000;
     let beyond_floor = proportion(spread, demand, quota.demand_milli_per_s).min(coverable_milli);
-    let target = whole_tokens(floor + beyond_floor);
+    let target = whole_tokens(topology.instance_floor(total) + beyond_floor);
     if demand > 0 { target.max(TOKEN_MILLI) } else { target }
 }
 
@@ -195,9 +207,9 @@
 
 /// Returns the time until the reserve holds the next token, after `taken_milli` is taken from it. If the plan
 /// is not divisible, this is the time until it holds a token for every waiting request.
-fn next_token_ms(quota: &OrganisationQuota, taken_milli: u64, now: Instant) -> u64 {
+fn next_token_ms(quota: &OrganisationQuota, topology: &Topology, taken_milli: u64, now: Instant) -> u64 {
     let remaining_milli = quota.reserve_milli() - taken_milli;
-    if !quota.is_divisible() {
+    if !is_divisible(quota, topology) {
         let missing_milli =
             (quota.waiting_requests * TOKEN_MILLI).saturating_sub(taken_milli + remaining_milli);
         return time_to_gain_ms(missing_milli, quota.allocatable.rate_milli_per_s);
--- a/crates/cumincart-core/src/interactive/ownership.rs
+++ b/crates/cumincart-core/src/interactive/ownership.rs
@@ -43,7 +43,7 @@
 }
 
 /// The number of instances per failure domain from which on medium plans have token owners too.
-const MANY_INSTANCES_PER_DOMAIN: usize = 4;
+const MANY_INSTANCES_PER_DOMAIN: u64 = 4;
 
 /// How many times the smallest useful share an instance must get of a plan without token owners, where there are many
 /// instances: with less, each holds only a few tokens, and while the control leader can't move them, some instances
@@ -53,12 +53,14 @@
 /// Returns whether an organisation's rate is too small to be split over all instances, so that one instance of each
 /// failure domain holds it.
 pub fn has_token_owners(instances: &SortedVec<InstanceEntry>, limit: Share) -> bool {
-    let count = instances.len() as u64;
-    if !limit.is_divisible_among(count) {
-        return true;
-    }
-    instances.len() >= MANY_INSTANCES_PER_DOMAIN * domains_of(instances).len()
-        && !limit.is_divisible_among(count * AMPLE_SHARES)
+    is_small_for(instances.len() as u64, domains_of(instances).len() as u64, limit)
+}
+
+/// Returns the same for a number of instances in a number of failure domains.
+pub fn is_small_for(instances: u64, domains: u64, limit: Share) -> bool {
+    !limit.is_divisible_among(instances)
+        || (instances >= MANY_INSTANCES_PER_DOMAIN * domains
+            && !limit.is_divisible_among(instances * AMPLE_SHARES))
 }
 
 /// Returns the instances that hold a failure domain's share of a small organisation's rate, in order of preference.
