Report demand of small plans where their tokens are held

Cause: an instance that had served a request in place of the token holder reported demand, and decaying demand counts for seconds. Shares of a few tokens went to such instances, or to none in whole tokens.

Change: only the first token owner of each failure domain reports demand of a small plan; others still report waiting requests and get tokens for them.

--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -2,15 +2,16 @@
 
 use {
     super::{
-        Core,
+        Core, Settings,
         freshness::{self, AnswerOutcome},
         permits::{self, ConnectionUse},
         quota,
     },
-    crate::timing::HEARTBEAT_INTERVAL_MS,
+    crate::{interactive::ownership, timing::HEARTBEAT_INTERVAL_MS},
     cumincart_protocol::{
-        heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer},
+        heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer, Share},
         instances,
+        name::OrganisationName,
         number::{ControlTerm, Revision},
         sorted::SortedVec,
         time::Instant,
@@ -113,6 +114,12 @@
         permits::drop_all(&mut core.permits);
     }
     let acknowledged_until = acknowledged_until(&mut core.membership, now);
+    let (instances, settings) = (&core.freshness.instances, &core.settings);
+    let is_held_elsewhere = |organisation: &OrganisationName, limit: Share| {
+        let Settings { instance, domain, .. } = settings;
+        ownership::is_token_owner_elsewhere(instances, instance, domain, organisation, limit)
+    };
+    let shares = quota::report(&mut core.quota, now, acknowledged_until, is_held_elsewhere);
     Heartbeat {
         instance: core.settings.instance.clone(),
         incarnation: core.settings.incarnation,
@@ -125,7 +132,7 @@
         grants_term: Some(core.membership.grants_term),
         instances_digest: instances::digest(&core.freshness.instances),
         endpoints,
-        shares: quota::report(&mut core.quota, now, acknowledged_until),
+        shares,
         permits: permits::report(&mut core.permits, now, acknowledged_until, uses),
     }
 }
--- a/crates/cumincart-core/src/entry/quota.rs
+++ b/crates/cumincart-core/src/entry/quota.rs
@@ -234,10 +234,23 @@
 }
 
 /// Returns the reports for the next heartbeat: on every organisation with traffic or holdings, or only on
-/// those that have changed since a report that the leader has acknowledged.
-pub fn report(quota: &mut Quota, now: Instant, acknowledged_until: Option<Instant>) -> Vec<ShareReport> {
+/// those that have changed since a report that the leader has acknowledged. Demand is left out where
+/// `is_held_elsewhere` says that another instance holds the tokens for this one: a share is of use only there, and would
+/// be taken from it.
+pub fn report(
+    quota: &mut Quota,
+    now: Instant,
+    acknowledged_until: Option<Instant>,
+    is_held_elsewhere: impl Fn(&OrganisationName, Share) -> bool,
+) -> Vec<ShareReport> {
     drop_expired(quota, now);
-    quota.buckets.iter_mut().filter_map(|bucket| bucket.report(now, acknowledged_until)).collect()
+    let index = &quota.index;
+    let report = |bucket: &mut Bucket| {
+        bucket.report(now, acknowledged_until, |organisation| {
+            is_held_elsewhere(organisation, plan_limit(index, organisation).unwrap_or_default())
+        })
+    };
+    quota.buckets.iter_mut().filter_map(report).collect()
 }
 
 /// Returns the share and the tokens, in thousandths, that this instance holds of an organisation's rate.
--- a/crates/cumincart-core/src/entry/quota/bucket.rs
+++ b/crates/cumincart-core/src/entry/quota/bucket.rs
@@ -358,9 +358,18 @@
     }
 
     /// Returns the report for the next heartbeat; none for a bucket that is idle and holds nothing, nor for
-    /// one whose last report the leader has acknowledged and that has not changed since.
-    pub fn report(&mut self, now: Instant, acknowledged_until: Option<Instant>) -> Option<ShareReport> {
-        let demand_milli_per_s = self.demand.average(now);
+    /// one whose last report the leader has acknowledged and that has not changed since. Demand is left out if another
+    /// instance holds the tokens.
+    pub fn report(
+        &mut self,
+        now: Instant,
+        acknowledged_until: Option<Instant>,
+        is_held_elsewhere: impl Fn(&OrganisationName) -> bool,
+    ) -> Option<ShareReport> {
+        let mut demand_milli_per_s = self.demand.average(now);
+        if demand_milli_per_s > 0 && is_held_elsewhere(&self.organisation) {
+            demand_milli_per_s = 0;
+        }
         for entry in &mut self.priorities {
             entry.demand.average(now);
         }
--- a/crates/cumincart-core/src/interactive/ownership.rs
+++ b/crates/cumincart-core/src/interactive/ownership.rs
@@ -16,6 +16,9 @@
 /// The maximum number of owners: the first choice and its fallbacks.
 pub const OWNERS_MAX: usize = 3;
 
+/// The subject under which instances are ranked as owners of tokens.
+const TOKENS: &str = "tokens";
+
 /// The number of instances per failure domain that observe a primary: one, and one that covers its loss.
 pub const OBSERVERS_PER_DOMAIN: usize = 2;
 
@@ -72,7 +75,24 @@
     domain: &DomainName,
     organisation: &OrganisationName,
 ) -> Vec<&'a InstanceEntry> {
-    rank(in_domain(instances, domain), OWNERS_MAX, "tokens", organisation.as_str())
+    rank(in_domain(instances, domain), OWNERS_MAX, TOKENS, organisation.as_str())
+}
+
+/// Returns whether another instance of its failure domain holds an organisation's tokens in place of this one.
+pub fn is_token_owner_elsewhere(
+    instances: &SortedVec<InstanceEntry>,
+    instance: &InstanceName,
+    domain: &DomainName,
+    organisation: &OrganisationName,
+    limit: Share,
+) -> bool {
+    if !has_token_owners(instances, limit) {
+        return false;
+    }
+    let first = in_domain(instances, domain)
+        .into_iter()
+        .max_by_key(|other| score(&other.name, TOKENS, organisation.as_str()));
+    first.is_some_and(|first| first.name != *instance)
 }
 
 /// Returns the instances that may lend a token of a small organisation's rate to a failure domain whose own share has
--- a/crates/cumincart-core/tests/limits_leaders.rs
+++ b/crates/cumincart-core/tests/limits_leaders.rs
@@ -78,6 +78,9 @@
                 peer_address: node.core.settings.peer_address.clone(),
             });
         }
+        for node in &mut fleet.nodes {
+            node.core.freshness.instances = instances.clone();
+        }
         fleet.lending = Some(instances.clone());
         fleet.elect_first(Clock::default());
         let loads = vec![USUAL_LOAD; limits.len()];
@@ -205,3 +208,22 @@
     );
     assert!(admitted as f64 >= 0.9 * scenario.limits[HOT].0 * 8.0, "only {admitted} admitted");
 }
+
+/// After a fault, many instances have served requests in place of a holder. The holders must keep their shares.
+#[test]
+fn demand_at_other_instances_leaves_the_holders_their_shares() {
+    let mut scenario = Scenario::new(7, 65);
+    for round in 0..300 {
+        // 4 requests a second of each organisation, of a limit of 20, at all instances in turn.
+        if round % 25 == 0 {
+            for organisation in 0..scenario.limits.len() {
+                scenario.fleet.request_within((round / 25 * 7 + organisation) % 65, organisation, WAIT_MS);
+            }
+        }
+        scenario.run_ms(10);
+    }
+    scenario.fleet.silence_leader();
+    scenario.fleet.refused_by_cause = [0; 3];
+    let silent = scenario.measure_ms(LEASED_MS, None);
+    assert_refused(silent, REFUSED_PER_100_000, scenario.fleet.refused_by_cause);
+}
