--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -2,15 +2,16 @@
 
 use {
     super::{
-        Core,
+        Core, Settings,
         freshness::{self, AnswerOutcome, DropReason},
         permits::{self, ConnectionUse},
         quota, usage,
     },
-    crate::timing::HEARTBEAT_INTERVAL_MS,
+    crate::{interactive::ownership, timing::HEARTBEAT_INTERVAL_MS},
     cumincart_protocol::{
-        heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer},
+        heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer, Share},
         instances,
+        name::OrganisationName,
         number::{ControlTerm, Revision},
         sorted::SortedVec,
         time::Instant,
@@ -43,6 +44,8 @@
     pub leaving: bool,
     /// The election term of the leader whose grants are in force.
     grants_term: ControlTerm,
+    /// The term that the last heartbeat reported.
+    reported_term: ControlTerm,
     /// When the latest heartbeat that a leader of that term answered was sent.
     acknowledged_at: Option<Instant>,
     /// Since when every heartbeat carries a full report; none while heartbeats carry only changes.
@@ -67,7 +70,8 @@
     if !is_recent && asks_quickly && !core.freshness.holds_term_lease(now) {
         return true;
     }
-    if core.membership.needs_full_report && asks_quickly && !is_recent {
+    let is_new_term = core.membership.grants_term > core.membership.reported_term;
+    if (core.membership.needs_full_report || is_new_term) && asks_quickly && !is_recent {
         return true;
     }
     if is_recent {
@@ -112,11 +116,18 @@
     core.membership.last_sent_at = Some(now);
     core.membership.unanswered = core.membership.unanswered.saturating_add(1);
     core.membership.last_revision = core.freshness.revision();
+    core.membership.reported_term = core.membership.grants_term;
     if core.membership.leaving {
         quota::drop_all(&mut core.quota, now);
         permits::drop_all(&mut core.permits);
     }
     let acknowledged_until = acknowledged_until(&mut core.membership, now);
+    let (instances, settings) = (&core.freshness.instances, &core.settings);
+    let is_held_elsewhere = |organisation: &OrganisationName, limit: Share| {
+        let Settings { instance, domain, .. } = settings;
+        ownership::is_token_owner_elsewhere(instances, instance, domain, organisation, limit)
+    };
+    let shares = quota::report(&mut core.quota, now, acknowledged_until, is_held_elsewhere);
     Heartbeat {
         instance: core.settings.instance.clone(),
         incarnation: core.settings.incarnation,
@@ -127,9 +138,10 @@
         revision: core.freshness.revision(),
         leaving: core.membership.leaving,
         complete: acknowledged_until.is_none(),
+        grants_term: Some(core.membership.grants_term),
         instances_digest: instances::digest(&core.freshness.instances),
         endpoints,
-        shares: quota::report(&mut core.quota, now, acknowledged_until),
+        shares,
         permits: permits::report(&mut core.permits, now, acknowledged_until, uses),
         usage: usage::report(&mut core.usage, now, acknowledged_until),
     }
--- a/crates/cumincart-core/src/interactive/ownership.rs
+++ b/crates/cumincart-core/src/interactive/ownership.rs
@@ -8,7 +8,7 @@
 use cumincart_protocol::{
     catalogue::EndpointEntry,
     fnv::Fnv,
-    heartbeat::InstanceEntry,
+    heartbeat::{InstanceEntry, Share},
     name::{DomainName, EndpointName, InstanceName, OrganisationName, ServiceName},
     sorted::SortedVec,
 };
@@ -19,6 +19,8 @@
 /// The number of instances per failure domain that sample the log points of a primary: one, and one that covers its
 /// loss.
 pub const SAMPLERS_MAX: usize = 2;
+/// The subject under which instances are ranked as owners of tokens.
+const TOKENS: &str = "tokens";
 
 /// The number of instances per failure domain that observe a primary: one, and one that covers its loss.
 pub const OBSERVERS_PER_DOMAIN: usize = 2;
@@ -46,6 +48,27 @@
     if near.is_empty() { instances.iter().collect() } else { near }
 }
 
+/// The number of instances per failure domain from which on medium plans have token owners too.
+const MANY_INSTANCES_PER_DOMAIN: u64 = 4;
+
+/// How many times the smallest useful share an instance must get of a plan without token owners, where there are many
+/// instances: with less, each holds only a few tokens, and while the control leader can't move them, some instances
+/// refuse while others have tokens left.
+const AMPLE_SHARES: u64 = 4;
+
+/// Returns whether an organisation's rate is too small to be split over all instances, so that one instance of each
+/// failure domain holds it.
+pub fn has_token_owners(instances: &SortedVec<InstanceEntry>, limit: Share) -> bool {
+    is_small_for(instances.len() as u64, domains_of(instances).len() as u64, limit)
+}
+
+/// Returns the same for a number of instances in a number of failure domains.
+pub fn is_small_for(instances: u64, domains: u64, limit: Share) -> bool {
+    !limit.is_divisible_among(instances)
+        || (instances >= MANY_INSTANCES_PER_DOMAIN * domains
+            && !limit.is_divisible_among(instances * AMPLE_SHARES))
+}
+
 /// Returns the instances that hold a failure domain's share of a small organisation's rate, in order of preference.
 ///
 /// Split over all instances, the share of each would be less than one token: every operation would have to ask the
@@ -55,7 +78,42 @@
     domain: &DomainName,
     organisation: &OrganisationName,
 ) -> Vec<&'a InstanceEntry> {
-    rank(in_domain(instances, domain), OWNERS_MAX, "tokens", organisation.as_str())
+    rank(in_domain(instances, domain), OWNERS_MAX, TOKENS, organisation.as_str())
+}
+
+/// Returns whether another instance of its failure domain holds an organisation's tokens in place of this one.
+pub fn is_token_owner_elsewhere(
+    instances: &SortedVec<InstanceEntry>,
+    instance: &InstanceName,
+    domain: &DomainName,
+    organisation: &OrganisationName,
+    limit: Share,
+) -> bool {
+    if !has_token_owners(instances, limit) {
+        return false;
+    }
+    let first = in_domain(instances, domain)
+        .into_iter()
+        .max_by_key(|other| score(&other.name, TOKENS, organisation.as_str()));
+    first.is_some_and(|first| first.name != *instance)
+}
+
+/// Returns the instances that may lend a token of a small organisation's rate to a failure domain whose own share has
+/// none: the first token owner of each other domain. They start with the domain that follows in the order of names, so
+/// that the domains don't all ask the same one first.
+pub fn token_lenders<'a>(
+    instances: &'a SortedVec<InstanceEntry>,
+    domain: &DomainName,
+    organisation: &OrganisationName,
+) -> Vec<&'a InstanceEntry> {
+    let mut domains = domains_of(instances);
+    let next = domains.partition_point(|other| *other <= domain);
+    domains.rotate_left(next);
+    domains
+        .into_iter()
+        .filter(|other| *other != domain)
+        .filter_map(|other| token_owners(instances, other, organisation).into_iter().next())
+        .collect()
 }
 
 /// Returns the instances that sample the log points of a service's primary for their failure domain, in order of
@@ -85,6 +143,13 @@
     observers.iter().any(|observer| observer.name == *instance)
 }
 
+fn domains_of(instances: &SortedVec<InstanceEntry>) -> Vec<&DomainName> {
+    let mut domains: Vec<&DomainName> = instances.iter().map(|instance| &instance.domain).collect();
+    domains.sort();
+    domains.dedup();
+    domains
+}
+
 fn in_domain<'a>(instances: &'a SortedVec<InstanceEntry>, domain: &DomainName) -> Vec<&'a InstanceEntry> {
     instances.iter().filter(|instance| instance.domain == *domain).collect()
 }
--- a/crates/cumincart-core/tests/control_delivery.rs
+++ b/crates/cumincart-core/tests/control_delivery.rs
@@ -304,6 +304,7 @@
             revision: self.confirmed,
             leaving: false,
             complete: true,
+            grants_term: None,
             instances_digest: instances::digest(&self.freshness.instances),
             endpoints: Vec::new(),
             shares: Vec::new(),
--- a/crates/cumincart-core/tests/control_usage/fixture.rs
+++ b/crates/cumincart-core/tests/control_usage/fixture.rs
@@ -167,6 +167,7 @@
             revision: Revision(0),
             leaving: self.is_leaving,
             complete: acknowledged_until.is_none(),
+            grants_term: None,
             instances_digest: 0,
             endpoints: Vec::new(),
             shares: Vec::new(),
