--- a/crates/cumincart-core/tests/control_delivery.rs
+++ b/crates/cumincart-core/tests/control_delivery.rs
@@ -516,7 +516,7 @@
         let update = apply(&mut deltas, CatalogueChange::Nothing);
         assert_eq!((update.to, &update.update), (first.to, &first.update));
     }
-    let update = apply(&mut deltas, CatalogueChange::Lists(ListsRevision(2), lists.clone()));
+    let update = apply(&mut deltas, CatalogueChange::Lists(ListsRevision(2), lists));
     assert_eq!(update.to, Revision(401), "the lists have changed");
     for _ in 0..DELTA_WINDOW {
         apply(&mut deltas, CatalogueChange::Nothing);
