Let the tests of usage reports wait for what reports cover

An operation may be placed up to half an interval and the delay of a heartbeat later than it began, so a window that ended just after it need not contain it: one of 25 runs counted the warm-up too late.

--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -71,11 +71,17 @@
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The length of accounting windows, in milliseconds.
-const USAGE_WINDOW_MS: u64 = 250;
+const USAGE_WINDOW_MS: u64 = 500;
 
 /// How long after a window's end its report is due, in milliseconds: longer than any test.
 const USAGE_LATE_MS: u64 = 60_000;
 
+/// How long a test waits for usage reports. Each window takes a write to disk, which may be slow beside other tests.
+const USAGE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How much later than it began an operation may be placed, in milliseconds: half an interval, and delays of heartbeats.
+const USAGE_PLACEMENT_MS: u64 = 100;
+
 const FLEET_SECRET: &[u8] = b"a secret of these tests";
 
 /// The instance that sessions are opened on.
@@ -152,10 +158,10 @@
 
     /// Returns the number of operations in the usage reports, once they cover everything that has run until now.
     pub async fn reported_operations(&self) -> u64 {
-        let now_ms = clock::unix_ms();
-        let is_covered = |call: &UsageCall| (call.window + 1) * USAGE_WINDOW_MS >= now_ms;
+        let until_ms = clock::unix_ms() + USAGE_PLACEMENT_MS;
+        let is_covered = |call: &UsageCall| (call.window + 1) * USAGE_WINDOW_MS >= until_ms;
         let calls = || self.usage_calls.lock().unwrap_or_else(PoisonError::into_inner);
-        await_condition(async || calls().iter().any(is_covered)).await;
+        await_condition_within(USAGE_TIMEOUT, async || calls().iter().any(is_covered)).await;
         let calls = calls();
         calls.iter().flat_map(|call| &call.counts).map(|count| count.requests).sum()
     }
@@ -226,10 +232,17 @@
 }
 
 /// Waits until a condition holds, and fails the test if it doesn't in time.
-pub async fn await_condition<F: Future<Output = bool>>(mut condition: impl FnMut() -> F) {
-    let deadline = Instant::now() + CONDITION_TIMEOUT;
+pub async fn await_condition<F: Future<Output = bool>>(condition: impl FnMut() -> F) {
+    await_condition_within(CONDITION_TIMEOUT, condition).await;
+}
+
+async fn await_condition_within<F: Future<Output = bool>>(
+    timeout: Duration,
+    mut condition: impl FnMut() -> F,
+) {
+    let deadline = Instant::now() + timeout;
     while !condition().await {
-        assert!(Instant::now() < deadline, "the condition does not hold within {CONDITION_TIMEOUT:?}");
+        assert!(Instant::now() < deadline, "the condition does not hold within {timeout:?}");
         sleep(Duration::from_millis(10)).await;
     }
 }
