--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -353,7 +353,7 @@
 /// A transaction counts once however many statements it has, and one that is relayed counts at the owner alone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn usage_reports_count_each_operation_once() {
-    let fleet = Fleet::start_with_owner(0).await;
+    let fleet = Fleet::start_with_usage().await;
     let before = fleet.reported_operations().await;
     let mut single = session(&fleet, PRIMARY_DATABASE).await;
     assert_eq!(code(&write(&mut single, "w0").await), None);
@@ -373,7 +373,7 @@
 /// Neither what can't be sent to an endpoint nor a transaction without statements is counted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn usage_reports_leave_out_what_did_not_begin() {
-    let fleet = Fleet::start(0).await;
+    let fleet = Fleet::start_with_usage().await;
     let before = fleet.reported_operations().await;
     let mut spaced = fleet.open_session(PRIMARY_DATABASE, SPACED_KEY).await.expect("the session is opened");
     assert!(code(&write(&mut spaced, "w1").await).is_some());
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -111,19 +111,25 @@
 impl Fleet {
     /// Starts a control and an entry instance, and waits until writes and reads of both databases succeed.
     pub async fn start(synchronous_replicas: u32) -> Self {
-        Self::start_instances(synchronous_replicas, false).await
+        Self::start_instances(synchronous_replicas, false, false).await
     }
 
     /// Starts the owner of the connections to the primary too.
     pub async fn start_with_owner(synchronous_replicas: u32) -> Self {
-        Self::start_instances(synchronous_replicas, true).await
+        Self::start_instances(synchronous_replicas, true, false).await
     }
 
-    async fn start_instances(synchronous_replicas: u32, has_owner: bool) -> Self {
+    /// Starts the owner too, and reports usage.
+    pub async fn start_with_usage() -> Self {
+        Self::start_instances(0, true, true).await
+    }
+
+    async fn start_instances(synchronous_replicas: u32, has_owner: bool, reports_usage: bool) -> Self {
         let folder = TempDir::new().expect("a temporary folder can be created");
         let group = Group::open(ENDPOINTS[0]);
         let usage_calls = UsageCalls::default();
-        let (control, control_links) = start_control(&folder, &group, &usage_calls).await;
+        let (control, control_links) =
+            start_control(&folder, &group, reports_usage.then_some(&usage_calls)).await;
         let owner = if has_owner { Some(start_owner(&group, &control_links).await) } else { None };
         let engine = start_entry(&group, &control_links, ENTRY, DOMAINS[1], "127.0.0.1:1");
         let fleet = Self {
@@ -280,7 +286,7 @@
 async fn start_control(
     folder: &TempDir,
     group: &Group,
-    usage_calls: &UsageCalls,
+    usage_calls: Option<&UsageCalls>,
 ) -> (ControlEngine, PeerServer) {
     let (data_folder, disk, stored) = DataFolder::open(folder.path()).expect("the folder can be opened");
     let (received_sender, received) = mpsc::unbounded_channel();
@@ -299,7 +305,7 @@
         fleet_secret: secret(),
         seeds: Default::default(),
         endpoints: endpoint_operations(group),
-        usage: Some(usage_reporting(usage_calls)),
+        usage: usage_calls.map(usage_reporting),
         logger: logger(),
     };
     (ControlEngine::spawn(options, data_folder, stored, received), links)
