Keep the data folder of the session tests in memory

Traced: with a program that writes 1.5 GB files to the disk beside them, 2 of 3 runs of the file failed with the folder on the disk and none of 3 with TMPDIR in memory; the control instance waits for its syncs. With this change 5 of 5 runs pass beside the same writer.

--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -82,6 +82,9 @@
 /// How much later than it began an operation may be placed, in milliseconds: half an interval, and delays of heartbeats.
 const USAGE_PLACEMENT_MS: u64 = 100;
 
+/// A folder whose files are kept in memory.
+const MEMORY_FOLDER: &str = "/dev/shm";
+
 const FLEET_SECRET: &[u8] = b"a secret of these tests";
 
 /// The instance that sessions are opened on.
@@ -125,7 +128,7 @@
     }
 
     async fn start_instances(synchronous_replicas: u32, has_owner: bool, reports_usage: bool) -> Self {
-        let folder = TempDir::new().expect("a temporary folder can be created");
+        let folder = open_folder();
         let group = Group::open(ENDPOINTS[0]);
         let usage_calls = UsageCalls::default();
         let (control, control_links) =
@@ -237,6 +240,12 @@
     }
 }
 
+/// Creates the data folder, in memory where possible. Other programs can keep a disk busy for seconds, in which the control
+/// instance can't commit anything; its disk is not what these tests are about.
+fn open_folder() -> TempDir {
+    TempDir::new_in(MEMORY_FOLDER).or_else(|_| TempDir::new()).expect("a temporary folder can be created")
+}
+
 /// Waits until a condition holds, and fails the test if it doesn't in time.
 pub async fn await_condition<F: Future<Output = bool>>(condition: impl FnMut() -> F) {
     await_condition_within(CONDITION_TIMEOUT, condition).await;
