--- a/crates/cumincart-session/src/log_points.rs
+++ b/crates/cumincart-session/src/log_points.rs
@@ -106,29 +106,31 @@
     /// Asks the instances that sample the service's primary for this failure domain, in order of preference. Returns
     /// whether one of them had a recent log point.
     async fn ask_samplers(&self, service: &ServiceName) -> bool {
+        let (Some(primary), Some(organisation)) = (self.primary_of(service), self.any_organisation(service))
+        else {
+            return false;
+        };
+        let timeout_ms = u64::try_from(SAMPLER_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+        let request = RelayRequest {
+            service: service.clone(),
+            endpoint: primary,
+            organisation,
+            kept: 0,
+            values: SortedVec::new(),
+            prepared: None,
+            commands: vec![Command::Status],
+            priority: 0,
+            start_within_ms: timeout_ms,
+            answer_within_ms: timeout_ms,
+            accepts_point: true,
+        };
         for sampler in self.samplers(service) {
-            let Some(primary) = self.primary_of(service) else { return false };
-            let Some(organisation) = self.any_organisation(service) else { return false };
-            let timeout_ms = u64::try_from(SAMPLER_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
-            let request = RelayRequest {
-                service: service.clone(),
-                endpoint: primary,
-                organisation,
-                kept: 0,
-                values: SortedVec::new(),
-                prepared: None,
-                commands: vec![Command::Status],
-                priority: 0,
-                start_within_ms: timeout_ms,
-                answer_within_ms: timeout_ms,
-                accepts_point: true,
-            };
             let asked_at = self.now();
             let link = self.link(&sampler.peer_address);
             // A sampler without a recent point, one that is slow and one of a build that shares no points are passed over.
             // None of them is ejected: it may still serve relays and tokens, which wait longer.
             if let Ok(PeerBody::RelayAnswer(answer)) =
-                link.request(PeerBody::Relay(Box::new(request)), SAMPLER_TIMEOUT).await
+                link.request(PeerBody::Relay(Box::new(request.clone())), SAMPLER_TIMEOUT).await
                 && let RelayAnswer::Point(sampled) = *answer
                 && self.record_sampled(service, asked_at, &sampled)
             {
