A learner takes a voter's place in one change, and a planned stop waits for it

Cause: a successor became a voter beside the one that it replaced. Four voters need three until the replaced one had been silent for 2.5 s, and its planned end was not announced. Related paths had the same cause: a repair removed the old disk and added the new one with a later request; a successor that was lost right after it became a voter; several planned replacements.

Change: a group has 2F + 1 voters for F losses; others stand by as learners. A learner that has the log takes the place of a voter whose disk it replaces, that is about to stop, or that is silent, in one change that needs majorities of the voters before and after it (joint consensus). The progress of followers is kept by disk. An answer from an unknown disk of a member counts as a request to join: control_chaos found an instance that took itself for a learner after it had been removed from the learners.

--- a/crates/cumincart-control/src/daemon.rs
+++ b/crates/cumincart-control/src/daemon.rs
@@ -100,7 +100,7 @@
 
     /// Ends the instance immediately, as a killed process would, and waits until the data folder is unlocked.
     pub async fn kill(self) {
-        self.engine.stop();
+        self.engine.kill();
         self.http.kill();
         self.engine.ended().await;
     }
@@ -122,6 +122,7 @@
         instance: options.instance.clone(),
         disk,
         peer_address: peer_server.address.to_string().into(),
+        domain: Some(options.domain.clone()),
     };
     let core_settings = Settings {
         first_members: first_members(&options.members),
@@ -135,6 +136,7 @@
             seeds: SortedVec::new(),
             endpoints: EndpointOperations::postgresql(options.endpoint_login),
             usage: None,
+            losses_borne: None,
             logger: options.logger,
         },
         folder,
@@ -158,6 +160,7 @@
         instance: address.instance.clone(),
         disk: DiskId::unbound(),
         peer_address: address.peer_address.clone(),
+        domain: None,
     };
     Members { voters: addresses.iter().map(member).collect(), ..Members::default() }
 }
--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -69,6 +69,9 @@
     pub endpoints: EndpointOperations,
     /// How usage is reported; `None` if it is not.
     pub usage: Option<UsageReporting>,
+    /// How many control instances may be lost at once, which decides the number of voters. `None`: as many as the first
+    /// members of the settings bear.
+    pub losses_borne: Option<usize>,
     /// The logger of the instance.
     pub logger: Logger,
 }
@@ -139,7 +142,7 @@
     Change(Change, oneshot::Sender<ChangeResult>),
     Status(oneshot::Sender<StatusResult>),
     Inspect(Box<ReadCore>),
-    Stop,
+    End,
 }
 
 /// Messages of other control instances and ticks keep the leadership: they don't wait behind the heartbeats and
@@ -157,7 +160,7 @@
 
 type ReadCore = dyn FnOnce(&Core, Instant) + Send;
 
-/// A handle to a running engine. The engine ends on [`Engine::stop`] or when its data folder fails.
+/// A handle to a running engine. The engine ends on [`Engine::stop`], on [`Engine::kill`] or when its data folder fails.
 #[derive(Debug, Clone)]
 pub struct Engine {
     messages: mpsc::UnboundedSender<Message>,
@@ -227,9 +230,15 @@
         let _ = self.messages.send(Message::Input(Input::Present(presence)));
     }
 
-    /// Ends the engine. Everything that was acknowledged is synced to disk.
+    /// Begins a planned stop: the engine ends once another instance has its place as a voter, or after a few seconds.
+    /// It ends at once if no other instance could take the place. Everything that was acknowledged is synced to disk.
     pub fn stop(&self) {
-        let _ = self.messages.send(Message::Stop);
+        let _ = self.messages.send(Message::Input(Input::Stop));
+    }
+
+    /// Ends the engine at once. Everything that was acknowledged is synced to disk.
+    pub fn kill(&self) {
+        let _ = self.messages.send(Message::End);
     }
 
     /// Waits until the engine has ended.
@@ -274,6 +283,8 @@
     core: Core,
     /// Whether the data folder contains no snapshot yet.
     is_new: bool,
+    /// Whether a planned stop is complete.
+    is_stopped: bool,
     folder: DataFolder,
     clock: Clock,
     runtime: Handle,
@@ -300,6 +311,9 @@
         let is_new = stored.snapshot.is_none();
         let mut core = Core::open(options.core_settings, stored, clock::random());
         core.seeds = options.seeds;
+        if let Some(losses) = options.losses_borne {
+            core.voters_target = control::members::voters_for(losses);
+        }
         core.probes.is_enabled = options.endpoints.probe.is_some();
         if core.probes.is_enabled {
             core.failover.policy.is_dead = detection::probe_finds_dead;
@@ -308,6 +322,7 @@
         Self {
             core,
             is_new,
+            is_stopped: false,
             folder,
             clock: Clock::start(),
             runtime: Handle::current(),
@@ -379,7 +394,7 @@
                     self.apply_effects(&mut effects)?;
                     read(&self.core, self.clock.now());
                 }
-                Message::Stop => {
+                Message::End => {
                     self.apply_effects(&mut effects)?;
                     return Ok(false);
                 }
@@ -389,7 +404,7 @@
             next = if needs_sync && handled < MESSAGES_PER_SYNC { queue.try_recv() } else { None };
         }
         self.apply_effects(&mut effects)?;
-        Ok(true)
+        Ok(!self.is_stopped)
     }
 
     fn handle_peer_message(&mut self, received: ReceivedMessage, effects: &mut Vec<Effect>) {
@@ -447,6 +462,7 @@
             Effect::AnswerStatus(ticket, result) => {
                 self.statuses.answer(ticket.0, result);
             }
+            Effect::Stopped => self.is_stopped = true,
             Effect::Promote(promotion) => self.promote(promotion),
             Effect::Probe(probe) => self.probe(probe),
             Effect::ReportUsage(call) => self.report_usage(call),
--- a/crates/cumincart-control/src/http/status.rs
+++ b/crates/cumincart-control/src/http/status.rs
@@ -10,7 +10,7 @@
         operator_api::{
             AnnouncedBody, EndpointBody, GroupBody, InstanceBody, ListsBody, MemberBody, StatusBody,
         },
-        replication::Members,
+        replication::{Member, Members},
     },
     rocket::{Route, State, get, routes, serde::json::Json},
 };
@@ -53,12 +53,15 @@
     }
 }
 
+/// Returns the members. While an exchange of voters is in progress, those of before it count.
 fn member_bodies(members: &Members) -> Vec<MemberBody> {
-    let voters =
-        members.voters.iter().map(|member| MemberBody { instance: member.instance.clone(), voter: true });
-    let learners =
-        members.learners.iter().map(|member| MemberBody { instance: member.instance.clone(), voter: false });
-    voters.chain(learners).collect()
+    let is_changing = !members.outgoing.is_empty();
+    let voters = if is_changing { &members.outgoing } else { &members.voters };
+    let incoming = members.voters.iter().filter(|_| is_changing);
+    let others = members.learners.iter().chain(incoming);
+    let others = others.filter(|member| !voters.contains(&member.instance));
+    let body = |member: &Member, voter| MemberBody { instance: member.instance.clone(), voter };
+    voters.iter().map(|voter| body(voter, true)).chain(others.map(|other| body(other, false))).collect()
 }
 
 fn instance_body(status: &cumincart_core::control::InstanceStatus) -> InstanceBody {
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -25,6 +25,7 @@
 pub mod promotion;
 pub mod push;
 pub mod read_index;
+pub mod reconfiguration;
 pub mod replicate;
 pub mod response_time;
 pub mod runs;
@@ -108,6 +109,8 @@
     Heartbeat(Ticket, Box<Heartbeat>),
     /// A change requested by an operator.
     Operator(Ticket, Change),
+    /// A planned stop of this instance was requested.
+    Stop,
     /// An operator's request for the state, answered only after a quorum has confirmed the leadership.
     Status(Ticket),
     /// An endpoint's announcement, including the state of its log.
@@ -140,6 +143,8 @@
     AnswerOperator(Ticket, Result<Outcome, ControlRefusal>),
     /// Answer a status request.
     AnswerStatus(Ticket, Result<Box<Status>, ControlRefusal>),
+    /// The planned stop is complete: the process may end.
+    Stopped,
     /// Promote an endpoint and report the result with `Input::Promoted`.
     Promote(Promotion),
     /// Query the state of an endpoint's log and report the result with `Input::Probed`.
@@ -227,12 +232,19 @@
     pub usage: usage::Usage,
     /// The earliest time for the next join request.
     pub next_join_at: Instant,
+    /// The number of voters that the group needs. Other instances stand by as learners.
+    pub voters_target: usize,
+    /// The members that have said that they are about to stop; kept by the leader.
+    pub leaving: Vec<members::Leaving>,
+    /// The planned stop of this instance, once it was requested.
+    pub planned_stop: Option<members::PlannedStop>,
 }
 
 impl Core {
     /// Restores the state from the contents of the data folder.
     pub fn open(settings: Settings, stored: Stored, random: ChaCha20Rng) -> Self {
         let snapshot = stored.snapshot.unwrap_or_else(|| empty_snapshot(&settings));
+        let voters_target = members::voters_needed(settings.first_members.voters.len());
         Self {
             settings,
             catalogue: snapshot.catalogue,
@@ -258,6 +270,9 @@
             permits: permits::Ledger::default(),
             usage: usage::Usage::open(snapshot.usage),
             next_join_at: Instant::ZERO,
+            voters_target,
+            leaving: Vec::new(),
+            planned_stop: None,
         }
     }
 
@@ -278,6 +293,7 @@
             read_index::request_read(core, now, ticket, read_index::Read::Heartbeat(heartbeat), out);
         }
         Input::Operator(ticket, change) => operators::on_change(core, now, ticket, change, out),
+        Input::Stop => members::on_stop(core, now, out),
         Input::Status(ticket) => read_index::request_read(core, now, ticket, read_index::Read::Status, out),
         Input::Announced(announcement) => announcements::on_announced(core, now, announcement, out),
         Input::Present(presence) => presence::on_present(core, now, presence, out),
@@ -313,6 +329,7 @@
 fn on_tick(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
     election::on_tick(core, now, out);
     members::join_if_not_member(core, now, out);
+    members::continue_stop(core, now, out);
     if !core.election.is_leader() {
         return;
     }
@@ -344,6 +361,7 @@
         ReplicationBody::PreVote(request) => voting::on_pre_vote(core, now, &sender, &request, out),
         ReplicationBody::Vote(request) => voting::on_vote(core, now, &sender, &request, out),
         ReplicationBody::Join(member) => members::on_join(core, now, &member, out),
+        ReplicationBody::Leave => members::on_leave(core, now, sender),
         ReplicationBody::Announcements(list) => announcements::on_forwarded(core, now, list, out),
         ReplicationBody::Presences(list) => presence::on_forwarded(core, now, list, out),
         ReplicationBody::Append(append) if is_old => {
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -1,9 +1,15 @@
 //! Commits records that a quorum holds, and applies them.
 
 use {
-    super::{Core, Effect, catalogue, delivery, members, operators, push, read_index, runs, snapshot, usage},
+    super::{
+        Core, Effect, catalogue, delivery, members, operators, push, read_index, reconfiguration, runs,
+        snapshot, usage,
+    },
     cumincart_protocol::{
-        heartbeat::CatalogueDelta, name::InstanceName, number::LogIndex, replication::Command, time::Instant,
+        heartbeat::CatalogueDelta,
+        number::LogIndex,
+        replication::{Command, Member},
+        time::Instant,
     },
     std::sync::Arc,
 };
@@ -18,8 +24,7 @@
     }
     snapshot::compact_if_due(core, out);
     if core.election.is_leader() {
-        members::promote_learners(core, now, out);
-        members::retire_silent_voter(core, now, out);
+        reconfiguration::advance(core, now, out);
         read_index::serve_confirmed(core, now, out);
     }
 }
@@ -27,35 +32,35 @@
 /// Returns the highest stamp that a quorum has answered.
 pub fn quorum_stamp(core: &Core) -> Instant {
     let mut stamps: Vec<Instant> =
-        core.log.members().voters.iter().map(|voter| confirmed_stamp(core, &voter.instance)).collect();
+        members::all_voters(core.log.members()).map(|voter| confirmed_stamp(core, voter)).collect();
     stamps.sort_unstable();
     let members = core.log.members();
     let confirms =
-        |stamp: Instant| members::is_quorum(members, |voter| confirmed_stamp(core, &voter.instance) >= stamp);
+        |stamp: Instant| members::is_quorum(members, |voter| confirmed_stamp(core, voter) >= stamp);
     stamps.into_iter().rev().find(|stamp| confirms(*stamp)).unwrap_or_default()
 }
 
-fn confirmed_stamp(core: &Core, instance: &InstanceName) -> Instant {
-    if *instance == core.settings.member.instance {
+fn confirmed_stamp(core: &Core, voter: &Member) -> Instant {
+    if members::is_own(core, voter) {
         return Instant::from_micros(u64::MAX);
     }
-    core.replication.confirmed_stamp(instance)
+    core.replication.confirmed_stamp(voter)
 }
 
-fn matched_index(core: &Core, instance: &InstanceName) -> LogIndex {
-    if *instance == core.settings.member.instance {
+fn matched_index(core: &Core, voter: &Member) -> LogIndex {
+    if members::is_own(core, voter) {
         return core.log.last_index();
     }
-    core.replication.match_index(instance)
+    core.replication.match_index(voter)
 }
 
 fn commit_by_majority(core: &mut Core) {
     let members = core.log.members();
     let mut indexes: Vec<LogIndex> =
-        members.voters.iter().map(|voter| matched_index(core, &voter.instance)).collect();
+        members::all_voters(members).map(|voter| matched_index(core, voter)).collect();
     indexes.sort_unstable();
     let on_quorum =
-        |index: LogIndex| members::is_quorum(members, |voter| matched_index(core, &voter.instance) >= index);
+        |index: LogIndex| members::is_quorum(members, |voter| matched_index(core, voter) >= index);
     let Some(index) = indexes.into_iter().rev().find(|index| on_quorum(*index)) else { return };
     // A leader counts replicas only for records of its own term; earlier records are committed with them
     // (Raft, 5.4.2).
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -106,6 +106,11 @@
         now.saturating_since(self.leader_heard_at.unwrap_or_default())
     }
 
+    /// Returns the time that is added to timeouts for slow disks.
+    pub fn response_allowance(&self, now: Instant) -> Duration {
+        self.response_time.allowance(now)
+    }
+
     /// Returns whether a leader was heard within the minimum election timeout.
     pub fn heard_leader_recently(&self, now: Instant) -> bool {
         let timeout = Duration::from_millis(ELECTION_TIMEOUT_MIN_MS);
@@ -126,7 +131,7 @@
         check_quorum(core, now, out);
         return;
     }
-    if core.log.members().voters.len() == 1 && is_voter(core) {
+    if members::all_voters(core.log.members()).count() == 1 && is_voter(core) {
         start_pre_vote(core, now, out);
         return;
     }
@@ -265,7 +270,8 @@
     let known = members::all(core.log.members()).find(|member| member.instance == *from);
     let initial = || core.settings.first_members.voters.get(from);
     if let Some(known) = known.or_else(initial) {
-        return Some(Member { disk: message.disk.clone(), ..known.clone() });
+        let domain = message.domain.clone().or_else(|| known.domain.clone());
+        return Some(Member { disk: message.disk.clone(), domain, ..known.clone() });
     }
     let may_be_unknown = match message.body {
         ReplicationBody::Join(_) => true,
@@ -276,6 +282,7 @@
         instance: from.clone(),
         disk: message.disk.clone(),
         peer_address: message.peer_address.clone(),
+        domain: message.domain.clone(),
     })
 }
 
@@ -311,7 +318,9 @@
         }
         Role::Follower | Role::Leader => return,
     };
-    for voter in core.log.members().voters.iter() {
+    let members = core.log.members();
+    let is_voter = |member: &&Member| members::all_voters(members).any(|v| v.instance == member.instance);
+    for voter in members::all(members).filter(is_voter) {
         if !granted.iter().any(|vote| vote.instance == voter.instance) {
             replicate::send(core, voter, body.clone(), out);
         }
@@ -355,6 +364,7 @@
     leases::on_elected(&mut core.leases, now);
     failover::on_elected(core);
     core.announcements = Announcements::default();
+    core.leaving.clear();
     presence::on_elected(core);
     runs::on_elected(&mut core.runs);
     probe::on_elected(core);
@@ -388,9 +398,8 @@
 
 fn check_quorum(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
     let timeout = Duration::from_millis(CHECK_QUORUM_MS) + core.election.response_time.allowance(now);
-    let own = &core.settings.member.instance;
     let heard = |member: &Member| {
-        member.instance == *own || now.saturating_since(core.replication.heard_at(&member.instance)) < timeout
+        members::is_own(core, member) || now.saturating_since(core.replication.heard_at(member)) < timeout
     };
     if members::is_quorum(core.log.members(), heard) {
         return;
--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -1,4 +1,5 @@
-//! Membership of the control group: quorums, and membership changes, one at a time and through learners.
+//! Membership of the control group: quorums, join requests, and the requests of instances that are about to stop.
+//! What a leader changes in the voters is decided in `reconfiguration`.
 //!
 //! Members named by the settings have no disk identity yet: they are *unbound*. Until the group has recorded
 //! its members' disks, a quorum is all of its members. So an instance whose disk was wiped can never vote
@@ -24,40 +25,75 @@
 pub const REPLACE_AFTER_MS: u64 = 2_000;
 
 /// The maximum number of control instances in the group.
-pub const MEMBERS_MAX: usize = 8;
+pub const MEMBERS_MAX: usize = 16;
 
 /// How long a member hears no leader before it sends join requests in case it was removed, in milliseconds.
 /// It covers several election timeouts, so an ordinary change of leader causes no request.
 pub const LEADERLESS_JOIN_MS: u64 = 2_000;
 
-/// The minimum number of voters that remain when silent voters are retired: a smaller group would not survive
-/// the loss of a voter.
-pub const VOTERS_MIN: usize = 3;
+/// The interval between two requests of an instance that is about to stop, in milliseconds.
+pub const LEAVE_INTERVAL_MS: u64 = 100;
 
-/// How long a voter of an even-sized group must be silent before it is retired, in milliseconds. An
-/// even-sized group tolerates no more failures than the odd-sized group below it, so retiring the voter costs
-/// no fault tolerance.
-pub const RETIRE_EVEN_MS: u64 = 2_500;
+/// How long an instance that is about to stop waits until another one has its place as a voter, in milliseconds.
+pub const LEAVE_TIMEOUT_MS: u64 = 3_000;
 
-/// How long a voter of an odd-sized group must be silent before it is retired, in milliseconds.
-pub const RETIRE_ODD_MS: u64 = 10_000;
+/// How long the leader counts an instance as about to stop after its last request, in milliseconds.
+pub const LEAVE_VALID_MS: u64 = 1_000;
 
-/// Returns whether the members for which `granted` holds are a quorum of the voters.
+/// A member that has said that it is about to stop.
+#[derive(Debug)]
+pub struct Leaving {
+    member: Member,
+    asked_at: Instant,
+}
+
+/// The planned stop of this instance.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannedStop {
+    /// When it stops even as a voter.
+    until: Instant,
+    next_request_at: Instant,
+}
+
+/// Returns whether the members for which `granted` holds are a quorum: a majority of the voters, and during a change
+/// of the voters a majority of the earlier ones as well.
 pub fn is_quorum(members: &Members, granted: impl Fn(&Member) -> bool) -> bool {
-    let voters = members.voters.len();
-    let count = members.voters.iter().filter(|member| granted(member)).count();
-    let needed = if is_bound(members) { voters / 2 + 1 } else { voters };
-    voters > 0 && count >= needed
+    let has_majority = |voters: &SortedVec<Member>| {
+        let count = voters.iter().filter(|member| granted(member)).count();
+        let needed = if is_bound(members) { voters.len() / 2 + 1 } else { voters.len() };
+        count >= needed
+    };
+    let is_outgoing_granted = members.outgoing.is_empty() || has_majority(&members.outgoing);
+    !members.voters.is_empty() && has_majority(&members.voters) && is_outgoing_granted
 }
 
 /// Returns whether the disks of all voters are recorded.
 pub fn is_bound(members: &Members) -> bool {
-    members.voters.iter().all(|member| member.disk.is_bound())
+    all_voters(members).all(|member| member.disk.is_bound())
+}
+
+/// Returns the number of voters that bear as many losses as `instances` control instances can: the highest odd number of
+/// them. Three if the instances are not known.
+pub fn voters_needed(instances: usize) -> usize {
+    match instances {
+        0 => voters_for(1),
+        instances => voters_for((instances - 1) / 2),
+    }
+}
+
+/// Returns the number of voters that bear the loss of this many of them at once.
+pub fn voters_for(losses: usize) -> usize {
+    2 * losses + 1
+}
+
+/// Returns the voters, and during a change of the voters also the earlier ones.
+pub fn all_voters(members: &Members) -> impl Iterator<Item = &Member> {
+    members.voters.iter().chain(members.outgoing.iter())
 }
 
 /// Returns the voter with this name, unless a different disk is recorded for it.
 pub fn voter<'a>(members: &'a Members, instance: &InstanceName, disk: &DiskId) -> Option<&'a Member> {
-    members.voters.get(instance).filter(|member| matches_disk(member, disk))
+    all_voters(members).find(|member| member.instance == *instance && matches_disk(member, disk))
 }
 
 /// Returns the voter or learner with this name, unless a different disk is recorded for it.
@@ -66,9 +102,19 @@
     voter(members, instance, disk).or_else(learner)
 }
 
-/// Returns the voters and learners.
+/// Returns the voters and learners, each instance once. Of an instance with two disks, this is the one with the newer
+/// disk: a learner's, or that of a voter which replaces an earlier one.
 pub fn all(members: &Members) -> impl Iterator<Item = &Member> {
-    members.voters.iter().chain(members.learners.iter())
+    let is_learner = |member: &&Member| members.learners.contains(&member.instance);
+    let voters = members.voters.iter().filter(move |member| !is_learner(member));
+    let outgoing = members.outgoing.iter().filter(move |member| !is_learner(member));
+    let outgoing = outgoing.filter(|member| !members.voters.contains(&member.instance));
+    members.learners.iter().chain(voters).chain(outgoing)
+}
+
+/// Returns whether a recorded member is this instance with its disk.
+pub fn is_own(core: &Core, member: &Member) -> bool {
+    member.instance == core.settings.member.instance && matches_disk(member, &core.settings.member.disk)
 }
 
 /// Returns whether this instance's disk is not recorded as a member's.
@@ -97,7 +143,8 @@
     }
 }
 
-/// Handles a join request: first removes the instance's old disk, then adds the new one as a learner.
+/// Handles a join request: adds the instance as a learner. It becomes a voter once it has the log and a place is free,
+/// see `reconfiguration`. Its old disk, if it was a voter, keeps its place until then.
 ///
 /// A follower forwards the request to the leader, since the joining instance may know only followers.
 pub fn on_join(core: &mut Core, now: Instant, joining: &Member, out: &mut Vec<Effect>) {
@@ -105,36 +152,33 @@
         forward_join(core, joining, out);
         return;
     }
-    if !can_change_members(core)
-        || joining.instance == core.settings.member.instance
-        || !joining.disk.is_bound()
-    {
+    let own = &core.settings.member.instance;
+    if !can_change(core) || joining.instance == *own || !joining.disk.is_bound() {
         return;
     }
     let members = core.log.members();
-    let is_full = members.voters.len() + members.learners.len() >= MEMBERS_MAX;
-    let is_current_member = all(members).any(|member| member.instance == joining.instance);
-    if member(members, &joining.instance, &joining.disk).is_some() || (is_full && !is_current_member) {
+    let earlier = all(members).find(|member| member.instance == joining.instance);
+    let is_known = member(members, &joining.instance, &joining.disk).is_some();
+    if is_known || (earlier.is_none() && all(members).count() >= MEMBERS_MAX) {
         return;
     }
-    let silence = now.saturating_since(core.replication.heard_at(&joining.instance));
-    if is_current_member && silence < Duration::from_millis(REPLACE_AFTER_MS) {
+    if earlier.is_some_and(|earlier| !can_supersede(core, now, earlier)) {
         return;
     }
     let mut changed = members.clone();
-    let message = if changed.voters.remove(&joining.instance).is_some() {
-        format!(
-            "control instance {} has a new disk; the old one was removed from the voters",
-            joining.instance
-        )
-    } else {
-        changed.learners.insert(joining.clone());
-        format!("control instance {} was added as a learner", joining.instance)
-    };
-    out.push(Effect::Log(message.into()));
+    changed.learners.insert(joining.clone());
+    let has_new_disk = if earlier.is_some() { " with a new disk" } else { "" };
+    let text = format!("control instance {}{has_new_disk} was added as a learner", joining.instance);
+    out.push(Effect::Log(text.into()));
     replicate::propose(core, now, Command::Members(changed), out);
 }
 
+/// Returns whether an instance with the same name and another disk may take a member's place.
+fn can_supersede(core: &Core, now: Instant, earlier: &Member) -> bool {
+    let silence = now.saturating_since(core.replication.heard_at(earlier));
+    silence >= Duration::from_millis(REPLACE_AFTER_MS)
+}
+
 fn forward_join(core: &Core, joining: &Member, out: &mut Vec<Effect>) {
     let Some(leader) = election::leader_hint(core) else { return };
     let is_own = leader.instance == core.settings.member.instance || leader.instance == joining.instance;
@@ -144,44 +188,65 @@
     }
 }
 
-/// Removes a voter that has been silent for long. Without this, a group whose failed member was replaced by
-/// another instance would still count the failed one.
-pub fn retire_silent_voter(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
-    let members = core.log.members();
-    if members.voters.len() <= VOTERS_MIN || !can_change_members(core) {
+/// Begins the planned stop of this instance. It may end once it no longer is a voter, or if no other instance could
+/// take its place: see [`Effect::Stopped`].
+pub fn on_stop(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
+    let until = now + Duration::from_millis(LEAVE_TIMEOUT_MS);
+    core.planned_stop.get_or_insert(PlannedStop { until, next_request_at: now });
+    continue_stop(core, now, out);
+}
+
+/// Continues a planned stop: asks the leader for a successor, and ends once there is no need to wait.
+pub fn continue_stop(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
+    let Some(stop) = core.planned_stop else { return };
+    if now >= stop.until || !is_awaiting_successor(core) {
+        out.push(Effect::Stopped);
         return;
     }
-    let is_even = members.voters.len().is_multiple_of(2);
-    let limit = Duration::from_millis(if is_even { RETIRE_EVEN_MS } else { RETIRE_ODD_MS });
-    let own = &core.settings.member.instance;
-    let silent = members.voters.iter().find(|voter| {
-        let silence = now.saturating_since(core.replication.heard_at(&voter.instance));
-        voter.instance != *own && silence >= limit
-    });
-    let Some(silent) = silent.map(|voter| voter.instance.clone()) else { return };
-    let mut changed = members.clone();
-    changed.voters.remove(&silent);
-    out.push(Effect::Log(
-        format!("control instance {silent} is silent and was removed from the voters").into(),
-    ));
-    replicate::propose(core, now, Command::Members(changed), out);
+    if now < stop.next_request_at || core.election.is_leader() {
+        return;
+    }
+    core.planned_stop =
+        Some(PlannedStop { next_request_at: now + Duration::from_millis(LEAVE_INTERVAL_MS), ..stop });
+    let leader = election::leader_hint(core);
+    let leader = leader.and_then(|leader| all(core.log.members()).find(|m| m.instance == leader.instance));
+    if let Some(leader) = leader.cloned() {
+        replicate::send(core, &leader, ReplicationBody::Leave, out);
+    }
 }
 
-/// Makes a learner a voter once it has the whole log.
-pub fn promote_learners(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
-    if core.log.members().learners.is_empty() || !can_change_members(core) {
+/// Returns whether this instance is a voter whose place another instance may take: the group has learners, or more
+/// voters than it needs.
+fn is_awaiting_successor(core: &Core) -> bool {
+    let own = &core.settings.member;
+    let members = core.log.members();
+    let is_change_committed = core.log.members_index() <= core.log.commit;
+    let is_voter = voter(members, &own.instance, &own.disk).is_some();
+    let has_candidates =
+        members.learners.iter().next().is_some() || all_voters(members).count() > core.voters_target;
+    (is_voter && has_candidates) || !is_change_committed
+}
+
+/// Handles the request of an instance that is about to stop. The leader looks for a successor, see `reconfiguration`.
+pub fn on_leave(core: &mut Core, now: Instant, leaving: Member) {
+    if !core.election.is_leader() {
         return;
     }
-    let last = core.log.last_index();
-    let mut learners = core.log.members().learners.iter();
-    let ready = learners.find(|learner| core.replication.match_index(&learner.instance) >= last);
-    let Some(ready) = ready.cloned() else { return };
-    let mut changed = core.log.members().clone();
-    changed.learners.remove(&ready.instance);
-    let name = ready.instance.clone();
-    changed.voters.insert(ready);
-    out.push(Effect::Log(format!("control instance {name} has caught up and became a voter").into()));
-    replicate::propose(core, now, Command::Members(changed), out);
+    core.leaving.retain(|known| known.member.instance != leaving.instance);
+    core.leaving.push(Leaving { member: leaving, asked_at: now });
+}
+
+/// Returns whether a member has said lately that it is about to stop.
+pub fn is_leaving(core: &Core, now: Instant, member: &Member) -> bool {
+    if is_own(core, member) {
+        return core.planned_stop.is_some();
+    }
+    let is_valid = |asked_at: Instant| now.saturating_since(asked_at) < Duration::from_millis(LEAVE_VALID_MS);
+    core.leaving.iter().any(|leaving| {
+        leaving.member.instance == member.instance
+            && leaving.member.disk == member.disk
+            && is_valid(leaving.asked_at)
+    })
 }
 
 /// Records the disks of the voters once all of them have voted. The caller sends the record to the followers.
@@ -197,7 +262,9 @@
 
 fn with_recorded_disk(voter: &Member, disks: &[Member]) -> Member {
     let known = disks.iter().find(|member| member.instance == voter.instance);
-    known.map_or_else(|| voter.clone(), |known| Member { disk: known.disk.clone(), ..voter.clone() })
+    let bound =
+        |known: &Member| Member { disk: known.disk.clone(), domain: known.domain.clone(), ..voter.clone() };
+    known.map_or_else(|| voter.clone(), bound)
 }
 
 fn matches_disk(member: &Member, disk: &DiskId) -> bool {
@@ -206,7 +273,7 @@
 
 /// Returns whether the members may be changed: one change at a time, and none before the leader has committed
 /// a record of its own term.
-fn can_change_members(core: &Core) -> bool {
+pub fn can_change(core: &Core) -> bool {
     core.election.is_leader()
         && core.replication.has_committed_own_term(&core.log)
         && core.log.members_index() <= core.log.commit
--- a/crates/cumincart-core/src/control/replicate.rs
+++ b/crates/cumincart-core/src/control/replicate.rs
@@ -38,12 +38,23 @@
     next_heartbeat_at: Instant,
 }
 
+/// A follower as it is recorded. Progress is that of a disk: an instance with a new disk starts from nothing.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct FollowerKey {
+    instance: InstanceName,
+    disk: DiskId,
+}
+
+impl FollowerKey {
+    fn of(member: &Member) -> Self {
+        Self { instance: member.instance.clone(), disk: member.disk.clone() }
+    }
+}
+
 /// The replication progress of one follower.
 #[derive(Debug, Clone)]
 struct FollowerProgress {
-    instance: InstanceName,
-    /// The disk that this progress applies to.
-    disk: DiskId,
+    follower: FollowerKey,
     /// The index of the next record to send.
     next_index: LogIndex,
     /// The highest index known to be on the follower's disk.
@@ -59,23 +70,27 @@
 }
 
 impl Keyed for FollowerProgress {
-    type Key = InstanceName;
+    type Key = FollowerKey;
 
-    fn key(&self) -> &InstanceName {
-        &self.instance
+    fn key(&self) -> &FollowerKey {
+        &self.follower
     }
 }
 
 impl Replication {
-    /// Returns the highest index known to be on an instance's disk.
-    pub fn match_index(&self, instance: &InstanceName) -> LogIndex {
-        self.followers.get(instance).map(|progress| progress.match_index).unwrap_or_default()
+    /// Returns the highest index known to be on a member's disk.
+    pub fn match_index(&self, member: &Member) -> LogIndex {
+        self.get(member).map(|progress| progress.match_index).unwrap_or_default()
     }
 
-    /// Returns when the last answer of an instance arrived; the time of the election if none has arrived
-    /// since.
-    pub fn heard_at(&self, instance: &InstanceName) -> Instant {
-        self.followers.get(instance).map_or(self.elected_at, |progress| progress.heard_at)
+    /// Returns when the last answer of a member arrived; if none has arrived, when it was first sent a message, or the
+    /// time of the election.
+    pub fn heard_at(&self, member: &Member) -> Instant {
+        self.get(member).map_or(self.elected_at, |progress| progress.heard_at)
+    }
+
+    fn get(&self, member: &Member) -> Option<&FollowerProgress> {
+        self.followers.get(&FollowerKey::of(member))
     }
 
     /// Returns when this leadership began.
@@ -94,9 +109,9 @@
         self.last_stamp + Duration::from_micros(1)
     }
 
-    /// Returns the highest stamp that an instance has answered.
-    pub fn confirmed_stamp(&self, instance: &InstanceName) -> Instant {
-        self.followers.get(instance).map(|progress| progress.confirmed_stamp).unwrap_or_default()
+    /// Returns the highest stamp that a member has answered.
+    pub fn confirmed_stamp(&self, member: &Member) -> Instant {
+        self.get(member).map(|progress| progress.confirmed_stamp).unwrap_or_default()
     }
 
     /// Returns the stamp of a new round. Stamps are strictly increasing, so an answer identifies the round
@@ -116,11 +131,13 @@
 
 /// Sends a message to one control instance.
 pub fn send(core: &Core, to: &Member, body: ReplicationBody, out: &mut Vec<Effect>) {
+    let own = &core.settings.member;
     let message = ReplicationMessage {
-        disk: core.settings.member.disk.clone(),
-        peer_address: core.settings.member.peer_address.clone(),
+        disk: own.disk.clone(),
+        peer_address: own.peer_address.clone(),
         incarnation: core.settings.incarnation,
         term: core.election.ballot.term,
+        domain: own.domain.clone().filter(|_| matches!(body, ReplicationBody::VoteAnswer(_))),
         body,
     };
     out.push(Effect::Send(to.clone(), message));
@@ -147,6 +164,7 @@
 pub fn broadcast(core: &mut Core, now: Instant, out: &mut Vec<Effect>) -> Instant {
     let stamp = core.replication.stamp(now);
     core.replication.next_heartbeat_at = now + Duration::from_millis(LEADER_HEARTBEAT_MS);
+    forget_former_members(core);
     for member in follower_members(core) {
         send_records(core, now, &member, stamp, out);
     }
@@ -186,12 +204,17 @@
     out: &mut Vec<Effect>,
 ) {
     election::on_peer_answered(core, now, answer.sent_at);
-    let known = members::member(core.log.members(), &from.instance, &from.disk).is_some();
-    if !core.election.is_leader() || !known {
+    if !core.election.is_leader() {
         return;
     }
+    let Some(from) = members::member(core.log.members(), &from.instance, &from.disk).cloned() else {
+        // It was sent a message in place of its old disk, and may take itself for a member.
+        members::on_join(core, now, from, out);
+        return;
+    };
     let last = core.log.last_index();
-    let Some(progress) = core.replication.followers.get_mut(&from.instance) else { return };
+    let follower = FollowerKey::of(&from);
+    let Some(progress) = core.replication.followers.get_mut(&follower) else { return };
     progress.heard_at = now;
     progress.confirmed_stamp = progress.confirmed_stamp.max(answer.sent_at);
     if answer.success {
@@ -209,11 +232,21 @@
     }
     let stamp = if answer.success { core.replication.last_stamp } else { core.replication.stamp(now) };
     if !answer.success
-        && let Some(progress) = core.replication.followers.get_mut(&from.instance)
+        && let Some(progress) = core.replication.followers.get_mut(&follower)
     {
         progress.retry_stamp = stamp;
     }
-    send_records(core, now, from, stamp, out);
+    send_records(core, now, &from, stamp, out);
+}
+
+/// Drops the progress of instances that are no longer members, so that one that joins again starts anew.
+fn forget_former_members(core: &mut Core) {
+    let members = core.log.members();
+    let is_member = |follower: &FollowerKey| {
+        let mut known = members::all_voters(members).chain(members.learners.iter());
+        known.any(|member| member.instance == follower.instance && member.disk == follower.disk)
+    };
+    core.replication.followers.retain(|progress| is_member(&progress.follower));
 }
 
 fn follower_members(core: &Core) -> Vec<Member> {
@@ -222,14 +255,14 @@
 }
 
 fn send_records(core: &mut Core, now: Instant, to: &Member, stamp: Instant, out: &mut Vec<Effect>) {
-    let next = progress_of(core, to).next_index;
+    let next = progress_of(core, now, to).next_index;
     let previous_index = LogIndex(next.0 - 1);
     let Some(previous_term) = core.log.term_at(previous_index) else {
         send_snapshot(core, now, to, out);
         return;
     };
     let records = records_that_fit(core.log.after(previous_index, RECORDS_PER_MESSAGE)).to_vec();
-    progress_of(core, to).next_index = records.last().map_or(next, |record| record.index.next());
+    progress_of(core, now, to).next_index = records.last().map_or(next, |record| record.index.next());
     let append = Append { previous_index, previous_term, records, commit: core.log.commit, sent_at: stamp };
     send(core, to, ReplicationBody::Append(append), out);
 }
@@ -255,27 +288,24 @@
     }
 }
 
-/// Returns the progress of a follower. It is reset if the follower has a different disk than before.
-fn progress_of<'a>(core: &'a mut Core, to: &Member) -> &'a mut FollowerProgress {
-    let initial = FollowerProgress {
-        instance: to.instance.clone(),
-        disk: to.disk.clone(),
-        next_index: core.log.last_index().next(),
+/// Returns the progress of a follower, which begins when it is first sent a message.
+fn progress_of<'a>(core: &'a mut Core, now: Instant, to: &Member) -> &'a mut FollowerProgress {
+    let follower = FollowerKey::of(to);
+    let next_index = core.log.last_index().next();
+    let initial = || FollowerProgress {
+        follower: follower.clone(),
+        next_index,
         match_index: LogIndex::default(),
         confirmed_stamp: Instant::ZERO,
-        heard_at: core.replication.elected_at,
+        heard_at: now,
         retry_stamp: Instant::ZERO,
         snapshot_sent_at: None,
     };
-    let progress = core.replication.followers.get_or_insert_with(&to.instance, || initial.clone());
-    if progress.disk != to.disk {
-        *progress = initial;
-    }
-    progress
+    core.replication.followers.get_or_insert_with(&follower, initial)
 }
 
 fn send_snapshot(core: &mut Core, now: Instant, to: &Member, out: &mut Vec<Effect>) {
-    let Some(progress) = core.replication.followers.get_mut(&to.instance) else { return };
+    let Some(progress) = core.replication.followers.get_mut(&FollowerKey::of(to)) else { return };
     let retry = Duration::from_millis(SNAPSHOT_RETRY_MS);
     if progress.snapshot_sent_at.is_some_and(|at| now.saturating_since(at) < retry) {
         return;
--- a/crates/cumincart-core/tests/control_chaos.rs
+++ b/crates/cumincart-core/tests/control_chaos.rs
@@ -120,7 +120,8 @@
         let Some(leader) = self.fleet.leader() else { return false };
         let Some(core) = &self.fleet.controls[leader].core else { return false };
         let disk = &self.fleet.controls[control].disk;
-        let is_settled = core.log.members_index() <= core.log.commit;
+        let is_settled =
+            core.log.members_index() <= core.log.commit && core.log.members().outgoing.is_empty();
         is_settled && core.log.members().voters.iter().any(|voter| voter.disk == *disk)
     }
 
--- a/crates/cumincart-core/tests/control_delivery.rs
+++ b/crates/cumincart-core/tests/control_delivery.rs
@@ -110,6 +110,7 @@
             instance: "control-1".into(),
             disk: DiskId("disk-1".into()),
             peer_address: "control-1".into(),
+            domain: None,
         };
         let first_members = Members { voters: [member.clone()].into_iter().collect(), ..Members::default() };
         let settings = Settings { member, incarnation: Incarnation(1), first_members };
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -6,9 +6,10 @@
         Core, Effect, Input, Persist, Probe, Settings, Stored, Ticket,
         catalogue::RecentDeltas,
         detection::{Evidence, PROBE_SILENT_AGREED_MS, probe_finds_dead},
-        members::{LEADERLESS_JOIN_MS, RETIRE_EVEN_MS},
+        members::{LEADERLESS_JOIN_MS, REPLACE_AFTER_MS},
         presence::{EXPIRE_AFTER_MS, PROBE_CONNECTIONS},
         probe::{FIRST_PROBES_PER_TICK, PROBE_INTERVAL_MS, URGENT_PROBES_PER_TICK},
+        reconfiguration::VOTER_SILENT_MS,
         step,
     },
     cumincart_protocol::{
@@ -40,6 +41,7 @@
         instance: name.as_str().into(),
         disk: DiskId(format!("disk-{number}").into()),
         peer_address: name.into(),
+        domain: None,
     }
 }
 
@@ -84,6 +86,7 @@
             disk: from.disk.clone(),
             peer_address: from.peer_address.clone(),
             incarnation: Incarnation(1),
+            domain: None,
             term,
             body,
         };
@@ -547,9 +550,9 @@
 }
 
 #[test]
-fn a_silent_voter_is_retired_from_an_even_group_but_not_from_three() {
+fn a_silent_voter_is_removed_from_an_even_group_but_not_from_three() {
     let mut four = Node::elected_leader(4);
-    four.advance_ms(RETIRE_EVEN_MS + 500, &[2, 3]);
+    four.advance_ms(VOTER_SILENT_MS + 500, &[2, 3]);
     let voters: Vec<String> =
         four.core.log.members().voters.iter().map(|voter| voter.instance.to_string()).collect();
     assert_eq!(voters, ["control-1", "control-2", "control-3"]);
@@ -567,6 +570,7 @@
     let members = Members {
         voters: [member(1), member(2), member(3)].into_iter().collect(),
         learners: [member(9)].into_iter().collect(),
+        ..Members::default()
     };
     let record = Record { index: LogIndex(1), term: ControlTerm(4), command: Command::Members(members) };
     let append = Append {
@@ -605,7 +609,20 @@
     assert!(node.core.log.members().learners.contains(&new_member.instance));
 }
 
-/// A member that was retired during a network partition still considers itself a member.
+/// Guards against an instance with a new disk that takes itself for a member while the leader does not: it was removed
+/// from the learners while it was cut off, and hears the leader in place of its old disk.
+#[test]
+fn an_answer_from_a_new_disk_of_a_silent_member_adds_it_as_a_learner() {
+    let mut node = Node::elected_leader(3);
+    node.advance_ms(REPLACE_AFTER_MS + 500, &[2]);
+    let repaired = Member { disk: DiskId("new disk".into()), ..member(3) };
+    let answer = AppendAnswer { sent_at: node.now(), success: false, matched: LogIndex(0) };
+    let term = node.term();
+    node.receive(&repaired, term, ReplicationBody::AppendAnswer(answer));
+    assert_eq!(node.core.log.members().learners.get(&repaired.instance), Some(&repaired));
+}
+
+/// A member that was removed during a network partition still considers itself a member.
 #[test]
 fn a_member_that_hears_no_leader_sends_join_requests() {
     let mut node = Node::elected_leader(3);
--- a/crates/cumincart-core/tests/control_replication.rs
+++ b/crates/cumincart-core/tests/control_replication.rs
@@ -237,7 +237,8 @@
     let joined = fleet.run_until(10_000, |fleet| {
         let control = &fleet.controls[others[0]];
         let members = fleet.controls[leader].core.as_ref().expect("the instance runs").log.members();
-        members.voters.iter().any(|voter| voter.disk == control.disk) && members.voters.len() == 3
+        let is_voter = members.voters.iter().any(|voter| voter.disk == control.disk);
+        is_voter && members.outgoing.is_empty() && members.voters.len() == 3
     });
     assert!(joined, "{:#?}", fleet.log_lines);
     // A second failure right after the repair: the repaired instance and the leader must hold all changes.
--- a/crates/cumincart-core/tests/control_rules.rs
+++ b/crates/cumincart-core/tests/control_rules.rs
@@ -29,6 +29,7 @@
         instance: name.as_str().into(),
         disk: DiskId(format!("disk-{number}").into()),
         peer_address: name.into(),
+        domain: None,
     }
 }
 
@@ -82,6 +83,7 @@
             disk: sender.disk,
             peer_address: sender.peer_address,
             incarnation: Incarnation(1),
+            domain: None,
             term,
             body,
         };
@@ -161,6 +163,7 @@
         peer_address: member(2).peer_address,
         incarnation: Incarnation(2),
         term: node.core.election.ballot.term,
+        domain: None,
         body: ReplicationBody::AppendAnswer(answer),
     };
     node.step(Input::Replication(member(2).instance, message));
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -30,7 +30,12 @@
 }
 
 fn member() -> Member {
-    Member { instance: "control-1".into(), disk: DiskId("disk".into()), peer_address: "control-1".into() }
+    Member {
+        instance: "control-1".into(),
+        disk: DiskId("disk".into()),
+        peer_address: "control-1".into(),
+        domain: None,
+    }
 }
 
 impl Node {
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -28,6 +28,7 @@
         instance: "control-1".into(),
         disk: DiskId("disk-1".into()),
         peer_address: "10.0.0.1:1".into(),
+        domain: None,
     };
     let unbound = Member { disk: DiskId::unbound(), ..member.clone() };
     let voters = std::iter::once(unbound).collect();
--- a/crates/cumincart-core/tests/control_usage/fixture.rs
+++ b/crates/cumincart-core/tests/control_usage/fixture.rs
@@ -40,6 +40,7 @@
         instance: "control-1".into(),
         disk: DiskId("disk-1".into()),
         peer_address: "10.0.0.1:1".into(),
+        domain: None,
     };
     let voters = std::iter::once(member.clone()).collect();
     let first_members = Members { voters, ..Members::default() };
--- a/crates/cumincart-core/tests/malformed_peers.rs
+++ b/crates/cumincart-core/tests/malformed_peers.rs
@@ -143,6 +143,7 @@
         instance: name.into(),
         disk: DiskId(format!("{name}-disk").into()),
         peer_address: "10.0.0.1:1".into(),
+        domain: None,
     }
 }
 
@@ -181,6 +182,7 @@
             incarnation: Incarnation(1),
             // The highest term is out of reach of elections: no instance could start one after it.
             term: ControlTerm(term.min(u64::MAX / 2)),
+            domain: None,
             body,
         })
         .boxed()
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -11,7 +11,7 @@
     cumincart_core::{
         control::{
             ControlRefusal, Core, Effect, Input, Persist, PromotedState, Promotion, PromotionError, Settings,
-            Status, Stored, Ticket, batch_effects, detection::Policy, step,
+            Status, Stored, Ticket, batch_effects, detection::Policy, members::voters_for, step,
         },
         timing::{ANNOUNCEMENT_INTERVAL_MS, HEARTBEAT_INTERVAL_MS, TICK_INTERVAL_MS},
     },
@@ -24,6 +24,7 @@
         number::{Incarnation, LogIndex, LogPosition, Revision, Term, Timeline},
         peer::PeerBody,
         replication::{DiskId, Member, Members},
+        sorted::SortedVec,
         time::Instant,
     },
     rand::RngExt,
@@ -94,6 +95,8 @@
     incarnation: u64,
     queued_inputs: Vec<Input>,
     first_members: Members,
+    /// The instances that it asks for the members of the group.
+    seeds: SortedVec<Member>,
 }
 
 /// The model of an entry instance.
@@ -224,6 +227,7 @@
     next_ticket: u64,
     tickets: Vec<(u64, usize)>,
     policy: Option<Policy>,
+    losses_borne: Option<usize>,
 }
 
 impl Fleet {
@@ -249,6 +253,7 @@
             next_ticket: 1,
             tickets: Vec::new(),
             policy: None,
+            losses_borne: None,
             config,
         };
         let config = fleet.config.clone();
@@ -437,9 +442,39 @@
         if let Some(policy) = policy {
             core.failover.policy = policy;
         }
+        core.seeds = control.seeds.clone();
+        if let Some(losses) = self.losses_borne {
+            core.voters_target = voters_for(losses);
+        }
         control.core = Some(core);
     }
 
+    /// Sets how many control instances may be lost at once.
+    pub fn set_losses_borne(&mut self, losses: usize) {
+        self.losses_borne = Some(losses);
+        for control in &mut self.controls {
+            if let Some(core) = &mut control.core {
+                core.voters_target = voters_for(losses);
+            }
+        }
+    }
+
+    /// Starts a control instance with an empty disk that is no member yet, in the failure domain of another one.
+    pub fn add_successor(&mut self, of: usize) -> usize {
+        let name: Arc<str> = format!("control-{}", self.controls.len() + 1).into();
+        let seeds = self.controls.iter().map(|control| member(&control.name, DiskId::unbound())).collect();
+        self.add_control(&name, self.controls[of].domain, Members::default());
+        let index = self.controls.len() - 1;
+        self.controls[index].seeds = seeds;
+        self.restart(index);
+        index
+    }
+
+    /// Requests the planned stop of a control instance, which ends by itself.
+    pub fn stop(&mut self, control: usize) {
+        self.step_or_queue(control, Input::Stop);
+    }
+
     /// Stops the process of a control instance and replaces its disk with an empty one.
     pub fn wipe_disk(&mut self, control: usize) {
         self.crash(control);
@@ -546,6 +581,7 @@
             incarnation: 0,
             queued_inputs: Vec::new(),
             first_members,
+            seeds: SortedVec::new(),
         });
         let index = self.controls.len() - 1;
         self.restart(index);
@@ -714,6 +750,7 @@
                 let name: Arc<str> = promotion.endpoint.as_str().into();
                 self.send_delayed(&from, &name, EventKind::Promote(control, promotion), delay_us);
             }
+            Effect::Stopped => self.crash(control),
             Effect::Log(line) => self.log_lines.push(format!("{} ms {from}: {line}", self.now.as_millis())),
         }
     }
@@ -993,7 +1030,7 @@
 }
 
 fn member(name: &Arc<str>, disk: DiskId) -> Member {
-    Member { instance: (&**name).into(), disk, peer_address: (&**name).into() }
+    Member { instance: (&**name).into(), disk, peer_address: (&**name).into(), domain: None }
 }
 
 fn persist_to(stored: &mut Stored, persist: Persist) {
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -222,6 +222,7 @@
         instance: "control-1".into(),
         disk: DiskId("disk".into()),
         peer_address: "127.0.0.1:1".into(),
+        domain: None,
     };
     let first_members = Members {
         voters: [Member { disk: DiskId::unbound(), ..member.clone() }].into_iter().collect(),
--- a/crates/cumincart-history/src/simulation/control.rs
+++ b/crates/cumincart-history/src/simulation/control.rs
@@ -191,7 +191,7 @@
 
 fn member(index: usize, disk: DiskId) -> Member {
     let name = format!("control-{index}");
-    Member { instance: name.as_str().into(), disk, peer_address: name.into() }
+    Member { instance: name.as_str().into(), disk, peer_address: name.into(), domain: None }
 }
 
 impl ControlNode {
@@ -306,6 +306,8 @@
             Effect::AnswerHeartbeat(ticket, body) => self.answer_heartbeat(index, ticket, body),
             Effect::AnswerOperator(ticket, result) => self.answer_operator(index, ticket, result),
             Effect::AnswerStatus(..) => {}
+            // No simulated control instance is stopped as planned.
+            Effect::Stopped => {}
             Effect::Log(line) => self.log(&self.controls[index].name.clone(), &line),
             Effect::Promote(promotion) => self.send_promotion(index, incarnation, promotion),
         }
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -5,7 +5,7 @@
         announcement::{Announcement, Presence},
         catalogue::EndpointEntry,
         change::{Change, ChangeId, Outcome, VersionedDocument},
-        name::{EndpointName, InstanceName, ServiceName},
+        name::{DomainName, EndpointName, InstanceName, ServiceName},
         number::{ControlTerm, Incarnation, LogIndex, LogPosition, Term, Timeline},
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -91,8 +91,13 @@
 pub struct Members {
     /// Instances whose votes and acknowledgements count towards a quorum.
     pub voters: SortedVec<Member>,
-    /// Instances that receive the log but don't count towards a quorum yet.
+    /// Instances that receive the log but don't count towards a quorum: they catch up, or stand by to take a voter's
+    /// place.
     pub learners: SortedVec<Member>,
+    /// The voters before a change that is in progress. Until it is complete, a quorum needs a majority of these as well
+    /// (joint consensus; Ongaro 2014, section 4.3).
+    #[serde(default, skip_serializing_if = "SortedVec::is_empty")]
+    pub outgoing: SortedVec<Member>,
 }
 
 /// A control instance and the identity of its disk.
@@ -104,6 +109,9 @@
     pub disk: DiskId,
     /// The address at which other instances reach it, as `ip:port`.
     pub peer_address: Arc<str>,
+    /// Its failure domain; `None` until it has been recorded.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub domain: Option<DomainName>,
 }
 
 impl Keyed for Member {
@@ -197,6 +205,9 @@
     /// The sender's election term.
     #[serde(rename = "t")]
     pub term: ControlTerm,
+    /// The sender's failure domain. Only sent with votes, from which the first voters are recorded.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub domain: Option<DomainName>,
     /// The content.
     #[serde(rename = "b")]
     pub body: ReplicationBody,
@@ -227,6 +238,8 @@
     Presences(Vec<Presence>),
     /// Asks the leader to add the sender as a learner.
     Join(Member),
+    /// Asks the leader to give the sender's place as a voter to a learner, since the sender is about to stop.
+    Leave,
 }
 
 /// A candidate's request for a vote.
--- a/crates/cumincart-runtime/examples/recovery_time.rs
+++ b/crates/cumincart-runtime/examples/recovery_time.rs
@@ -77,7 +77,8 @@
 }
 
 fn open_core(disk: DiskId, stored: Stored) -> Core {
-    let member = Member { instance: "control-1".into(), disk, peer_address: "127.0.0.1:1".into() };
+    let member =
+        Member { instance: "control-1".into(), disk, peer_address: "127.0.0.1:1".into(), domain: None };
     let voters = std::iter::once(member.clone()).collect();
     let first_members = Members { voters, ..Members::default() };
     let settings = Settings { member, incarnation: Incarnation(1), first_members };
--- a/crates/cumincart-runtime/tests/link.rs
+++ b/crates/cumincart-runtime/tests/link.rs
@@ -149,6 +149,7 @@
         peer_address: "127.0.0.1:1".into(),
         incarnation: Incarnation(1),
         term: ControlTerm(term),
+        domain: None,
         body,
     })
 }
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -303,7 +303,7 @@
         .await
         .expect("the address can be bound");
     let peer_address: Arc<str> = links.address.to_string().into();
-    let member = Member { instance: "control-1".into(), disk, peer_address };
+    let member = Member { instance: "control-1".into(), disk, peer_address, domain: None };
     let voters = [member.clone()].into_iter().collect();
     let options = ControlOptions {
         core_settings: control::Settings {
@@ -315,6 +315,7 @@
         seeds: Default::default(),
         endpoints: endpoint_operations(group),
         usage: usage_calls.map(usage_reporting),
+        losses_borne: None,
         logger: logger(),
     };
     (ControlEngine::spawn(options, data_folder, stored, received), links)
