A lost disk is repaired well within the time that it counts as lost

Change: requests come every 0.25 s; at the recorded address 0.6 s of silence are enough, since two processes can't hold one address.

--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -6,7 +6,7 @@
 //! under its former identity.
 
 use {
-    super::{Core, Effect, election, replicate},
+    super::{Core, Effect, election, reconfiguration::VOTER_SILENT_MS, replicate},
     cumincart_protocol::{
         name::InstanceName,
         replication::{Command, DiskId, Member, Members, ReplicationBody},
@@ -17,11 +17,11 @@
 };
 
 /// The interval between two join requests, in milliseconds.
-pub const JOIN_INTERVAL_MS: u64 = 1_000;
+pub const JOIN_INTERVAL_MS: u64 = 250;
 
-/// How long a member's old disk must be silent before an instance with the same name and a new disk replaces
-/// it, in milliseconds. It prevents two processes that were started under one name by mistake from replacing
-/// each other.
+/// How long a member's old disk must be silent before an instance with the same name, a new disk and another address
+/// replaces it, in milliseconds. It prevents two processes that were started under one name by mistake from replacing
+/// each other. At one address there can be only one, so there a voter's usual silence is enough.
 pub const REPLACE_AFTER_MS: u64 = 2_000;
 
 /// The maximum number of control instances in the group.
@@ -162,7 +162,7 @@
     if is_known || (earlier.is_none() && all(members).count() >= MEMBERS_MAX) {
         return;
     }
-    if earlier.is_some_and(|earlier| !can_supersede(core, now, earlier)) {
+    if earlier.is_some_and(|earlier| !can_supersede(core, now, earlier, joining)) {
         return;
     }
     let mut changed = members.clone();
@@ -174,9 +174,11 @@
 }
 
 /// Returns whether an instance with the same name and another disk may take a member's place.
-fn can_supersede(core: &Core, now: Instant, earlier: &Member) -> bool {
+fn can_supersede(core: &Core, now: Instant, earlier: &Member, joining: &Member) -> bool {
     let silence = now.saturating_since(core.replication.heard_at(earlier));
-    silence >= Duration::from_millis(REPLACE_AFTER_MS)
+    let is_same_place = earlier.peer_address == joining.peer_address;
+    let limit_ms = if is_same_place { VOTER_SILENT_MS } else { REPLACE_AFTER_MS };
+    silence >= Duration::from_millis(limit_ms)
 }
 
 fn forward_join(core: &Core, joining: &Member, out: &mut Vec<Effect>) {
--- a/crates/cumincart-core/tests/control_voters.rs
+++ b/crates/cumincart-core/tests/control_voters.rs
@@ -19,6 +19,9 @@
 /// How long the group may take to serve again after the last loss, in milliseconds.
 const RECOVERY_MS: u64 = 12_000;
 
+/// How long a sync takes on a slow disk, in milliseconds.
+const SLOW_SYNC_MS: u64 = 200;
+
 /// The moments of a further loss, in milliseconds.
 const MOMENTS_MS: std::ops::RangeInclusive<u64> = 0..=1_200;
 
@@ -191,6 +194,30 @@
     }
 }
 
+/// Guards against a repair that waits for the old disk's silence and for further requests to join: with slow disks, which
+/// elections and records wait for, it then takes longer than an instance counts as lost.
+#[test]
+fn another_disk_may_be_lost_once_a_lost_one_has_had_its_time_on_slow_disks() {
+    for moment_ms in moments().step_by(4) {
+        for first in 0..3 {
+            for second in others(&[first], 3) {
+                let case = format!("slow disks: {first} is lost, {second} {moment_ms} ms after the catch-up");
+                let mut group = Group::start(350 + moment_ms, case);
+                group.fleet.set_sync_ms(SLOW_SYNC_MS);
+                group.change();
+                group.lose_disk(first);
+                group.fleet.run_ms(DOWN_MS);
+                group.fleet.restart(first);
+                group.fleet.run_ms(CATCH_UP_MS + moment_ms);
+                group.lose_disk(second);
+                group.fleet.run_ms(DOWN_MS);
+                group.fleet.restart(second);
+                group.check();
+            }
+        }
+    }
+}
+
 /// A successor may be lost while it catches up; the instance that it replaces is then still the only loss.
 #[test]
 fn a_successor_may_lose_its_disk_at_any_moment_of_a_replacement() {
