A status report is acknowledged once it is in force

A database that drains was told so and kept getting writes: the report was acknowledged when it was handed on.

Change: the answer waits until the committed catalogue shows the report. A follower passes it on under a number and returns the leader's answer. A later start at an address no longer counts against an endpoint that has answered a probe there since.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -16,7 +16,7 @@
         timing::TICK_INTERVAL_MS,
     },
     cumincart_protocol::{
-        announcement::{Announcement, LogState, Presence},
+        announcement::{Announcement, LogState, Presence, PresenceReport},
         change::{Change, Outcome},
         excerpt::Excerpt,
         name::InstanceName,
@@ -135,12 +135,16 @@
 /// The result of a status request.
 pub type StatusResult = Result<Box<Status>, ControlRefusal>;
 
+/// The result of an endpoint's report: whether it is in force.
+pub type ReportResult = Result<bool, ControlRefusal>;
+
 /// A message to the engine's thread.
 enum Message {
     Input(Input),
     Peer(ReceivedMessage),
     Change(Change, oneshot::Sender<ChangeResult>),
     Status(oneshot::Sender<StatusResult>),
+    Report(PresenceReport, oneshot::Sender<ReportResult>),
     Inspect(Box<ReadCore>),
     End,
 }
@@ -151,7 +155,10 @@
     match message {
         Message::Input(Input::Tick) => Priority::FirstOnce,
         Message::Peer(ReceivedMessage { body: PeerBody::Replication(message), .. }) => match message.body {
-            ReplicationBody::Announcements(_) | ReplicationBody::Presences(_) => Priority::InOrder,
+            ReplicationBody::Announcements(_)
+            | ReplicationBody::Presences(_)
+            | ReplicationBody::Report(..)
+            | ReplicationBody::ReportOutcome(..) => Priority::InOrder,
             _ => Priority::First,
         },
         _ => Priority::InOrder,
@@ -230,6 +237,14 @@
         let _ = self.messages.send(Message::Input(Input::Present(presence)));
     }
 
+    /// Passes an endpoint's report to the core and waits until it is in force. Returns whether it is; if not, it was
+    /// superseded by a later run.
+    pub async fn report(&self, report: PresenceReport) -> ReportResult {
+        let (answer, answered) = oneshot::channel();
+        let _ = self.messages.send(Message::Report(report, answer));
+        answered.await.unwrap_or(Err(ControlRefusal::NoQuorum))
+    }
+
     /// Begins a planned stop: the engine ends once another instance has its place as a voter, or after a few seconds.
     /// It ends at once if no other instance could take the place. Everything that was acknowledged is synced to disk.
     pub fn stop(&self) {
@@ -291,6 +306,7 @@
     messages: mpsc::WeakUnboundedSender<Message>,
     changes: Pending<ChangeResult>,
     statuses: Pending<StatusResult>,
+    reports: Pending<ReportResult>,
     heartbeats: HeartbeatReplies<Reply>,
     links: Vec<MemberLink>,
     instance: InstanceName,
@@ -329,6 +345,7 @@
             messages,
             changes: Pending::default(),
             statuses: Pending::default(),
+            reports: Pending::default(),
             heartbeats: HeartbeatReplies::default(),
             links: Vec::new(),
             instance,
@@ -389,6 +406,10 @@
                     let ticket = Ticket(self.statuses.add(answer));
                     self.step(Input::Status(ticket), &mut effects);
                 }
+                Message::Report(report, answer) => {
+                    let ticket = Ticket(self.reports.add(answer));
+                    self.step(Input::Reported(ticket, report), &mut effects);
+                }
                 Message::Inspect(read) => {
                     // Nothing is shown that a crash could still undo.
                     self.apply_effects(&mut effects)?;
@@ -462,6 +483,9 @@
             Effect::AnswerStatus(ticket, result) => {
                 self.statuses.answer(ticket.0, result);
             }
+            Effect::AnswerReport(ticket, result) => {
+                self.reports.answer(ticket.0, result);
+            }
             Effect::Stopped => self.is_stopped = true,
             Effect::Promote(promotion) => self.promote(promotion),
             Effect::Probe(probe) => self.probe(probe),
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -27,6 +27,7 @@
 pub mod read_index;
 pub mod reconfiguration;
 pub mod replicate;
+pub mod reports;
 pub mod response_time;
 pub mod runs;
 pub mod service_state;
@@ -45,7 +46,7 @@
 
 use {
     cumincart_protocol::{
-        announcement::{Announcement, LogState, Presence},
+        announcement::{Announcement, LogState, Presence, PresenceReport},
         catalogue::Catalogue,
         change::{Change, Outcome, VersionedDocument},
         heartbeat::Heartbeat,
@@ -117,6 +118,8 @@
     Announced(Announcement),
     /// A presence message from an endpoint that does not report the state of its log.
     Present(Presence),
+    /// The same, to be answered with `Effect::AnswerReport` once it is in force.
+    Reported(Ticket, PresenceReport),
     /// The result of a probe; `None` if the endpoint did not answer.
     Probed(Probe, Option<LogState>),
     /// The data folder was synced, which took this long. Sent where it took longer than `SLOW_SYNC_MS`.
@@ -143,6 +146,8 @@
     AnswerOperator(Ticket, Result<Outcome, ControlRefusal>),
     /// Answer a status request.
     AnswerStatus(Ticket, Result<Box<Status>, ControlRefusal>),
+    /// Answer an endpoint's report: whether it is in force, or was superseded by a later run.
+    AnswerReport(Ticket, Result<bool, ControlRefusal>),
     /// The planned stop is complete: the process may end.
     Stopped,
     /// Promote an endpoint and report the result with `Input::Promoted`.
@@ -222,6 +227,8 @@
     pub deliveries: delivery::Deliveries,
     /// The last announcement of each endpoint; kept by the leader.
     pub announcements: announcements::Announcements,
+    /// The reports of endpoints that are not answered yet.
+    pub reports: reports::Reports,
     /// The changes of primary that are in progress; kept by the leader.
     pub failover: failover::Failover,
     /// The shares of organisations' rate quotas that entry instances hold; kept by the leader.
@@ -265,6 +272,7 @@
             pushes: push::Pushes::default(),
             deliveries: delivery::Deliveries::default(),
             announcements: announcements::Announcements::default(),
+            reports: reports::Reports::default(),
             failover: failover::Failover::default(),
             shares: shares::Ledger::default(),
             permits: permits::Ledger::default(),
@@ -297,6 +305,7 @@
         Input::Status(ticket) => read_index::request_read(core, now, ticket, read_index::Read::Status, out),
         Input::Announced(announcement) => announcements::on_announced(core, now, announcement, out),
         Input::Present(presence) => presence::on_present(core, now, presence, out),
+        Input::Reported(ticket, report) => reports::on_reported(core, now, ticket, report, out),
         Input::Probed(probe, answer) => probe::on_probed(core, now, &probe, answer, out),
         Input::Synced(duration) => election::on_synced(core, now, duration),
         Input::Promoted(promotion, result) => promotion::on_promoted(core, now, &promotion, &result, out),
@@ -330,6 +339,7 @@
     election::on_tick(core, now, out);
     members::join_if_not_member(core, now, out);
     members::continue_stop(core, now, out);
+    reports::on_tick(core, now, out);
     if !core.election.is_leader() {
         return;
     }
@@ -364,6 +374,10 @@
         ReplicationBody::Leave => members::on_leave(core, now, sender),
         ReplicationBody::Announcements(list) => announcements::on_forwarded(core, now, list, out),
         ReplicationBody::Presences(list) => presence::on_forwarded(core, now, list, out),
+        ReplicationBody::Report(number, report) => {
+            reports::on_forwarded(core, now, sender, number, report, out);
+        }
+        ReplicationBody::ReportOutcome(number, outcome) => reports::on_outcome(core, number, outcome, out),
         ReplicationBody::Append(append) if is_old => {
             replicate::reject_stale_append(core, &sender, &append, out);
         }
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -4,8 +4,8 @@
 use {
     super::{
         Core, Effect, announcements::Announcements, failover, leases, members, operators, permits, presence,
-        probe, read_index, replicate, replicate::LEADER_HEARTBEAT_MS, response_time::ResponseTime, runs,
-        shares, usage,
+        probe, read_index, replicate, replicate::LEADER_HEARTBEAT_MS, reports, response_time::ResponseTime,
+        runs, shares, usage,
     },
     cumincart_protocol::{
         name::InstanceName,
@@ -393,6 +393,7 @@
     }
     out.push(Effect::Log("this instance no longer leads".into()));
     operators::on_leadership_lost(core, out);
+    reports::on_leadership_lost(core, out);
     read_index::on_leadership_lost(core, out);
 }
 
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -32,6 +32,8 @@
 struct ReceivedPresence {
     presence: Presence,
     received_at: Instant,
+    /// When the endpoint's run was first announced at its address.
+    announced_since: Instant,
     /// The record that last changed the endpoint's entry.
     proposed: LogIndex,
 }
@@ -169,41 +171,101 @@
     }
 }
 
-/// Returns whether a presence message is older than the recorded one, or names an address that a later run
-/// uses. A message for an unconfigured service never replaces one for a configured service, and the reverse always
-/// happens.
-fn is_outdated(presences: &Presences, lists: &Lists, presence: &Presence) -> bool {
-    let version = |presence: &Presence| (presence.born_ms, presence.sequence);
+/// How a presence message relates to what is recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// It is the newest of its run, and no later run is known.
+    Current,
+    /// The same message, or a later one of its run, is recorded.
+    Repeated,
+    /// A later run has taken its name or its address, or it names a service that is not configured and another message
+    /// of the name does not.
+    Superseded,
+}
+
+/// Returns how a presence message relates to the recorded ones. A message for an unconfigured service never replaces one
+/// for a configured service, and the reverse always happens.
+fn standing(core: &Core, presence: &Presence) -> Standing {
+    let (presences, lists) = (&core.presences, &core.catalogue.lists);
+    let mut is_repeated = false;
     if let Some(last) = presences.get(&presence.endpoint) {
         let was_configured = is_configured(lists, &last.service);
         if was_configured != is_configured(lists, &presence.service) {
-            return was_configured;
+            return if was_configured { Standing::Superseded } else { Standing::Current };
         }
-        if version(last) >= version(presence) {
-            return true;
+        if last.born_ms > presence.born_ms {
+            return Standing::Superseded;
         }
+        is_repeated = last.born_ms == presence.born_ms && last.sequence >= presence.sequence;
+    }
+    if is_address_taken(core, presence) {
+        Standing::Superseded
+    } else if is_repeated {
+        Standing::Repeated
+    } else {
+        Standing::Current
     }
-    presences
-        .configured_at(lists, &presence.address)
-        .any(|other| other.endpoint != presence.endpoint && !other.ended && other.born_ms > presence.born_ms)
 }
 
-fn record(core: &mut Core, now: Instant, presence: Presence, out: &mut Vec<Effect>) {
-    let lists = &core.catalogue.lists;
-    if is_outdated(&core.presences, lists, &presence) {
-        return;
+/// Returns whether a later run under another name has taken the address of a presence message. It has not if the endpoint
+/// itself has answered there since.
+fn is_address_taken(core: &Core, presence: &Presence) -> bool {
+    let presences = &core.presences;
+    let has_answered_since = |other: &Presence| {
+        let other = presences.received.get(&other.endpoint);
+        let entry = known_entry(&core.catalogue, &presence.service, &presence.endpoint);
+        let is_there = entry.is_some_and(|entry| entry.address == presence.address);
+        let answered = |since| core.announcements.since(&presence.endpoint, since).is_some();
+        is_there && other.is_some_and(|other| answered(other.announced_since))
+    };
+    presences.configured_at(&core.catalogue.lists, &presence.address).any(|other| {
+        other.endpoint != presence.endpoint
+            && !other.ended
+            && other.born_ms > presence.born_ms
+            && !has_answered_since(other)
+    })
+}
+
+/// Records a presence message. Returns whether the last recorded one of the endpoint's run is this or a later one; if not,
+/// a later run has taken the endpoint's name or address.
+pub(super) fn record(core: &mut Core, now: Instant, presence: Presence, out: &mut Vec<Effect>) -> bool {
+    match standing(core, &presence) {
+        Standing::Current => {}
+        Standing::Repeated => return true,
+        Standing::Superseded => return false,
     }
+    let lists = &core.catalogue.lists;
     let endpoint = presence.endpoint.clone();
     let has_lists = !lists.interactive.services.is_empty();
     if has_lists && !is_configured(lists, &presence.service) && core.presences.get(&endpoint).is_none() {
         let text = format!("{}: not configured; endpoint {endpoint} is not used", presence.service);
         out.push(Effect::Log(text.into()));
     }
-    let proposed = core.presences.received.get(&endpoint).map(|last| last.proposed).unwrap_or_default();
-    core.presences.insert(ReceivedPresence { presence, received_at: now, proposed });
+    let last = core.presences.received.get(&endpoint);
+    let proposed = last.map(|last| last.proposed).unwrap_or_default();
+    let is_same_run = |last: &Presence| last.born_ms == presence.born_ms && last.address == presence.address;
+    let announced_since =
+        last.filter(|last| is_same_run(&last.presence)).map_or(now, |last| last.announced_since);
+    core.presences.insert(ReceivedPresence { presence, received_at: now, announced_since, proposed });
     if failover::is_established_leader(core) {
         sync_entry(core, now, &endpoint, out);
     }
+    true
+}
+
+/// Records that an endpoint has ended.
+pub(super) fn record_end(core: &mut Core, now: Instant, endpoint: &EndpointName, out: &mut Vec<Effect>) {
+    let Some(known) = core.presences.get(endpoint).cloned() else { return };
+    let sequence = known.sequence.saturating_add(1);
+    record(core, now, Presence { ended: true, leaving: true, sequence, ..known }, out);
+}
+
+/// Returns whether the catalogue shows an endpoint as it last reported itself, as far as the lists name its service.
+pub(super) fn is_in_force(core: &Core, endpoint: &EndpointName) -> bool {
+    failover::is_established_leader(core)
+        && core.presences.received.get(endpoint).is_none_or(|received| {
+            core.log.applied >= received.proposed && due_command(core, &received.presence).is_none()
+        })
 }
 
 /// Updates the endpoint's entry to match its last presence message.
@@ -212,20 +274,7 @@
     if core.log.applied < received.proposed {
         return;
     }
-    let presence = &received.presence;
-    let Some(limits) = core.catalogue.lists.interactive.services.get(&presence.service) else { return };
-    let entry = entry(presence, limits.connection_limit.saturating_sub(PROBE_CONNECTIONS).max(1));
-    let known = known_entry(&core.catalogue, &presence.service, endpoint);
-    let command = if presence.ended {
-        if known.is_none() || is_primary(&core.catalogue, &presence.service, endpoint) {
-            return;
-        }
-        Command::RemoveEndpoint(presence.service.clone(), endpoint.clone())
-    } else if known == Some(&entry) {
-        return;
-    } else {
-        Command::PutEndpoint(presence.service.clone(), entry)
-    };
+    let Some(command) = due_command(core, &received.presence) else { return };
     out.push(Effect::Log(describe(&command)));
     let index = replicate::propose(core, now, command, out);
     if let Some(received) = core.presences.received.get_mut(endpoint) {
@@ -233,6 +282,20 @@
     }
 }
 
+/// Returns the command that makes the catalogue match an endpoint's presence message; `None` if it does, or if its service
+/// is not configured.
+fn due_command(core: &Core, presence: &Presence) -> Option<Command> {
+    let (service, endpoint) = (&presence.service, &presence.endpoint);
+    let limits = core.catalogue.lists.interactive.services.get(service)?;
+    let entry = entry(presence, limits.connection_limit.saturating_sub(PROBE_CONNECTIONS).max(1));
+    let known = known_entry(&core.catalogue, service, endpoint);
+    if !presence.ended {
+        return (known != Some(&entry)).then(|| Command::PutEndpoint(service.clone(), entry));
+    }
+    let is_removed = known.is_none() || is_primary(&core.catalogue, service, endpoint);
+    (!is_removed).then(|| Command::RemoveEndpoint(service.clone(), endpoint.clone()))
+}
+
 fn describe(command: &Command) -> Arc<str> {
     match command {
         Command::PutEndpoint(service, entry) => format!(
--- a/crates/cumincart-core/tests/control_growth.rs
+++ b/crates/cumincart-core/tests/control_growth.rs
@@ -257,6 +257,28 @@
     assert!(node.group_is_writable());
 }
 
+/// Guards against a drain that is hidden by a message of another endpoint with the same address and a later start, although
+/// the endpoint itself answers there.
+#[test]
+fn a_later_run_at_an_address_hides_no_endpoint_that_answers_there() {
+    let mut node = with_endpoint();
+    let claimed = Presence { address: "10.0.0.2:5432".into(), ..presence("claimant", 900, 1) };
+    node.step(Input::Present(claimed.clone()));
+    node.acknowledge_all_records(2..=3);
+    let state = LogState { role: Role::Replica, timeline: Timeline(3), position: LogPosition(7), lag_ms: 0 };
+    for sequence in 2..10 {
+        let asked = probes(&node.advance_ms(PROBE_INTERVAL_MS, &[2, 3]));
+        for probe in asked.into_iter().filter(|probe| probe.endpoint.as_str() == "db") {
+            node.step(Input::Probed(probe, Some(state)));
+        }
+        node.step(Input::Present(Presence { sequence, ..claimed.clone() }));
+        node.acknowledge_all_records(2..=3);
+    }
+    node.step(Input::Present(Presence { leaving: true, ..presence("db", 100, 2) }));
+    node.acknowledge_all_records(2..=3);
+    assert!(is_leaving(&node));
+}
+
 /// Endpoints announce themselves before the first configuration arrives.
 #[test]
 fn a_presence_from_before_the_configuration_creates_an_entry_once_its_service_is_configured() {
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -16,7 +16,7 @@
         timing::{ANNOUNCEMENT_INTERVAL_MS, HEARTBEAT_INTERVAL_MS, TICK_INTERVAL_MS},
     },
     cumincart_protocol::{
-        announcement::{Announcement, Role},
+        announcement::{Announcement, PresenceReport, Role},
         catalogue::Catalogue,
         change::{Action, Change, ChangeId, Outcome},
         heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer},
@@ -145,6 +145,14 @@
     pub result: Result<Outcome, ControlRefusal>,
 }
 
+/// The answer to an endpoint's report.
+#[derive(Debug, Clone)]
+pub struct ReportAnswer {
+    pub ticket: u64,
+    pub at: Instant,
+    pub result: Result<bool, ControlRefusal>,
+}
+
 /// The answer to a status request.
 #[derive(Debug, Clone)]
 pub struct StatusAnswer {
@@ -214,6 +222,7 @@
     pub writes: Vec<AcknowledgedWrite>,
     pub answers: Vec<OperatorAnswer>,
     pub statuses: Vec<StatusAnswer>,
+    pub report_answers: Vec<ReportAnswer>,
     pub log_lines: Vec<String>,
     /// The size of all messages that entry instances sent or received, in bytes of CBOR.
     pub entry_bytes: u64,
@@ -242,6 +251,7 @@
             writes: Vec::new(),
             answers: Vec::new(),
             statuses: Vec::new(),
+            report_answers: Vec::new(),
             log_lines: Vec::new(),
             entry_bytes: 0,
             count_bytes: false,
@@ -287,7 +297,12 @@
 
     /// Runs the simulation for a time span.
     pub fn run_ms(&mut self, span_ms: u64) {
-        let end = self.now + Duration::from_millis(span_ms);
+        self.run_us(span_ms * 1_000);
+    }
+
+    /// Runs the simulation for a time span in microseconds.
+    pub fn run_us(&mut self, span_us: u64) {
+        let end = self.now + Duration::from_micros(span_us);
         while self.queue.peek().is_some_and(|event| event.0.at <= end) {
             let Some(Reverse(event)) = self.queue.pop() else { break };
             self.now = event.at;
@@ -470,6 +485,19 @@
         index
     }
 
+    /// Sends an endpoint's report to a control instance. Returns the ticket of its answer.
+    pub fn report(&mut self, control: usize, report: PresenceReport) -> u64 {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.input(control, Input::Reported(Ticket(ticket), report));
+        ticket
+    }
+
+    /// Returns the answer to an endpoint's report.
+    pub fn report_answer(&self, ticket: u64) -> Option<&ReportAnswer> {
+        self.report_answers.iter().find(|answer| answer.ticket == ticket)
+    }
+
     /// Requests the planned stop of a control instance, which ends by itself.
     pub fn stop(&mut self, control: usize) {
         self.step_or_queue(control, Input::Stop);
@@ -750,6 +778,9 @@
                 let name: Arc<str> = promotion.endpoint.as_str().into();
                 self.send_delayed(&from, &name, EventKind::Promote(control, promotion), delay_us);
             }
+            Effect::AnswerReport(ticket, result) => {
+                self.report_answers.push(ReportAnswer { ticket: ticket.0, at: self.now, result });
+            }
             Effect::Stopped => self.crash(control),
             Effect::Log(line) => self.log_lines.push(format!("{} ms {from}: {line}", self.now.as_millis())),
         }
--- a/crates/cumincart-history/src/simulation/control.rs
+++ b/crates/cumincart-history/src/simulation/control.rs
@@ -306,6 +306,8 @@
             Effect::AnswerHeartbeat(ticket, body) => self.answer_heartbeat(index, ticket, body),
             Effect::AnswerOperator(ticket, result) => self.answer_operator(index, ticket, result),
             Effect::AnswerStatus(..) => {}
+            // Simulated endpoints announce themselves and make no reports.
+            Effect::AnswerReport(..) => {}
             // No simulated control instance is stopped as planned.
             Effect::Stopped => {}
             Effect::Log(line) => self.log(&self.controls[index].name.clone(), &line),
--- a/crates/cumincart-protocol/src/announcement.rs
+++ b/crates/cumincart-protocol/src/announcement.rs
@@ -104,6 +104,26 @@
     pub sequence: u64,
 }
 
+/// What an endpoint reports of itself to a control instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PresenceReport {
+    /// It is present.
+    Present(Presence),
+    /// It has ended.
+    Left(EndpointName),
+}
+
+/// What became of a [`PresenceReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReportOutcome {
+    /// It is in force: the catalogue shows it, as far as the lists name its service.
+    InForce,
+    /// It changes nothing, since a later run of the endpoint, or another endpoint, is at the address.
+    Superseded,
+    /// The instance does not lead, or could not put it in force in time.
+    NotLeader,
+}
+
 /// The state of an endpoint's log, as the endpoint reports it when queried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogState {
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        announcement::{Announcement, Presence},
+        announcement::{Announcement, Presence, PresenceReport, ReportOutcome},
         catalogue::EndpointEntry,
         change::{Change, ChangeId, Outcome, VersionedDocument},
         name::{DomainName, EndpointName, InstanceName, ServiceName},
@@ -236,6 +236,10 @@
     Announcements(Vec<Announcement>),
     /// Forwards presences of endpoints to the leader.
     Presences(Vec<Presence>),
+    /// Passes an endpoint's report on to the leader, under a number of the sender.
+    Report(u64, PresenceReport),
+    /// The answer to `Report`, with its number.
+    ReportOutcome(u64, ReportOutcome),
     /// Asks the leader to add the sender as a learner.
     Join(Member),
     /// Asks the leader to give the sender's place as a voter to a learner, since the sender is about to stop.
