A planned stop waits for the open transactions of other instances

Cause: the instance that holds the transaction's connection waited for its own sessions and for exchanges that are running. Between two statements the connection is only pinned.

--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -229,18 +229,15 @@
         self.shared.phase.subscribe()
     }
 
-    /// Carries out a planned stop. Returns when all sessions have ended or the stop timeout has passed.
+    /// Carries out a planned stop. Returns when all sessions, and all transactions of other instances over connections
+    /// of this one, have ended, or the stop timeout has passed.
     pub async fn stop(&self) {
         info!(self.shared.logger, "planned stop: not ready any more");
         let started = tokio::time::Instant::now();
         self.shared.phase.send_replace(StopPhase::Unready);
         sleep(stop::UNREADY_DURATION).await;
         self.shared.phase.send_replace(StopPhase::Closing);
-        let mut sessions = self.shared.sessions.subscribe();
-        let all_ended = async move {
-            // An error means that the engine is gone, and its sessions with it.
-            let _ = sessions.wait_for(|count| *count == 0).await;
-        };
+        let all_ended = self.all_ended();
         tokio::pin!(all_ended);
         if timeout_at(started + stop::TRANSACTION_TIMEOUT, &mut all_ended).await.is_err() {
             self.shared.phase.send_replace(StopPhase::Ending);
@@ -252,6 +249,22 @@
         info!(self.shared.logger, "stopped"; "sessions" => *self.shared.sessions.borrow());
     }
 
+    /// Waits until this instance has no sessions, serves no exchange of another instance and holds no connection for
+    /// another instance's open transaction.
+    async fn all_ended(&self) {
+        let mut sessions = self.shared.sessions.subscribe();
+        loop {
+            // An error means that the engine is gone, and its sessions with it.
+            let _ = sessions.wait_for(|count| *count == 0).await;
+            let is_pinned = !self.pinned_slots().is_empty();
+            // An exchange is counted before it takes its connection from the pinned ones.
+            if !is_pinned && *sessions.borrow() == 0 {
+                return;
+            }
+            sleep(TICK_INTERVAL).await;
+        }
+    }
+
     /// Announces the departure in a last heartbeat, which returns leases, shares and permits.
     async fn leave(&self) {
         self.lock().core.membership.leaving = true;
--- a/crates/cumincart-session/tests/transactions.rs
+++ b/crates/cumincart-session/tests/transactions.rs
@@ -12,10 +12,13 @@
         statement::{Access, Action, TransactionState},
     },
     cumincart_protocol::peer::PEER_MAX_BYTES,
-    cumincart_session::session::{Answer, Session},
+    cumincart_session::{
+        session::{Answer, Session},
+        stop::{TRANSACTION_TIMEOUT, UNREADY_DURATION},
+    },
     fleet::{
-        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, PRIMARY_DATABASE, SPACED_KEY, await_condition,
-        begin, commit, read, run, write,
+        BOUNDED_DATABASE, DOMAINS, ENDPOINTS, Fleet, KEYS, OWNER, PRIMARY_DATABASE, SPACED_KEY,
+        await_condition, begin, commit, read, run, write,
     },
     group::GUARDED_STATEMENT_MAX_BYTES,
     std::{
@@ -273,6 +276,33 @@
     assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
 }
 
+/// Guards against a planned stop that rolls back another instance's open transaction before its time is up: the stopping
+/// instance has no session of its own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_of_the_owner_waits_for_relayed_transactions() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut session, _) = fleet.begin_relayed().await;
+    let stopped = fleet.stop_owner();
+    sleep(UNREADY_DURATION + (TRANSACTION_TIMEOUT - UNREADY_DURATION) / 2).await;
+    assert!(!stopped.is_finished(), "the owner ended with an open transaction");
+    assert_eq!(code(&write(&mut session, "w2").await), None);
+    assert_eq!(code(&commit(&mut session, "c1").await), None);
+    assert_eq!(fleet.group.instance_of("c1"), Some(OWNER));
+    stopped.await.expect("the stop does not panic");
+}
+
+/// A transaction that isn't ended in time is rolled back, and doesn't hold the stop up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_of_the_owner_ends_relayed_transactions_that_take_too_long() {
+    let fleet = Fleet::start_with_owner(0).await;
+    let (mut session, _) = fleet.begin_relayed().await;
+    let started_at = Instant::now();
+    fleet.stop_owner().await.expect("the stop does not panic");
+    assert!(started_at.elapsed() >= TRANSACTION_TIMEOUT, "{:?}", started_at.elapsed());
+    assert_eq!(code(&commit(&mut session, "c1").await), Some(FailureCode::Aborted));
+    assert_eq!(fleet.group.endpoint_of("c1"), None, "the commit is not sent");
+}
+
 /// Guards against a refused `PREPARE` that counts as held, where another instance holds the connection.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refused_prepare_of_a_relayed_transaction_ends_it_without_an_execution() {
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -42,6 +42,7 @@
     tempfile::TempDir,
     tokio::{
         sync::mpsc,
+        task::JoinHandle,
         time::{Instant, sleep},
     },
 };
@@ -101,8 +102,8 @@
 pub struct Fleet {
     pub group: Group,
     pub engine: Engine,
-    /// The peer address of the owner, if it runs.
-    _owner: Option<PeerServer>,
+    /// The owner, if it runs.
+    owner: Option<Owner>,
     control: ControlEngine,
     control_links: Option<PeerServer>,
     /// The usage reports that the platform has received.
@@ -138,7 +139,7 @@
         let fleet = Self {
             group,
             engine,
-            _owner: owner,
+            owner,
             control,
             control_links: Some(control_links),
             usage_calls,
@@ -205,6 +206,12 @@
         self.control.stop();
     }
 
+    /// Begins a planned stop of the owner. The task ends with it; the owner's process would end then.
+    pub fn stop_owner(&self) -> JoinHandle<()> {
+        let owner = self.owner.as_ref().expect("the owner runs").engine.clone();
+        tokio::spawn(async move { owner.stop().await })
+    }
+
     pub async fn open_session(&self, database: &str, key: &str) -> Result<Session, Failure> {
         Session::open(&self.engine, database, Some(key)).await
     }
@@ -368,14 +375,21 @@
     })
 }
 
-async fn start_owner(group: &Group, control_links: &PeerServer) -> PeerServer {
+/// The instance that owns the connections to the primary.
+struct Owner {
+    engine: Engine,
+    /// Its peer address.
+    _peers: PeerServer,
+}
+
+async fn start_owner(group: &Group, control_links: &PeerServer) -> Owner {
     let (received_sender, received) = mpsc::unbounded_channel();
     let peers = PeerServer::bind("127.0.0.1:0", OWNER.into(), secret(), received_sender)
         .await
         .expect("the address can be bound");
     let engine = start_entry(group, control_links, OWNER, DOMAINS[0], &peers.address.to_string());
-    tokio::spawn(relay::serve(engine, received));
-    peers
+    tokio::spawn(relay::serve(engine.clone(), received));
+    Owner { engine, _peers: peers }
 }
 
 fn presence(index: usize) -> Presence {
