History checks take the disks of control instances

Where no control instance or link was disturbed for the time that a lost one counts as lost, a random kill takes the disk as well. A scenario takes every disk in turn.

--- a/crates/cumincart-history/src/simulation/control.rs
+++ b/crates/cumincart-history/src/simulation/control.rs
@@ -48,6 +48,8 @@
     clock: DriftingClock,
     process: Option<ControlProcess>,
     stored: Stored,
+    /// The number of disks that it has lost.
+    lost_disks: u64,
     incarnations: u64,
     /// The inputs queued while the process is frozen; none while it runs.
     frozen_inputs: Option<Vec<Input>>,
@@ -183,6 +185,7 @@
             clock: DriftingClock::random(random),
             process: None,
             stored: Stored::default(),
+            lost_disks: 0,
             incarnations: 0,
             frozen_inputs: None,
         })
@@ -222,7 +225,7 @@
         node.incarnations += 1;
         let voters = (0..CONTROLS).map(|other| member(other, DiskId::unbound())).collect();
         let settings = Settings {
-            member: member(index, DiskId(format!("disk-{index}").into())),
+            member: member(index, DiskId(format!("disk-{index}-{}", node.lost_disks).into())),
             incarnation: Incarnation(node.incarnations),
             first_members: Members { voters, ..Members::default() },
         };
@@ -244,6 +247,14 @@
         self.controls[index].frozen_inputs = None;
     }
 
+    /// Ends the process and replaces its disk with an empty one.
+    pub(super) fn lose_control_disk(&mut self, index: usize) {
+        self.terminate_control(index);
+        let node = &mut self.controls[index];
+        node.stored = Stored::default();
+        node.lost_disks += 1;
+    }
+
     pub(super) fn is_leader(&self, index: usize) -> bool {
         let node = &self.controls[index];
         let is_leader = node.process.as_ref().is_some_and(|process| process.core.election.is_leader());
--- a/crates/cumincart-history/src/simulation/faults.rs
+++ b/crates/cumincart-history/src/simulation/faults.rs
@@ -5,6 +5,7 @@
         DOMAINS, FAULTS_END_MS, ORGANISATIONS, Simulation, control::ChangeKind, event::Event, lists,
         network::Cut,
     },
+    cumincart_protocol::time::Instant,
     std::time::Duration,
 };
 
@@ -23,6 +24,8 @@
     StopEntry(usize),
     /// A control instance's process is killed; its stored data is kept.
     KillControl(usize),
+    /// A control instance loses its disk and is restarted with an empty one.
+    LoseControlDisk(usize),
     /// A control instance's process is frozen and later resumed.
     FreezeControl(usize),
     /// An endpoint crashes and is restarted.
@@ -69,8 +72,16 @@
 pub struct Faults {
     is_domain_out: bool,
     is_key_withdrawn: bool,
+    /// When the last fault of a control instance, or of the network between them, ends.
+    control_disturbed_until: Instant,
 }
 
+/// How long a control instance counts as lost after it is back. After that, the next one may be lost.
+const CATCH_UP: Duration = Duration::from_millis(4_000);
+
+/// How long a control instance whose disk is lost is down.
+const DISK_LOSS_DURATION: Duration = Duration::from_millis(250);
+
 const FAULT_KINDS: usize = 11;
 
 /// The additional duration of operators' changes. They must outlast the time limits that the checkers allow.
@@ -106,7 +117,11 @@
             2 => Fault::LoseMessages,
             3 => Fault::KillEntry(self.random_below(self.entries.len())),
             4 => Fault::StopEntry(self.random_below(self.entries.len())),
-            5 => Fault::KillControl(self.random_below(self.controls.len())),
+            5 => {
+                let index = self.random_below(self.controls.len());
+                let is_calm = self.now >= self.faults.control_disturbed_until + CATCH_UP;
+                if is_calm { Fault::LoseControlDisk(index) } else { Fault::KillControl(index) }
+            }
             6 => Fault::FreezeControl(self.random_below(self.controls.len())),
             7 => Fault::CrashEndpoint(self.pick_endpoint()),
             8 if self.random_chance(30) => Fault::LagEndpoint(self.pick_endpoint()),
@@ -118,6 +133,19 @@
 
     /// Injects a fault and schedules its end.
     pub fn inject(&mut self, fault: Fault, duration: Duration) {
+        let disturbs_control = matches!(
+            fault,
+            Fault::CutDomain(_)
+                | Fault::CutOneWay(_)
+                | Fault::LoseMessages
+                | Fault::KillControl(_)
+                | Fault::LoseControlDisk(_)
+                | Fault::FreezeControl(_)
+        );
+        if disturbs_control {
+            let until = &mut self.faults.control_disturbed_until;
+            *until = (*until).max(self.now + duration);
+        }
         match fault {
             Fault::CutDomain(domain) => self.cut_domain(domain, duration),
             Fault::CutOneWay(cut) => self.cut_one_way(cut, duration),
@@ -125,6 +153,7 @@
             Fault::KillEntry(index) => self.kill_entry(index, duration),
             Fault::StopEntry(index) => self.stop_entry(index, duration),
             Fault::KillControl(index) => self.kill_control(index, duration),
+            Fault::LoseControlDisk(index) => self.lose_disk(index),
             Fault::FreezeControl(index) => self.freeze_control_process(index, duration),
             Fault::CrashEndpoint(index) => self.crash_endpoint(index, duration),
             Fault::FreezeEndpoint(index) => self.freeze_endpoint(index, duration),
@@ -209,6 +238,15 @@
         self.after(duration, Event::Recover(Recovery::StartControl(index)));
     }
 
+    fn lose_disk(&mut self, index: usize) {
+        if self.controls[index].incarnation().is_none() {
+            return;
+        }
+        self.record_fault(&format!("control {index} loses its disk"));
+        self.lose_control_disk(index);
+        self.after(DISK_LOSS_DURATION, Event::Recover(Recovery::StartControl(index)));
+    }
+
     fn freeze_control_process(&mut self, index: usize, duration: Duration) {
         self.record_fault(&format!("control {index} is frozen for {} ms", duration.as_millis()));
         self.freeze_control(index);
--- a/crates/cumincart-history/tests/scenarios.rs
+++ b/crates/cumincart-history/tests/scenarios.rs
@@ -90,6 +90,11 @@
         #[arg(key)]
         ms: u64,
     },
+    /// Replaces the disk of a control instance with an empty one.
+    LoseControlDisk {
+        #[arg(key)]
+        control: usize,
+    },
     /// Kills the control leader.
     KillLeader {
         #[arg(key)]
@@ -161,6 +166,7 @@
             Command::KillEntry { entry, ms } => self.fault(Fault::KillEntry(entry), ms)?,
             Command::StopEntry { entry, ms } => self.fault(Fault::StopEntry(entry), ms)?,
             Command::KillControl { control, ms } => self.fault(Fault::KillControl(control), ms)?,
+            Command::LoseControlDisk { control } => self.fault(Fault::LoseControlDisk(control), 0)?,
             Command::KillLeader { ms } => {
                 let leader = self.leader()?;
                 self.fault(Fault::KillControl(leader), ms)?;
@@ -236,6 +242,7 @@
 #[test_case("primary-dies-twice")]
 #[test_case("replica-falls-behind")]
 #[test_case("second-loss-after-a-repair")]
+#[test_case("every-control-disk-lost-in-turn")]
 #[test_case("rolling-restart")]
 fn scenario_output_matches(name: &str) -> TestResult<()> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios").join(name);
