History checks: no endpoint follows one of an earlier timeline

The model was wrong, not the check: it left a promoted endpoint alone for 4 s, as if its term had to be open by then. A later timeline shows that it was promoted after the other, whatever the time. Nobody demotes a database that the platform was asked to promote. The check of liveness is unchanged.

--- a/crates/cumincart-core/tests/control_voters.rs
+++ b/crates/cumincart-core/tests/control_voters.rs
@@ -56,10 +56,14 @@
             group.fleet.add_successor(of);
         }
         group.fleet.run_ms(3_000);
+        let leader = group.fleet.expect_leader();
+        let core = group.fleet.controls[leader].core.as_ref().expect("the leader runs");
+        let members = core.log.members();
+        assert_eq!((members.voters.len(), members.learners.len()), (5, 1), "{members:?}");
         group
     }
 
-    /// Changes the replicated state and returns whether that was acknowledged.
+    /// Changes the replicated state; the change is acknowledged.
     fn change(&mut self) {
         self.changes += 1;
         let id = format!("change-{}", self.changes);
--- a/crates/cumincart-history/src/simulation/endpoint.rs
+++ b/crates/cumincart-history/src/simulation/endpoint.rs
@@ -328,7 +328,11 @@
             let endpoint = &self.endpoints[index];
             // The platform does not touch an endpoint that was promoted recently: its term may not be open yet.
             let is_new = self.now.saturating_since(endpoint.promoted_at) < FORMER_PRIMARY_REJOIN_DELAY;
-            let is_included = !endpoint.is_primary() || (include_former_primary && !is_new);
+            // An endpoint on a later timeline was promoted after the source. Its term may open long afterwards, once a
+            // control leader has a quorum again.
+            let is_later = endpoint.timeline > timeline;
+            let is_former_primary = include_former_primary && !is_new && !is_later;
+            let is_included = !endpoint.is_primary() || is_former_primary;
             let is_reachable =
                 self.network.deliver_reliably(&mut self.random, from, endpoint.domain).is_some()
                     && endpoint.is_responsive();
