--- a/crates/cumincart-core/tests/control_voters.rs
+++ b/crates/cumincart-core/tests/control_voters.rs
@@ -75,6 +75,13 @@
         self.fleet.wipe_disk(control);
     }
 
+    /// The instance comes back with an empty disk after [`DOWN_MS`].
+    fn lose_disk_and_restart(&mut self, control: usize) {
+        self.lose_disk(control);
+        self.fleet.run_ms(DOWN_MS);
+        self.fleet.restart(control);
+    }
+
     /// Takes an instance away for good.
     fn remove(&mut self, control: usize) {
         self.fleet.crash(control);
@@ -137,9 +144,7 @@
             group.change();
             group.fleet.stop(replaced);
             group.fleet.run_ms(moment_ms);
-            group.lose_disk(lost);
-            group.fleet.run_ms(DOWN_MS);
-            group.fleet.restart(lost);
+            group.lose_disk_and_restart(lost);
             group.check();
         }
     }
@@ -159,9 +164,7 @@
             group.fleet.run_ms(moment_ms);
             group.fleet.add_successor(replaced);
             group.fleet.run_ms(CATCH_UP_MS + moment_ms);
-            group.lose_disk(lost);
-            group.fleet.run_ms(DOWN_MS);
-            group.fleet.restart(lost);
+            group.lose_disk_and_restart(lost);
             group.check();
         }
     }
@@ -184,9 +187,7 @@
                 group.fleet.run_ms(CATCH_UP_MS);
                 group.change();
                 if is_disk {
-                    group.lose_disk(second);
-                    group.fleet.run_ms(DOWN_MS);
-                    group.fleet.restart(second);
+                    group.lose_disk_and_restart(second);
                 } else {
                     group.remove(second);
                     group.fleet.run_ms(DOWN_MS);
@@ -209,13 +210,9 @@
                 let mut group = Group::start(350 + moment_ms, case);
                 group.fleet.set_sync_ms(SLOW_SYNC_MS);
                 group.change();
-                group.lose_disk(first);
-                group.fleet.run_ms(DOWN_MS);
-                group.fleet.restart(first);
+                group.lose_disk_and_restart(first);
                 group.fleet.run_ms(CATCH_UP_MS + moment_ms);
-                group.lose_disk(second);
-                group.fleet.run_ms(DOWN_MS);
-                group.fleet.restart(second);
+                group.lose_disk_and_restart(second);
                 group.check();
             }
         }
@@ -240,9 +237,7 @@
             group.fleet.run_ms(CATCH_UP_MS);
             group.change();
             let lost = (replaced + 1) % 3;
-            group.lose_disk(lost);
-            group.fleet.run_ms(DOWN_MS);
-            group.fleet.restart(lost);
+            group.lose_disk_and_restart(lost);
             group.check();
         }
     }
@@ -261,9 +256,7 @@
                 group.change();
                 group.remove(down);
                 group.fleet.run_ms(moment_ms);
-                group.lose_disk(lost);
-                group.fleet.run_ms(DOWN_MS);
-                group.fleet.restart(lost);
+                group.lose_disk_and_restart(lost);
                 group.fleet.restart(down);
                 group.check();
             }
