--- a/crates/cumincart-core/src/control/announcements.rs
+++ b/crates/cumincart-core/src/control/announcements.rs
@@ -2,7 +2,7 @@
 //! entries in the catalogue. Followers forward announcements to the leader.
 
 use {
-    super::{Core, Effect, election, members, replicate},
+    super::{Core, Effect, election, replicate},
     cumincart_protocol::{
         announcement::Announcement,
         catalogue::EndpointEntry,
@@ -77,12 +77,8 @@
         record(core, now, announcement, out);
         return;
     }
-    let Some(leader) = election::leader_hint(core) else { return };
-    let Some(member) = members::all(core.log.members()).find(|m| m.instance == leader.instance).cloned()
-    else {
-        return;
-    };
-    replicate::send(core, &member, ReplicationBody::Announcements(vec![announcement]), out);
+    let Some(leader) = election::leader_member(core) else { return };
+    replicate::send(core, leader, ReplicationBody::Announcements(vec![announcement]), out);
 }
 
 /// Handles announcements that a follower has forwarded.
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -118,10 +118,15 @@
     }
 }
 
+/// Returns the leader as a member, if it is known.
+pub fn leader_member(core: &Core) -> Option<&Member> {
+    let name = core.election.leader()?;
+    members::all(core.log.members()).find(|member| member.instance == *name)
+}
+
 /// Returns the address of the leader, if it is known.
 pub fn leader_hint(core: &Core) -> Option<Leader> {
-    let name = core.election.leader()?;
-    let member = members::all(core.log.members()).find(|member| member.instance == *name)?;
+    let member = leader_member(core)?;
     Some(Leader { instance: member.instance.clone(), peer_address: member.peer_address.clone() })
 }
 
--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -182,10 +182,9 @@
 }
 
 fn forward_join(core: &Core, joining: &Member, out: &mut Vec<Effect>) {
-    let Some(leader) = election::leader_hint(core) else { return };
+    let Some(leader) = election::leader_member(core) else { return };
     let is_own = leader.instance == core.settings.member.instance || leader.instance == joining.instance;
-    let known = all(core.log.members()).find(|member| member.instance == leader.instance);
-    if let Some(leader) = known.filter(|_| !is_own) {
+    if !is_own {
         replicate::send(core, leader, ReplicationBody::Join(joining.clone()), out);
     }
 }
@@ -210,10 +209,8 @@
     }
     core.planned_stop =
         Some(PlannedStop { next_request_at: now + Duration::from_millis(LEAVE_INTERVAL_MS), ..stop });
-    let leader = election::leader_hint(core);
-    let leader = leader.and_then(|leader| all(core.log.members()).find(|m| m.instance == leader.instance));
-    if let Some(leader) = leader.cloned() {
-        replicate::send(core, &leader, ReplicationBody::Leave, out);
+    if let Some(leader) = election::leader_member(core) {
+        replicate::send(core, leader, ReplicationBody::Leave, out);
     }
 }
 
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -2,7 +2,7 @@
 //! message of each and the endpoints' entries in the catalogue.
 
 use {
-    super::{Core, Effect, election, failover, members, replicate},
+    super::{Core, Effect, election, failover, replicate},
     cumincart_protocol::{
         announcement::Presence,
         catalogue::{Catalogue, EndpointEntry},
@@ -136,10 +136,8 @@
         record(core, now, presence, out);
         return;
     }
-    let Some(leader) = election::leader_hint(core) else { return };
-    let known = members::all(core.log.members()).find(|member| member.instance == leader.instance);
-    let Some(leader) = known.cloned() else { return };
-    replicate::send(core, &leader, ReplicationBody::Presences(vec![presence]), out);
+    let Some(leader) = election::leader_member(core) else { return };
+    replicate::send(core, leader, ReplicationBody::Presences(vec![presence]), out);
 }
 
 /// Handles presence messages that a follower has forwarded.
--- a/crates/cumincart-core/src/control/reports.rs
+++ b/crates/cumincart-core/src/control/reports.rs
@@ -2,7 +2,7 @@
 //! leader and returns the leader's answer.
 
 use {
-    super::{ControlRefusal, Core, Effect, Ticket, election, members, presence, replicate},
+    super::{ControlRefusal, Core, Effect, Ticket, election, presence, replicate},
     cumincart_protocol::{
         announcement::{PresenceReport, ReportOutcome},
         name::EndpointName,
@@ -64,10 +64,7 @@
         return;
     }
     let is_in_contact = core.election.leaderless_for(now) < Duration::from_millis(LEADER_CONTACT_MS);
-    let leader = election::leader_hint(core).filter(|_| is_in_contact);
-    let leader = leader.and_then(|leader| {
-        members::all(core.log.members()).find(|member| member.instance == leader.instance).cloned()
-    });
+    let leader = election::leader_member(core).filter(|_| is_in_contact).cloned();
     let Some(leader) = leader else {
         out.push(Effect::AnswerReport(ticket, Err(ControlRefusal::NotLeader(None))));
         return;
