--- a/crates/cumincart-core/src/control/reconfiguration.rs
+++ b/crates/cumincart-core/src/control/reconfiguration.rs
@@ -110,14 +110,17 @@
     silent_learner(members, &condition).map(|learner| remove_learner(members, learner))
 }
 
+/// A voter that should give up its place, and why.
+type Departure<'a> = (&'a Member, &'static str);
+
 /// The voters that should give up their places: one of each kind.
 #[derive(Debug)]
 struct Departing<'a> {
     /// A follower that is about to stop.
-    leaving: Option<&'a Member>,
-    silent: Option<&'a Member>,
+    leaving: Option<Departure<'a>>,
+    silent: Option<Departure<'a>>,
     /// The leader, if it is about to stop. It comes last, since the others need it to find successors.
-    leader: Option<&'a Member>,
+    leader: Option<Departure<'a>>,
 }
 
 impl<'a> Departing<'a> {
@@ -126,37 +129,29 @@
         silent_after: Duration,
         condition: &impl Fn(&Member) -> Condition,
     ) -> Self {
-        let find = |is_departing: &dyn Fn(Condition) -> bool| {
-            members.voters.iter().find(|voter| is_departing(condition(voter)))
-        };
-        Self {
-            leaving: find(&|condition| condition.is_leaving && !condition.is_leader),
-            silent: find(&|condition| condition.silence >= silent_after),
-            leader: find(&|condition| condition.is_leaving && condition.is_leader),
+        let mut departing = Self { leaving: None, silent: None, leader: None };
+        for voter in members.voters.iter() {
+            let condition = condition(voter);
+            if condition.is_leaving {
+                let place = if condition.is_leader { &mut departing.leader } else { &mut departing.leaving };
+                place.get_or_insert((voter, "it is about to stop"));
+            }
+            if condition.silence >= silent_after {
+                departing.silent.get_or_insert((voter, "it is silent"));
+            }
         }
+        departing
     }
 
-    /// Returns the voter that a learner should replace first, and why. One that is about to stop waits for it.
-    fn first_to_replace(&self) -> Option<(&'a Member, &'static str)> {
-        self.leaving().or(self.silent()).or(self.leader())
-    }
-
-    /// Returns the voter that should be removed first, and why. Without a silent one, what is alive needs a smaller
-    /// quorum; without one that is about to stop, it would be fewer.
-    fn first_to_remove(&self) -> Option<(&'a Member, &'static str)> {
-        self.silent().or(self.leaving()).or(self.leader())
-    }
-
-    fn leaving(&self) -> Option<(&'a Member, &'static str)> {
-        self.leaving.map(|voter| (voter, "it is about to stop"))
-    }
-
-    fn silent(&self) -> Option<(&'a Member, &'static str)> {
-        self.silent.map(|voter| (voter, "it is silent"))
+    /// Returns the voter that a learner should replace first. One that is about to stop waits for it.
+    fn first_to_replace(&self) -> Option<Departure<'a>> {
+        self.leaving.or(self.silent).or(self.leader)
     }
 
-    fn leader(&self) -> Option<(&'a Member, &'static str)> {
-        self.leader.map(|voter| (voter, "it is about to stop"))
+    /// Returns the voter that should be removed first. Without a silent one, what is alive needs a smaller quorum;
+    /// without one that is about to stop, it would be fewer.
+    fn first_to_remove(&self) -> Option<Departure<'a>> {
+        self.silent.or(self.leaving).or(self.leader)
     }
 }
 
