A report's outcome is one type from the leader to the adapter

It was turned into a result of a refusal and a flag at the core's edge, which the adapter took apart again. What callers get is unchanged; the tests compare the same three outcomes.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -16,7 +16,7 @@
         timing::TICK_INTERVAL_MS,
     },
     cumincart_protocol::{
-        announcement::{Announcement, LogState, Presence, PresenceReport},
+        announcement::{Announcement, LogState, Presence, PresenceReport, ReportOutcome},
         change::{Change, Outcome},
         excerpt::Excerpt,
         name::InstanceName,
@@ -135,16 +135,13 @@
 /// The result of a status request.
 pub type StatusResult = Result<Box<Status>, ControlRefusal>;
 
-/// The result of an endpoint's report: whether it is in force.
-pub type ReportResult = Result<bool, ControlRefusal>;
-
 /// A message to the engine's thread.
 enum Message {
     Input(Input),
     Peer(ReceivedMessage),
     Change(Change, oneshot::Sender<ChangeResult>),
     Status(oneshot::Sender<StatusResult>),
-    Report(PresenceReport, oneshot::Sender<ReportResult>),
+    Report(PresenceReport, oneshot::Sender<ReportOutcome>),
     Inspect(Box<ReadCore>),
     End,
 }
@@ -237,12 +234,11 @@
         let _ = self.messages.send(Message::Input(Input::Present(presence)));
     }
 
-    /// Passes an endpoint's report to the core and waits until it is in force. Returns whether it is; if not, it was
-    /// superseded by a later run.
-    pub async fn report(&self, report: PresenceReport) -> ReportResult {
+    /// Passes an endpoint's report to the core and waits until it is in force.
+    pub async fn report(&self, report: PresenceReport) -> ReportOutcome {
         let (answer, answered) = oneshot::channel();
         let _ = self.messages.send(Message::Report(report, answer));
-        answered.await.unwrap_or(Err(ControlRefusal::NoQuorum))
+        answered.await.unwrap_or(ReportOutcome::NotLeader)
     }
 
     /// Begins a planned stop: the engine ends once another instance has its place as a voter, or after a few seconds.
@@ -306,7 +302,7 @@
     messages: mpsc::WeakUnboundedSender<Message>,
     changes: Pending<ChangeResult>,
     statuses: Pending<StatusResult>,
-    reports: Pending<ReportResult>,
+    reports: Pending<ReportOutcome>,
     heartbeats: HeartbeatReplies<Reply>,
     links: Vec<MemberLink>,
     instance: InstanceName,
@@ -483,8 +479,8 @@
             Effect::AnswerStatus(ticket, result) => {
                 self.statuses.answer(ticket.0, result);
             }
-            Effect::AnswerReport(ticket, result) => {
-                self.reports.answer(ticket.0, result);
+            Effect::AnswerReport(ticket, outcome) => {
+                self.reports.answer(ticket.0, outcome);
             }
             Effect::Stopped => self.is_stopped = true,
             Effect::Promote(promotion) => self.promote(promotion),
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -46,7 +46,7 @@
 
 use {
     cumincart_protocol::{
-        announcement::{Announcement, LogState, Presence, PresenceReport},
+        announcement::{Announcement, LogState, Presence, PresenceReport, ReportOutcome},
         catalogue::Catalogue,
         change::{Change, Outcome, VersionedDocument},
         heartbeat::Heartbeat,
@@ -146,8 +146,8 @@
     AnswerOperator(Ticket, Result<Outcome, ControlRefusal>),
     /// Answer a status request.
     AnswerStatus(Ticket, Result<Box<Status>, ControlRefusal>),
-    /// Answer an endpoint's report: whether it is in force, or was superseded by a later run.
-    AnswerReport(Ticket, Result<bool, ControlRefusal>),
+    /// Answer an endpoint's report.
+    AnswerReport(Ticket, ReportOutcome),
     /// The planned stop is complete: the process may end.
     Stopped,
     /// Promote an endpoint and report the result with `Input::Promoted`.
--- a/crates/cumincart-core/src/control/reports.rs
+++ b/crates/cumincart-core/src/control/reports.rs
@@ -2,7 +2,7 @@
 //! leader and returns the leader's answer.
 
 use {
-    super::{ControlRefusal, Core, Effect, Ticket, election, presence, replicate},
+    super::{Core, Effect, Ticket, election, presence, replicate},
     cumincart_protocol::{
         announcement::{PresenceReport, ReportOutcome},
         name::EndpointName,
@@ -66,7 +66,7 @@
     let is_in_contact = core.election.leaderless_for(now) < Duration::from_millis(LEADER_CONTACT_MS);
     let leader = election::leader_member(core).filter(|_| is_in_contact).cloned();
     let Some(leader) = leader else {
-        out.push(Effect::AnswerReport(ticket, Err(ControlRefusal::NotLeader(None))));
+        out.push(Effect::AnswerReport(ticket, ReportOutcome::NotLeader));
         return;
     };
     core.reports.last_number += 1;
@@ -151,12 +151,7 @@
 fn answer(core: &Core, reporter: Reporter, outcome: ReportOutcome, out: &mut Vec<Effect>) {
     match reporter {
         Reporter::Caller(ticket) => {
-            let result = match outcome {
-                ReportOutcome::InForce => Ok(true),
-                ReportOutcome::Superseded => Ok(false),
-                ReportOutcome::NotLeader => Err(ControlRefusal::NotLeader(None)),
-            };
-            out.push(Effect::AnswerReport(ticket, result));
+            out.push(Effect::AnswerReport(ticket, outcome));
         }
         Reporter::Follower(member, number) => {
             replicate::send(core, &member, ReplicationBody::ReportOutcome(number, outcome), out);
--- a/crates/cumincart-core/tests/control_reports.rs
+++ b/crates/cumincart-core/tests/control_reports.rs
@@ -5,9 +5,8 @@
 
 use {
     control_fleet::{Fleet, FleetConfig},
-    cumincart_core::control::ControlRefusal,
     cumincart_protocol::{
-        announcement::{Presence, PresenceReport},
+        announcement::{Presence, PresenceReport, ReportOutcome},
         change::{Action, Outcome},
         lists::{InteractiveList, Lists, ServiceLimits},
     },
@@ -54,7 +53,7 @@
 }
 
 fn is_acknowledged(fleet: &Fleet, ticket: u64) -> bool {
-    fleet.report_answer(ticket).is_some_and(|answer| answer.result == Ok(true))
+    fleet.report_answer(ticket).is_some_and(|answer| answer.outcome == ReportOutcome::InForce)
 }
 
 /// Returns whether the leader's catalogue shows that the endpoint leaves; `None` if it has no entry.
@@ -111,7 +110,7 @@
     fleet.run_ms(100);
     for ticket in [early, late] {
         let answer = fleet.report_answer(ticket).expect("it is answered");
-        assert!(matches!(answer.result, Err(ControlRefusal::NotLeader(_))), "{answer:?}");
+        assert_eq!(answer.outcome, ReportOutcome::NotLeader);
     }
 }
 
@@ -125,7 +124,8 @@
     for (control, sequence) in [(0, 2), (1, 3), (2, 4)] {
         let ticket = fleet.report(control, leaving("db", 100, sequence));
         fleet.run_ms(200);
-        assert_eq!(fleet.report_answer(ticket).map(|answer| answer.result.clone()), Some(Ok(false)));
+        let outcome = fleet.report_answer(ticket).map(|answer| answer.outcome);
+        assert_eq!(outcome, Some(ReportOutcome::Superseded));
     }
     assert_eq!(is_leaving(&fleet, "db"), Some(false));
 }
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -16,7 +16,7 @@
         timing::{ANNOUNCEMENT_INTERVAL_MS, HEARTBEAT_INTERVAL_MS, TICK_INTERVAL_MS},
     },
     cumincart_protocol::{
-        announcement::{Announcement, PresenceReport, Role},
+        announcement::{Announcement, PresenceReport, ReportOutcome, Role},
         catalogue::Catalogue,
         change::{Action, Change, ChangeId, Outcome},
         heartbeat::{CatalogueChange, CatalogueUpdate, EndpointReport, Heartbeat, HeartbeatAnswer},
@@ -149,8 +149,7 @@
 #[derive(Debug, Clone)]
 pub struct ReportAnswer {
     pub ticket: u64,
-    pub at: Instant,
-    pub result: Result<bool, ControlRefusal>,
+    pub outcome: ReportOutcome,
 }
 
 /// The answer to a status request.
@@ -778,8 +777,8 @@
                 let name: Arc<str> = promotion.endpoint.as_str().into();
                 self.send_delayed(&from, &name, EventKind::Promote(control, promotion), delay_us);
             }
-            Effect::AnswerReport(ticket, result) => {
-                self.report_answers.push(ReportAnswer { ticket: ticket.0, at: self.now, result });
+            Effect::AnswerReport(ticket, outcome) => {
+                self.report_answers.push(ReportAnswer { ticket: ticket.0, outcome });
             }
             Effect::Stopped => self.crash(control),
             Effect::Log(line) => self.log_lines.push(format!("{} ms {from}: {line}", self.now.as_millis())),
