--- a/review/standin-3/clients.rs
+++ b/review/standin-3/clients.rs
@@ -26,12 +26,16 @@
     /// Opens a session. The error is the answer, or empty if there was none.
     pub fn connect(address: &str, database: &str, key: &str) -> Result<Self, String> {
         let address: SocketAddr = address.parse().map_err(|_| String::new())?;
-        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).map_err(|_| String::new())?;
+        let stream =
+            TcpStream::connect_timeout(&address, Duration::from_secs(2)).map_err(|_| String::new())?;
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
         let copy = stream.try_clone().map_err(|_| String::new())?;
         let mut client = Self { stream, reader: BufReader::new(copy) };
-        client.stream.write_all(format!("CONNECT {database} {key}\r\n").as_bytes()).map_err(|_| String::new())?;
+        client
+            .stream
+            .write_all(format!("CONNECT {database} {key}\r\n").as_bytes())
+            .map_err(|_| String::new())?;
         let line = client.line().ok_or_else(String::new)?;
         if line.starts_with("READY I") { Ok(client) } else { Err(line) }
     }
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -141,7 +141,11 @@
         let folder = self.folder.join(&machine.name);
         let path = folder.join("settings.json");
         fs::write(&path, text).expect("the settings can be written");
-        let log = fs::File::options().create(true).append(true).open(folder.join("log")).expect("a log can be opened");
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join("log"))
+            .expect("a log can be opened");
         let role = if machine.role == Role::Entry { "entry" } else { "control" };
         let child = Command::new("target/release/cumincart-platform")
             .arg(role)
@@ -164,6 +168,14 @@
         }
     }
 
+    /// Returns the memory that a process uses, in MiB; none if it doesn't run.
+    pub fn memory_mb(&self, index: usize) -> Option<u64> {
+        let id = self.machines[index].child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse::<u64>().ok().map(|kib| kib / 1_024)
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self, index: usize) {
         if let Some(child) = &self.machines[index].child {
@@ -194,7 +206,10 @@
     /// Copies the logs of the processes next to the record.
     pub fn keep_logs(&self, target: &Path) {
         for machine in &self.machines {
-            let _ = fs::copy(self.folder.join(&machine.name).join("log"), target.join(format!("{}.log", machine.name)));
+            let _ = fs::copy(
+                self.folder.join(&machine.name).join("log"),
+                target.join(format!("{}.log", machine.name)),
+            );
         }
     }
 }
@@ -220,7 +235,11 @@
         let response = http::call_following(&address, "POST", path, body, Duration::from_secs(1));
         match response {
             Some(response) if (200..300).contains(&response.status) => return true,
-            Some(response) if (400..500).contains(&response.status) && response.status != 408 && response.status != 429 => {
+            Some(response)
+                if (400..500).contains(&response.status)
+                    && response.status != 408
+                    && response.status != 429 =>
+            {
                 record(&format!("{address} refuses {path} with {}: {}", response.status, response.body));
                 return false;
             }
--- a/review/standin-3/group.rs
+++ b/review/standin-3/group.rs
@@ -269,6 +269,12 @@
             };
             // The database has crashed, or has lost the lead before it could confirm a commit.
             let Some(mut answer) = answer else { return };
+            if answer.starts_with("DONE")
+                && let Some((rows, readers)) = line.split(' ').next_back().and_then(result_rows)
+                && !send_rows(&stream, rows, readers)
+            {
+                return;
+            }
             answer += &self.ready(index, connection.as_ref());
             if (&stream).write_all(answer.as_bytes()).is_err() {
                 return;
@@ -319,7 +325,8 @@
             return Some("ERROR MALFORMED the transaction has failed\r\n".into());
         }
         let has_lost_lead = connection.transaction.is_some() && connection.is_plain && !is_primary;
-        let commits_nothing = words[0] == "COMMIT" && connection.transaction.as_ref().is_some_and(Vec::is_empty);
+        let commits_nothing =
+            words[0] == "COMMIT" && connection.transaction.as_ref().is_some_and(Vec::is_empty);
         if has_lost_lead && words[0] != "ROLLBACK" && !commits_nothing {
             connection.has_failed = true;
             return Some("ERROR READONLY replica\r\n".into());
@@ -347,6 +354,8 @@
                     format!("DONE mac-{id}\r\n")
                 }
             },
+            // The rows of a large result follow from the caller, since they don't fit into one text.
+            "READ" if result_rows(item).is_some() => format!("DONE mac-{id}\r\n"),
             "READ" => format!("ROW {} {item}\r\nDONE mac-{id}\r\n", state.databases[index].received),
             "WRITE" if !is_primary => "ERROR READONLY replica\r\n".to_owned(),
             "WRITE" => {
@@ -387,7 +396,9 @@
                     return false;
                 }
                 self.update(&mut state);
-                let has = |(other, database): (usize, &Database)| other != index && database.runs && database.received >= number;
+                let has = |(other, database): (usize, &Database)| {
+                    other != index && database.runs && database.received >= number
+                };
                 if state.databases.iter().enumerate().any(has) {
                     return true;
                 }
@@ -412,6 +423,38 @@
     }
 }
 
+/// The number of rows that a read of an item returns, if it is a large result: `export-ROWS-READERS`. The readers share the
+/// link of a machine.
+fn result_rows(item: &str) -> Option<(usize, usize)> {
+    let (rows, readers) = item.strip_prefix("export-")?.split_once('-')?;
+    Some((rows.parse().ok()?, readers.parse().ok()?))
+}
+
+/// The length of a row of a large result, in bytes: below the largest answer of the deployments.
+const ROW_BYTES: usize = 1_000;
+
+/// The rate of a machine's link of 1,000 Mbit/s, in bytes a millisecond.
+const LINK_BYTES_PER_MS: usize = 125_000;
+
+/// Sends the rows of a large result, no faster than a reader's part of a machine's link. Returns false if the connection has
+/// ended.
+fn send_rows(mut stream: &TcpStream, rows: usize, readers: usize) -> bool {
+    let row = format!("ROW {}\r\n", "x".repeat(ROW_BYTES - 6));
+    let block = row.repeat(64);
+    let started = Instant::now();
+    let mut sent = 0;
+    for number in 0..rows.div_ceil(64) {
+        let text = &block[..(rows - number * 64).min(64) * ROW_BYTES];
+        if stream.write_all(text.as_bytes()).is_err() {
+            return false;
+        }
+        sent += text.len();
+        let due = Duration::from_millis((sent * readers / LINK_BYTES_PER_MS) as u64);
+        thread::sleep(due.saturating_sub(started.elapsed()));
+    }
+    true
+}
+
 #[derive(Default)]
 struct Connection {
     transaction: Option<Vec<String>>,
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -16,7 +16,13 @@
 }
 
 /// Sends a request and reads the response, both within `limit`.
-pub fn call(address: &str, method: &str, path: &str, body: Option<&str>, limit: Duration) -> Option<Response> {
+pub fn call(
+    address: &str,
+    method: &str,
+    path: &str,
+    body: Option<&str>,
+    limit: Duration,
+) -> Option<Response> {
     let address: SocketAddr = address.parse().ok()?;
     let stream = TcpStream::connect_timeout(&address, limit).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
@@ -34,7 +40,13 @@
 }
 
 /// Sends a request and follows up to two redirects.
-pub fn call_following(address: &str, method: &str, path: &str, body: Option<&str>, limit: Duration) -> Option<Response> {
+pub fn call_following(
+    address: &str,
+    method: &str,
+    path: &str,
+    body: Option<&str>,
+    limit: Duration,
+) -> Option<Response> {
     let (mut address, mut path) = (address.to_owned(), path.to_owned());
     for _ in 0..3 {
         let response = call(&address, method, &path, body, limit)?;
--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -29,6 +29,7 @@
         "synchronous-loss" => synchronous_loss(has_trouble),
         "planned-stop" => planned_stop(has_trouble),
         "first-start" => first_start(has_trouble),
+        "large-results" => large_results(has_trouble),
         "first-primary" => first_primary(has_trouble),
         _ => cannot_run("unknown scenario"),
     }
@@ -51,16 +52,18 @@
     }
 }
 
-fn configuration(version: u64, sync_replicas: usize) -> String {
+/// Returns a configuration with one service and two databases. `reports_timeout_ms` is the time limit of a statement on the
+/// second.
+fn configuration(sync_replicas: usize, reports_timeout_ms: u64) -> String {
     let route = |name: &str, kind: &str, timeout_ms: u64, slo_ms: u64, extra: &str| {
         format!(
             r#"{{"name":"r-{name}","host":"{name}","path_prefix":"/","kind":"{kind}","timeout_ms":{timeout_ms},"slo_ms":{slo_ms},"priority":1,"service":"{SERVICE}","max_attempts":2,{extra}"public":false,"home_regions":[]}}"#
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"sync_replicas":{sync_replicas}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,"idle_tx_ms":3000}},"tenants":[{{"name":"tenant-1","api_keys":["{KEY}"],"priority":1,"rate_per_s":5000,"burst":5000,"home_regions":[]}}]}}"#,
+        r#"{{"version":1,"routes":[{},{}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"sync_replicas":{sync_replicas}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,"idle_tx_ms":3000}},"tenants":[{{"name":"tenant-1","api_keys":["{KEY}"],"priority":1,"rate_per_s":5000,"burst":5000,"home_regions":[]}}]}}"#,
         route("orders", "primary", 1_000, 500, ""),
-        route("reports", "bounded_staleness", 3_000, 3_000, r#""max_staleness_ms":1500,"#),
+        route("reports", "bounded_staleness", reports_timeout_ms, 1_200, r#""max_staleness_ms":1500,"#),
     )
 }
 
@@ -93,7 +96,8 @@
                         let controls = controls.lock().expect("no panic");
                         controls[first % controls.len()].clone()
                     };
-                    let response = http::call_following(&address, "POST", &path, Some(&body), Duration::from_secs(1));
+                    let response =
+                        http::call_following(&address, "POST", &path, Some(&body), Duration::from_secs(1));
                     if response.is_some_and(|response| (200..300).contains(&response.status)) {
                         break;
                     }
@@ -132,7 +136,8 @@
     while Instant::now() < until {
         number += 1;
         if let Ok(mut client) = Client::connect(address, "orders", KEY)
-            && let (Answer::Done(..), _, _) = client.run(&format!("first-{address}-{number}"), "WRITE item-0 data")
+            && let (Answer::Done(..), _, _) =
+                client.run(&format!("first-{address}-{number}"), "WRITE item-0 data")
         {
             return true;
         }
@@ -157,7 +162,7 @@
     for index in 0..6 {
         fleet.start(index, true);
     }
-    if !order(&fleet.controls, "/-/config/put", Some(&configuration(1, 1)), Duration::from_secs(20)) {
+    if !order(&fleet.controls, "/-/config/put", Some(&configuration(1, 3_000)), Duration::from_secs(20)) {
         cannot_run("the configuration was not acknowledged");
     }
     send_heartbeats(&group, &fleet.controls, 8);
@@ -181,7 +186,8 @@
                     while !is_over.load(Ordering::Relaxed) {
                         let number = numbers.fetch_add(1, Ordering::Relaxed);
                         let id = format!("w{number}");
-                        let (answer, _, state) = session.run(&id, &format!("WRITE item-{} data-{number}", number % 97));
+                        let (answer, _, state) =
+                            session.run(&id, &format!("WRITE item-{} data-{number}", number % 97));
                         match answer {
                             Answer::Done(_, mac) if mac == format!("mac-{id}") => {
                                 acknowledged.lock().expect("no panic").push((id, Instant::now()));
@@ -233,7 +239,10 @@
         }
     }
     let last = acknowledged.last().map_or(0, |(_, at)| at_ms(*at));
-    record(&format!("{} promotions, {lost} acknowledged writes lost, the last write was acknowledged at {last} ms", state.promotions.len()));
+    record(&format!(
+        "{} promotions, {lost} acknowledged writes lost, the last write was acknowledged at {last} ms",
+        state.promotions.len()
+    ));
     finish(&fleet, lost == 0)
 }
 
@@ -256,7 +265,7 @@
     for index in 0..6 {
         fleet.start(index, true);
     }
-    if !order(&fleet.controls, "/-/config/put", Some(&configuration(1, 0)), Duration::from_secs(20)) {
+    if !order(&fleet.controls, "/-/config/put", Some(&configuration(0, 3_000)), Duration::from_secs(20)) {
         cannot_run("the configuration was not acknowledged");
     }
     send_heartbeats(&group, &fleet.controls, 32);
@@ -321,7 +330,8 @@
             record(&format!("{} was broken off before any database had it", sent.id));
             continue;
         };
-        let Some((_, stopped_at)) = stops.iter().rev().find(|(entry, at)| *entry == sent.entry && *at <= sent.ended_at)
+        let Some((_, stopped_at)) =
+            stops.iter().rev().find(|(entry, at)| *entry == sent.entry && *at <= sent.ended_at)
         else {
             record(&format!("{} was broken off without a stop", sent.id));
             lost += 1;
@@ -381,7 +391,7 @@
     send_heartbeats(&group, &fleet.controls, 8);
     let controls = fleet.controls.clone();
     let ordered = thread::spawn(move || {
-        order(&controls, "/-/config/put", Some(&configuration(1, 0)), Duration::from_secs(75))
+        order(&controls, "/-/config/put", Some(&configuration(0, 3_000)), Duration::from_secs(75))
     });
     if has_trouble {
         thread::sleep(Duration::from_secs(1));
@@ -400,6 +410,144 @@
     finish(&fleet, is_acknowledged && is_served)
 }
 
+/// The memory of an entry instance in its settings, in MiB. The platform kills a process that uses more.
+const MEMORY_MB: u64 = 260;
+
+/// The number of clients that usually read a large result at the same time.
+const USUAL_READERS: usize = 1;
+
+/// Their number while the tenant sends seven times its usual; the site's largest is 7.5 times, for 6.5 s.
+const HOT_READERS: usize = 7;
+
+/// The number of rows of a large result, of 1,000 bytes each.
+const ROWS: usize = 30_000;
+
+/// The clients of a tenant read results of 30 MB. For 6 of every 12 s there are seven times as many of them.
+fn large_results(has_trouble: bool) -> bool {
+    let folder = Folder::new();
+    let mut fleet = Fleet::new(&folder.0, 3, 3);
+    let options = Options {
+        service: SERVICE.into(),
+        sync_replicas: 0,
+        promotion: Duration::from_millis(1_000),
+        work: |_| Duration::from_millis(5),
+    };
+    let group = Group::start(options, places(fleet.subnet, &[0, 1, 2]));
+    serve_platform(&fleet, &group);
+    for index in 0..6 {
+        fleet.start(index, true);
+    }
+    if !order(&fleet.controls, "/-/config/put", Some(&configuration(0, 2_000)), Duration::from_secs(20)) {
+        cannot_run("the configuration was not acknowledged");
+    }
+    send_heartbeats(&group, &fleet.controls, 16);
+    if !(3..6).all(|index| await_write(&fleet.front(index), Duration::from_secs(20))) {
+        cannot_run("no write succeeded after the start");
+    }
+    record("writes succeed at all entry instances");
+    let is_over = Arc::new(AtomicBool::new(false));
+    let fronts: Vec<String> = (3..6).map(|index| fleet.front(index)).collect();
+    let exporters: Vec<_> = (0..HOT_READERS)
+        .map(|reader| {
+            let (fronts, is_over) = (fronts.clone(), is_over.clone());
+            thread::spawn(move || {
+                let started = Instant::now();
+                let mut round = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    // The usual reader begins every three seconds; the others join it in two rounds of four.
+                    thread::sleep((Duration::from_secs(3) * round).saturating_sub(started.elapsed()));
+                    round += 1;
+                    let is_hot = has_trouble && matches!(round % 4, 1 | 2);
+                    let readers = if is_hot { HOT_READERS } else { USUAL_READERS };
+                    let front = &fronts[round as usize % fronts.len()];
+                    if reader >= readers {
+                        continue;
+                    }
+                    let Ok(mut session) = Client::connect(front, "reports", KEY) else { continue };
+                    let item = format!("export-{ROWS}-{readers}");
+                    let asked = Instant::now();
+                    let (answer, _, _) =
+                        session.run(&format!("export-{reader}-{round}"), &format!("READ {item}"));
+                    let text = match answer {
+                        Answer::Done(found, _) => format!("success with {} rows", found.len()),
+                        Answer::Error(text) => text,
+                        Answer::Broken => "the connection ended without an answer".to_owned(),
+                    };
+                    let took_ms = asked.elapsed().as_millis();
+                    record(&format!(
+                        "round {round} with {readers} readers: reader {reader} after {took_ms} ms: {text}"
+                    ));
+                }
+            })
+        })
+        .collect();
+    // An ordinary client at each entry instance.
+    let broken = Arc::new(AtomicU64::new(0));
+    let served = Arc::new(AtomicU64::new(0));
+    let clients: Vec<_> = fronts
+        .iter()
+        .enumerate()
+        .map(|(client, front)| {
+            let (front, is_over) = (front.clone(), is_over.clone());
+            let (broken, served) = (broken.clone(), served.clone());
+            thread::spawn(move || {
+                let mut number = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    let Ok(mut session) = Client::connect(&front, "orders", KEY) else {
+                        thread::sleep(Duration::from_millis(100));
+                        continue;
+                    };
+                    while !is_over.load(Ordering::Relaxed) {
+                        number += 1;
+                        let (answer, _, state) =
+                            session.run(&format!("o{client}-{number}"), "WRITE item-1 data");
+                        match answer {
+                            Answer::Done(..) => served.fetch_add(1, Ordering::Relaxed),
+                            Answer::Broken => broken.fetch_add(1, Ordering::Relaxed),
+                            Answer::Error(_) => 0,
+                        };
+                        if state != 'I' {
+                            break;
+                        }
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            })
+        })
+        .collect();
+    let mut peaks = [0; 3];
+    let mut ends = [0; 3];
+    let until = Instant::now() + Duration::from_secs(75);
+    while Instant::now() < until {
+        for entry in 3..6 {
+            let Some(memory_mb) = fleet.memory_mb(entry) else { continue };
+            peaks[entry - 3] = peaks[entry - 3].max(memory_mb);
+            if memory_mb > MEMORY_MB {
+                record(&format!(
+                    "{} uses {memory_mb} MiB of {MEMORY_MB}: the platform kills it",
+                    fleet.machines[entry].name
+                ));
+                ends[entry - 3] += 1;
+                fleet.kill(entry);
+                thread::sleep(Duration::from_millis(200));
+                fleet.start(entry, false);
+            }
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    is_over.store(true, Ordering::Relaxed);
+    for client in exporters.into_iter().chain(clients) {
+        let _ = client.join();
+    }
+    record(&format!(
+        "peaks of memory {peaks:?} MiB, ends over the limit {ends:?}; {} ordinary writes succeeded, {} were broken off",
+        served.load(Ordering::Relaxed),
+        broken.load(Ordering::Relaxed)
+    ));
+    // The fault of the rule: three ends on each of two machines.
+    finish(&fleet, ends.iter().filter(|count| **count >= 3).count() < 2)
+}
+
 /// The primary of a service is lost for good after its databases have registered and before the first configuration names
 /// the service. Its two replicas run on.
 fn first_primary(has_trouble: bool) -> bool {
@@ -422,13 +570,14 @@
         group.crash(0);
     }
     thread::sleep(Duration::from_secs(1));
-    if !order(&fleet.controls, "/-/config/put", Some(&configuration(1, 0)), Duration::from_secs(20)) {
+    if !order(&fleet.controls, "/-/config/put", Some(&configuration(0, 3_000)), Duration::from_secs(20)) {
         cannot_run("the configuration was not acknowledged");
     }
     record("the first configuration is acknowledged");
     let is_served = await_write(&fleet.front(3), Duration::from_secs(60));
     record(&format!("a write succeeds: {is_served}"));
-    let read = Client::connect(&fleet.front(4), "reports", KEY).map(|mut client| client.run("last-read", "READ item-0").0);
+    let read = Client::connect(&fleet.front(4), "reports", KEY)
+        .map(|mut client| client.run("last-read", "READ item-0").0);
     record(&format!("a read at another entry instance: {read:?}"));
     record(&format!("{} promotions", group.lock().promotions.len()));
     finish(&fleet, is_served || matches!(read, Ok(Answer::Done(..))))
