--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -276,13 +276,13 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let numbers = Arc::new(AtomicU64::new(1));
     let results: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let clients: Vec<_> = (0..72)
+    let clients: Vec<_> = (0..120)
         .map(|client| {
             let entry = 3 + client % 3;
             let front = fleet.front(entry);
             let (results, is_over, numbers) = (results.clone(), is_over.clone(), numbers.clone());
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(client as u64 * 37));
+                thread::sleep(Duration::from_millis(client as u64 * 23));
                 while !is_over.load(Ordering::Relaxed) {
                     let Ok(mut session) = Client::connect(&front, "reports", KEY) else {
                         thread::sleep(Duration::from_millis(200));
