Name the control group until its holder has it

Callers saw BUSY from every entry instance, for good, after three control instances had been replaced in turn under storms of configurations.

Cause: the leader inferred from the heartbeat's catalogue revision whether the holder has the list of control instances. A push, or an answer that came late, brought the revision without the list.

Change: the heartbeat carries a digest of the list that its sender has; the leader sends the list until it is its own. The core takes it from every answer and keeps the newest.

--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -143,6 +143,7 @@
     Status(oneshot::Sender<StatusResult>),
     Report(PresenceReport, oneshot::Sender<ReportOutcome>),
     Inspect(Box<ReadCore>),
+    Seeds(SortedVec<Member>),
     End,
 }
 
@@ -229,6 +230,11 @@
         answered.await.ok()
     }
 
+    /// Replaces the instances that this one asks for the members of the group.
+    pub fn set_seeds(&self, seeds: SortedVec<Member>) {
+        let _ = self.messages.send(Message::Seeds(seeds));
+    }
+
     /// Reports to the core that an endpoint is present.
     pub fn report_presence(&self, presence: Presence) {
         let _ = self.messages.send(Message::Input(Input::Present(presence)));
@@ -406,6 +412,7 @@
                     let ticket = Ticket(self.reports.add(answer));
                     self.step(Input::Reported(ticket, report), &mut effects);
                 }
+                Message::Seeds(seeds) => self.core.seeds = seeds,
                 Message::Inspect(read) => {
                     // Nothing is shown that a crash could still undo.
                     self.apply_effects(&mut effects)?;
--- a/crates/cumincart-core/src/control/leases.rs
+++ b/crates/cumincart-core/src/control/leases.rs
@@ -7,13 +7,13 @@
 use {
     super::{
         Core, Effect, Ticket,
-        catalogue::revision_of,
         delivery::{self, Delivery, Gap, Turn, Waiting},
         holder_key::HolderKey,
         members, permits, runs, shares,
     },
     crate::timing::{FRESHNESS_LEASE_MS, TERM_LEASE_MS, grantor_lease_ms},
     cumincart_protocol::{
+        control_addresses,
         heartbeat::{CatalogueUpdate, Heartbeat, HeartbeatAnswer, InstanceEntry},
         instances::{self, InstancesUpdate},
         name::DomainName,
@@ -243,9 +243,9 @@
     answer.shares = shares;
     answer.permits = permits;
     answer.instances = core.leases.instances_update(now, heartbeat.instances_digest);
-    let is_first = heartbeat.instances_digest == 0;
-    let members_changed = heartbeat.revision < revision_of(core.log.members_index());
-    answer.control_addresses = (is_first || members_changed).then(|| control_addresses(core));
+    let control_addresses = control_addresses(core);
+    let is_known = heartbeat.control_digest == control_addresses::digest(&control_addresses);
+    answer.control_addresses = (!is_known).then_some(control_addresses);
     out.push(Effect::AnswerHeartbeat(ticket, PeerBody::HeartbeatAnswer(Box::new(answer))));
 }
 
@@ -455,8 +455,13 @@
     }
 }
 
+/// Returns the addresses of the control instances, sorted, so that the same instances have the same digest.
 fn control_addresses(core: &Core) -> Vec<Arc<str>> {
-    members::all(core.log.members()).map(|member| member.peer_address.clone()).collect()
+    let mut addresses: Vec<Arc<str>> =
+        members::all(core.log.members()).map(|member| member.peer_address.clone()).collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
 }
 
 fn answer_base(core: &Core, incarnation: Incarnation, asked_at: Instant) -> HeartbeatAnswer {
--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -2,6 +2,7 @@
 //! transactions and retries.
 
 pub mod admission;
+pub mod control_group;
 pub mod counters;
 pub mod dispatch;
 pub mod drain;
@@ -126,6 +127,8 @@
     pub random: ChaCha20Rng,
     /// The catalogue, the leases on it and the other entry instances.
     pub freshness: freshness::Freshness,
+    /// The control instances that this instance knows.
+    pub control_group: control_group::ControlGroup,
     /// The state of the heartbeat exchange with the control leader.
     pub membership: membership::Membership,
     /// This instance's shares of the organisations' rates.
@@ -165,6 +168,7 @@
             settings,
             random,
             freshness: freshness::Freshness::default(),
+            control_group: control_group::ControlGroup::default(),
             membership: membership::Membership::default(),
             quota: quota::Quota::default(),
             permits: permits::Permits::default(),
--- a/crates/cumincart-core/src/entry/membership.rs
+++ b/crates/cumincart-core/src/entry/membership.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Core, Settings,
+        Core, Settings, control_group,
         freshness::{self, AnswerOutcome, DropReason},
         permits::{self, ConnectionUse},
         quota, usage,
@@ -141,6 +141,7 @@
         complete: acknowledged_until.is_none(),
         grants_term: Some(core.membership.grants_term),
         instances_digest: instances::digest(&core.freshness.instances),
+        control_digest: core.control_group.digest(),
         endpoints,
         shares,
         permits: permits::report(&mut core.permits, now, acknowledged_until, uses),
@@ -154,6 +155,9 @@
     quota::drop_expired(&mut core.quota, now);
     permits::drop_expired(&mut core.permits, now);
     let outcome = freshness::apply_answer(&mut core.freshness, now, core.settings.incarnation, answer);
+    if !matches!(outcome, AnswerOutcome::Dropped(reason) if reason != DropReason::Expired) {
+        control_group::on_answer(&mut core.control_group, now, answer);
+    }
     match outcome {
         AnswerOutcome::Dropped(DropReason::Expired) if changes_catalogue(&answer.update) => {
             core.membership.confirm_revision = core.freshness.revision();
--- a/crates/cumincart-core/tests/control_delivery.rs
+++ b/crates/cumincart-core/tests/control_delivery.rs
@@ -307,6 +307,7 @@
             complete: true,
             grants_term: None,
             instances_digest: instances::digest(&self.freshness.instances),
+            control_digest: 0,
             endpoints: Vec::new(),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-core/tests/control_runs.rs
+++ b/crates/cumincart-core/tests/control_runs.rs
@@ -87,6 +87,7 @@
             complete,
             grants_term: None,
             instances_digest: 0,
+            control_digest: 0,
             endpoints: Vec::new(),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-core/tests/control_single.rs
+++ b/crates/cumincart-core/tests/control_single.rs
@@ -69,6 +69,7 @@
         complete: true,
         grants_term: None,
         instances_digest: 0,
+        control_digest: 0,
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: Vec::new(),
--- a/crates/cumincart-core/tests/control_usage/fixture.rs
+++ b/crates/cumincart-core/tests/control_usage/fixture.rs
@@ -170,6 +170,7 @@
             complete: acknowledged_until.is_none(),
             grants_term: None,
             instances_digest: 0,
+            control_digest: 0,
             endpoints: Vec::new(),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-core/tests/malformed_peers.rs
+++ b/crates/cumincart-core/tests/malformed_peers.rs
@@ -124,6 +124,7 @@
                     complete: flags.1,
                     grants_term: None,
                     instances_digest,
+                    control_digest: instances_digest,
                     endpoints: vec![EndpointReport {
                         endpoint: "pbx-1".into(),
                         reachable: flags.2,
--- a/crates/cumincart-core/tests/support/control_fleet.rs
+++ b/crates/cumincart-core/tests/support/control_fleet.rs
@@ -843,6 +843,7 @@
             complete: true,
             grants_term: None,
             instances_digest: 0,
+            control_digest: 0,
             endpoints: std::mem::take(&mut node.endpoint_reports),
             shares: Vec::new(),
             permits: Vec::new(),
--- a/crates/cumincart-entry/src/control_link.rs
+++ b/crates/cumincart-entry/src/control_link.rs
@@ -1,8 +1,11 @@
 //! The links to the control instances. Heartbeats go to the control leader; an instance that does not lead names the
 //! leader in its answer.
+//!
+//! Links are kept to the instances that the leader named last, to those in the settings, and to those that another entry
+//! instance named while no leader answered.
 
 use {
-    cumincart_core::entry::Input,
+    cumincart_core::entry::{Input, control_group::NAMED_MAX},
     cumincart_protocol::{heartbeat::Heartbeat, name::InstanceName, peer::PeerBody},
     cumincart_runtime::link::{LinkError, client::PeerLink, handshake::FleetSecret},
     slog::{Logger, info, warn},
@@ -14,13 +17,29 @@
 /// than a lease, so that no lease expires when the leader hangs and another control instance takes over.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long another entry instance may take to name the control instances that it knows.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// How many control instances one heartbeat is sent to before the attempt fails.
 const ATTEMPTS: usize = 3;
 
 /// Sends heartbeats to the control instances. The one that answered the last heartbeat is taken as the leader.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ControlLinks {
-    heartbeats: mpsc::UnboundedSender<Box<Heartbeat>>,
+    orders: mpsc::UnboundedSender<Order>,
+}
+
+/// What the owner of the links asks for.
+#[derive(Debug)]
+enum Order {
+    /// Send a heartbeat.
+    Send(Box<Heartbeat>),
+    /// The leader has named the members of the control group.
+    SetMembers(Vec<Arc<str>>),
+    /// The settings name other control instances.
+    SetConfigured(Vec<Arc<str>>),
+    /// Another entry instance has named control instances.
+    AddCandidates(Vec<Arc<str>>),
 }
 
 #[derive(Debug, Clone)]
@@ -42,6 +61,7 @@
         let (instance, secret) = (instance.clone(), secret.clone());
         let links = Links {
             configured: addresses.to_vec(),
+            members: Vec::new(),
             links: Vec::new(),
             open: Box::new(move |address| {
                 PeerLink::spawn_with(
@@ -53,15 +73,47 @@
             }),
         };
         tokio::spawn(forward_unsolicited_answers(unsolicited, inputs.clone()));
-        let (heartbeats, queue) = mpsc::unbounded_channel();
+        let (orders, queue) = mpsc::unbounded_channel();
         tokio::spawn(send_heartbeats(links, queue, inputs, logger));
-        Self { heartbeats }
+        Self { orders }
     }
 
     /// Sends a heartbeat. Its answer, if there is one, arrives as an input of the core.
     pub fn send(&self, heartbeat: Box<Heartbeat>) {
-        let _ = self.heartbeats.send(heartbeat);
+        self.order(Order::Send(heartbeat));
+    }
+
+    /// Opens links to the members of the control group as the leader named them, and closes those to others.
+    pub fn set_members(&self, addresses: &[Arc<str>]) {
+        self.order(Order::SetMembers(addresses.to_vec()));
+    }
+
+    /// Replaces the addresses from the settings.
+    pub fn set_configured(&self, addresses: Vec<Arc<str>>) {
+        self.order(Order::SetConfigured(addresses));
     }
+
+    /// Opens links to further addresses until the leader names the members again.
+    pub fn add_candidates(&self, addresses: Vec<Arc<str>>) {
+        self.order(Order::AddCandidates(addresses));
+    }
+
+    fn order(&self, order: Order) {
+        // An error means that the links have been closed.
+        let _ = self.orders.send(order);
+    }
+}
+
+/// Asks another entry instance for the control instances that it knows, and opens links to them.
+pub async fn ask_instance(link: PeerLink, control: ControlLinks, logger: Logger) {
+    let Ok(PeerBody::ControlAddresses(mut addresses)) =
+        link.request(PeerBody::ControlAddressesRequest, ASK_TIMEOUT).await
+    else {
+        return;
+    };
+    addresses.truncate(NAMED_MAX);
+    info!(logger, "another entry instance named control instances"; "addresses" => addresses.len());
+    control.add_candidates(addresses);
 }
 
 /// Forwards answers that match no pending heartbeat to the core: late answers, and the further answer that the leader
@@ -94,16 +146,15 @@
     },
     /// The control instance at this address leads, according to another one, and there is no link to it yet.
     NewLeader(Arc<str>),
-    /// The addresses of the control group's members.
-    Members(Vec<Arc<str>>),
 }
 
 /// Opens a link to a control instance.
 type OpenLink = dyn Fn(&Arc<str>) -> PeerLink + Send;
 
-/// The links to the control instances: those in the settings and those that answers to heartbeats named.
+/// The links to the control instances.
 struct Links {
     configured: Vec<Arc<str>>,
+    members: Vec<Arc<str>>,
     links: Vec<ControlLink>,
     open: Box<OpenLink>,
 }
@@ -115,19 +166,29 @@
         }
     }
 
-    /// Opens links to the group's members and closes those to addresses that are neither members nor configured.
-    fn set_members(&mut self, members: &[Arc<str>]) {
-        let configured = &self.configured;
+    fn set_members(&mut self, members: Vec<Arc<str>>) {
+        self.members = members;
+        self.update();
+    }
+
+    fn set_configured(&mut self, configured: Vec<Arc<str>>) {
+        self.configured = configured;
+        self.update();
+    }
+
+    /// Opens links to the members and the configured instances, and closes the others.
+    fn update(&mut self) {
+        let (members, configured) = (&self.members, &self.configured);
         self.links.retain(|link| members.contains(&link.address) || configured.contains(&link.address));
-        for address in members {
-            self.add(address);
+        for address in members.iter().chain(configured).cloned().collect::<Vec<_>>() {
+            self.add(&address);
         }
     }
 }
 
 async fn send_heartbeats(
     mut links: Links,
-    mut queue: mpsc::UnboundedReceiver<Box<Heartbeat>>,
+    mut queue: mpsc::UnboundedReceiver<Order>,
     inputs: mpsc::UnboundedSender<Input>,
     logger: Logger,
 ) {
@@ -152,11 +213,21 @@
     };
     loop {
         tokio::select! {
-            heartbeat = queue.recv() => {
-                let Some(heartbeat) = heartbeat else { return };
-                last = Some(heartbeat.clone());
-                start_attempt(&links, &target, heartbeat);
-            }
+            order = queue.recv() => match order {
+                None => return,
+                Some(Order::Send(heartbeat)) => {
+                    last = Some(heartbeat.clone());
+                    start_attempt(&links, &target, heartbeat);
+                }
+                Some(Order::SetMembers(members)) => links.set_members(members),
+                Some(Order::SetConfigured(configured)) if configured.is_empty() => {}
+                Some(Order::SetConfigured(configured)) => links.set_configured(configured),
+                Some(Order::AddCandidates(candidates)) => {
+                    for address in &candidates {
+                        links.add(address);
+                    }
+                }
+            },
             Some(event) = events.recv() => match event {
                 AttemptEvent::Answered(address) => {
                     answered_at = Instant::now();
@@ -183,7 +254,6 @@
                         start_attempt(&links, &target, heartbeat);
                     }
                 }
-                AttemptEvent::Members(members) => links.set_members(&members),
             }
         }
     }
@@ -207,9 +277,6 @@
             match self.links[target].link.request(body, ANSWER_TIMEOUT).await {
                 Ok(PeerBody::HeartbeatAnswer(answer)) => {
                     self.report(AttemptEvent::Answered(self.links[target].address.clone()));
-                    if let Some(members) = &answer.control_addresses {
-                        self.report(AttemptEvent::Members(members.clone()));
-                    }
                     let _ = self.inputs.send(Input::HeartbeatAnswer(answer));
                     return;
                 }
--- a/crates/cumincart-entry/src/engine.rs
+++ b/crates/cumincart-entry/src/engine.rs
@@ -1,10 +1,10 @@
 //! The task that owns the core: it passes inputs to the core and applies the effects that the core returns.
 
 use {
-    crate::control_link::ControlLinks,
+    crate::control_link::{self, ControlLinks},
     cumincart_core::{
         endpoint_command::ConnectionId,
-        entry::{self, Core, Effect, Input, Settings, Ticket},
+        entry::{self, Core, Effect, Input, Settings, Ticket, control_group},
         timing::TICK_INTERVAL_MS,
     },
     cumincart_protocol::{
@@ -220,7 +220,10 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.step(Input::Tick),
+                _ = ticks.tick() => {
+                    self.step(Input::Tick);
+                    self.ask_for_control_instances();
+                }
                 input = self.input_queue.recv() => match input {
                     Some(input) => self.step(input),
                     None => return,
@@ -257,14 +260,30 @@
         self.step(Input::Request(ticket, request));
     }
 
+    /// Asks another entry instance for control instances if none of those that are known answers.
+    fn ask_for_control_instances(&mut self) {
+        let now = self.clock.now();
+        let Some(asked) = control_group::instance_to_ask(&mut self.core, now) else { return };
+        let link = self.instance_link(&asked.peer_address);
+        tokio::spawn(control_link::ask_instance(link, self.control_links.clone(), self.logger.clone()));
+    }
+
     fn handle_peer_message(&mut self, received: ReceivedMessage) {
-        let PeerBody::Forward(request) = received.body else {
-            let refusal = Refusal::not_run(
-                RefusalCode::BadRequest,
-                "an entry instance accepts only forwarded requests",
-            );
-            received.reply.send(PeerBody::Refused(refusal));
-            return;
+        let request = match received.body {
+            PeerBody::Forward(request) => request,
+            PeerBody::ControlAddressesRequest => {
+                let addresses = self.core.control_group.addresses().to_vec();
+                received.reply.send(PeerBody::ControlAddresses(addresses));
+                return;
+            }
+            _ => {
+                let refusal = Refusal::not_run(
+                    RefusalCode::BadRequest,
+                    "an entry instance accepts only forwarded requests",
+                );
+                received.reply.send(PeerBody::Refused(refusal));
+                return;
+            }
         };
         let (answer, answered) = oneshot::channel();
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
@@ -283,6 +302,9 @@
             self.apply_effect(effect);
         }
         self.effects = effects;
+        if let Some(addresses) = self.core.control_group.take_changed() {
+            self.control_links.set_members(addresses);
+        }
     }
 
     fn apply_effect(&mut self, effect: Effect) {
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -153,6 +153,7 @@
         complete: true,
         grants_term: None,
         instances_digest: 0,
+        control_digest: 0,
         endpoints: Vec::new(),
         shares: Vec::new(),
         permits: permits.collect(),
--- a/crates/cumincart-protocol/src/heartbeat.rs
+++ b/crates/cumincart-protocol/src/heartbeat.rs
@@ -70,6 +70,9 @@
     /// The digest of the sender's list of entry instances; see [`crate::instances::digest`].
     #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
     pub instances_digest: u64,
+    /// The digest of the sender's list of control instances; see [`crate::control_addresses::digest`].
+    #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+    pub control_digest: u64,
     /// Endpoints whose reachability the sender has something new to report about since its last heartbeat.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub endpoints: Vec<EndpointReport>,
@@ -269,7 +272,7 @@
     /// The update of the holder's list of entry instances; none if the list is current.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     pub instances: Option<InstancesUpdate>,
-    /// The control instances' peer addresses, as `ip:port`, if the list has changed.
+    /// The control instances' peer addresses, as `ip:port`; none if the holder has this list.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub control_addresses: Option<Vec<Arc<str>>>,
 }
--- a/crates/cumincart-protocol/src/lib.rs
+++ b/crates/cumincart-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announcement;
 pub mod catalogue;
 pub mod change;
+pub mod control_addresses;
 pub mod endpoint_sql;
 pub mod excerpt;
 pub mod exchange;
--- a/crates/cumincart-protocol/src/peer.rs
+++ b/crates/cumincart-protocol/src/peer.rs
@@ -70,6 +70,12 @@
     /// The answer to `Token`.
     #[serde(rename = "u")]
     TokenAnswer(TokenAnswer),
+    /// Asks another entry instance for the control instances that it knows. Sent by one that none of them answers.
+    #[serde(rename = "w")]
+    ControlAddressesRequest,
+    /// The answer to `ControlAddressesRequest`: peer addresses, as `ip:port`.
+    #[serde(rename = "k")]
+    ControlAddresses(Vec<Arc<str>>),
     /// The answer to a message that the receiver rejects as a whole.
     Refused(Refusal),
 }
--- a/crates/cumincart-runtime/src/link/lanes.rs
+++ b/crates/cumincart-runtime/src/link/lanes.rs
@@ -22,9 +22,12 @@
                 | ReplicationBody::AppendAnswer(_)
         ),
         PeerBody::HeartbeatAnswer(answer) => matches!(answer.update, CatalogueUpdate::None),
-        PeerBody::Heartbeat(_) | PeerBody::NotLeader(_) | PeerBody::Token(_) | PeerBody::TokenAnswer(_) => {
-            true
-        }
+        PeerBody::Heartbeat(_)
+        | PeerBody::NotLeader(_)
+        | PeerBody::Token(_)
+        | PeerBody::TokenAnswer(_)
+        | PeerBody::ControlAddressesRequest
+        | PeerBody::ControlAddresses(_) => true,
         PeerBody::Forward(_)
         | PeerBody::ForwardAnswer(_)
         | PeerBody::Relay(_)
--- a/crates/cumincart-runtime/src/link/traffic.rs
+++ b/crates/cumincart-runtime/src/link/traffic.rs
@@ -148,8 +148,8 @@
 fn kind_index(body: &PeerBody) -> usize {
     match body {
         PeerBody::Replication(_) => 0,
-        PeerBody::Heartbeat(_) => 1,
-        PeerBody::HeartbeatAnswer(_) | PeerBody::NotLeader(_) => 2,
+        PeerBody::Heartbeat(_) | PeerBody::ControlAddressesRequest => 1,
+        PeerBody::HeartbeatAnswer(_) | PeerBody::NotLeader(_) | PeerBody::ControlAddresses(_) => 2,
         PeerBody::Forward(_) => 3,
         PeerBody::ForwardAnswer(_) => 4,
         PeerBody::Relay(_) => 5,
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -12,7 +12,7 @@
         stop,
     },
     cumincart_core::{
-        entry::{self, Input, Settings, membership},
+        entry::{self, Input, Settings, control_group, membership},
         interactive::{
             command::Rows,
             open_transaction,
@@ -20,7 +20,7 @@
             routing::Locality,
         },
     },
-    cumincart_entry::control_link::ControlLinks,
+    cumincart_entry::control_link::{self, ControlLinks},
     cumincart_protocol::{
         catalogue::Catalogue,
         name::{DomainName, EndpointName, InstanceName, ServiceName},
@@ -99,6 +99,7 @@
     name: InstanceName,
     locality: Locality,
     fleet_secret: FleetSecret,
+    control: ControlLinks,
     links: Mutex<Vec<InstanceLink>>,
     pinned_slots: Mutex<SortedVec<PinnedSlot>>,
     /// The number of connections to endpoints that have been opened.
@@ -132,6 +133,7 @@
             name,
             locality,
             fleet_secret: options.fleet_secret,
+            control,
             links: Mutex::default(),
             pinned_slots: Mutex::default(),
             connections: AtomicU64::default(),
@@ -151,7 +153,7 @@
         tokio::spawn(async move {
             // Dropped on a panic too.
             let _running = running;
-            task.run(control, inputs).await;
+            task.run(inputs).await;
         });
         engine
     }
@@ -362,16 +364,16 @@
         tokio::time::Instant::now() + at.saturating_since(self.now())
     }
 
-    async fn run(self, control: ControlLinks, mut inputs: mpsc::UnboundedReceiver<Input>) {
+    async fn run(self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.on_tick(&control),
+                _ = ticks.tick() => self.on_tick(),
                 input = inputs.recv() => match input {
                     Some(Input::HeartbeatAnswer(answer)) => {
                         self.on_answer(&answer);
-                        self.send_heartbeat_when_due(&control);
+                        self.send_heartbeat_when_due();
                     }
                     Some(_) => {}
                     None => return,
@@ -380,19 +382,44 @@
         }
     }
 
-    fn on_tick(&self, control: &ControlLinks) {
+    fn on_tick(&self) {
         let now = self.now();
         {
             let mut state = self.lock();
             state.answer_token_waiters(now);
             state.close_excess_idle(now);
         }
-        self.send_heartbeat_when_due(control);
+        self.send_heartbeat_when_due();
+        self.ask_for_control_instances(now);
         self.roll_back_expired_pinned(now);
         self.refresh_points();
     }
 
-    fn send_heartbeat_when_due(&self, control: &ControlLinks) {
+    /// Asks another entry instance for control instances if none of those that are known answers.
+    fn ask_for_control_instances(&self, now: Instant) {
+        let asked = control_group::instance_to_ask(&mut self.lock().core, now);
+        let Some(asked) = asked else { return };
+        let link = self.link(&asked.peer_address);
+        tokio::spawn(control_link::ask_instance(link, self.shared.control.clone(), self.logger().clone()));
+    }
+
+    /// Returns whether no control instance has answered for a while, so that the settings may name others by now.
+    pub fn has_lost_control(&self) -> bool {
+        let now = self.now();
+        self.lock().core.control_group.is_lost(now)
+    }
+
+    /// Replaces the peer addresses of control instances that the settings name, as `ip:port`.
+    pub fn set_control_addresses(&self, addresses: Vec<Arc<str>>) {
+        self.shared.control.set_configured(addresses);
+    }
+
+    /// Returns the peer addresses of the control instances as the leader named them last.
+    pub(crate) fn control_addresses(&self) -> Vec<Arc<str>> {
+        self.lock().core.control_group.addresses().to_vec()
+    }
+
+    fn send_heartbeat_when_due(&self) {
         let now = self.now();
         let mut state = self.lock();
         let has_left = state.core.membership.leaving && state.core.membership.last_sent_at.is_some();
@@ -403,7 +430,7 @@
         let (reports, uses) = state.reports(now);
         state.core.usage.unix_ms = clock::unix_ms();
         let heartbeat = membership::build_heartbeat(&mut state.core, now, reports, &uses);
-        control.send(Box::new(heartbeat));
+        self.shared.control.send(Box::new(heartbeat));
     }
 
     fn on_answer(&self, answer: &cumincart_protocol::heartbeat::HeartbeatAnswer) {
@@ -417,6 +444,9 @@
         state.apply_catalogue(now);
         state.answer_token_waiters(now);
         let instances = answer.instances.is_some().then(|| state.core.freshness.instances.clone());
+        if let Some(addresses) = state.core.control_group.take_changed() {
+            self.shared.control.set_members(addresses);
+        }
         drop(state);
         if let Some(instances) = instances {
             self.update_instance_links(&instances);
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -216,6 +216,9 @@
                     reply.send(PeerBody::RelayAnswer(Box::new(answer)));
                 });
             }
+            PeerBody::ControlAddressesRequest => {
+                reply.send(PeerBody::ControlAddresses(engine.control_addresses()));
+            }
             PeerBody::Token(request) => {
                 tokio::spawn(async move {
                     let answer = engine.grant_token(&request).await;
@@ -223,7 +226,7 @@
                 });
             }
             _ => {
-                let why = "this instance takes only exchanges and requests for tokens";
+                let why = "this instance takes only exchanges, requests for tokens and questions for control instances";
                 reply.send(PeerBody::Refused(Refusal::not_run(RefusalCode::BadRequest, why)));
             }
         }
