Promote only with an answer of every set that may hold a commit

Clients lost commits that they had been told of: in a group of five with one synchronous replica, the primary and the replica with the last commits were down for 7 s, and a majority without them was enough for a promotion.

Cause: a majority meets every set of a primary and k replicas only in small groups. Besides, an endpoint that had ended or was silent was removed from what must answer, and a changed setting counted for earlier commits.

The group records its last acknowledging primary and the smallest k in use; an endpoint leaves it once k others have what the primary had after its end. Nothing changes for asynchronous groups.

All tests of the core pass.

--- a/crates/cumincart-core/examples/data_measures/deployment.rs
+++ b/crates/cumincart-core/examples/data_measures/deployment.rs
@@ -158,6 +158,7 @@
             writable: true,
             endpoints: (0..self.domains.len()).map(entry).collect(),
             term_starts: vec![TermStart { term: Term(1), timeline: Timeline(1), position: LogPosition(0) }],
+            commit_holders: Default::default(),
         }
     }
 
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -8,8 +8,10 @@
 pub mod catalogue;
 pub mod choice;
 pub mod commit;
+pub mod commit_holders;
 mod configuration;
 pub mod delivery;
+pub mod departures;
 pub mod detection;
 pub mod dump;
 pub mod election;
@@ -227,6 +229,10 @@
     pub deliveries: delivery::Deliveries,
     /// The last announcement of each endpoint; kept by the leader.
     pub announcements: announcements::Announcements,
+    /// The endpoints that are to be removed from their groups; kept by the leader.
+    pub departures: departures::Departures,
+    /// The numbers of synchronous replicas that have not taken effect; kept by the leader.
+    pub pending_settings: commit_holders::PendingSettings,
     /// The reports of endpoints that are not answered yet.
     pub reports: reports::Reports,
     /// The changes of primary that are in progress; kept by the leader.
@@ -272,6 +278,8 @@
             pushes: push::Pushes::default(),
             deliveries: delivery::Deliveries::default(),
             announcements: announcements::Announcements::default(),
+            departures: departures::Departures::default(),
+            pending_settings: commit_holders::PendingSettings::default(),
             reports: reports::Reports::default(),
             failover: failover::Failover::default(),
             shares: shares::Ledger::default(),
@@ -350,6 +358,7 @@
     presence::on_tick(core, now, out);
     probe::on_tick(core, now, out);
     commit::advance(core, now, out);
+    commit_holders::on_tick(core, now, out);
     failover::on_tick(core, now, out);
     usage::on_tick(core, now, out);
 }
--- a/crates/cumincart-core/src/control/announcements.rs
+++ b/crates/cumincart-core/src/control/announcements.rs
@@ -2,12 +2,12 @@
 //! entries in the catalogue. Followers forward announcements to the leader.
 
 use {
-    super::{Core, Effect, election, replicate},
+    super::{Core, Effect, departures, election, replicate},
     cumincart_protocol::{
         announcement::Announcement,
         catalogue::EndpointEntry,
         name::EndpointName,
-        number::LogIndex,
+        number::{LogIndex, LogPosition, Timeline},
         replication::{Command, ReplicationBody},
         sorted::{Keyed, SortedVec},
         time::Instant,
@@ -30,6 +30,8 @@
     pub role_since: Instant,
     /// The record that last changed the endpoint's entry.
     proposed: LogIndex,
+    /// The last log position that it has announced. One that announces less has lost its log.
+    highest: (Timeline, LogPosition),
 }
 
 impl Keyed for ReceivedAnnouncement {
@@ -64,6 +66,13 @@
         }
     }
 
+    /// Returns whether an announced log has all that its endpoint has announced before.
+    pub fn is_whole(&self, announcement: &Announcement) -> bool {
+        self.received
+            .get(&announcement.endpoint)
+            .is_none_or(|received| (announcement.timeline, announcement.position) >= received.highest)
+    }
+
     /// Returns the last announcement of an endpoint, if it was received after the given time.
     pub fn since(&self, endpoint: &EndpointName, after: Instant) -> Option<&Announcement> {
         let received = self.received.get(endpoint)?;
@@ -106,7 +115,8 @@
         .collect();
     for announcement in departed {
         let group = core.catalogue.group(&announcement.service);
-        if group.is_some_and(|group| group.primary.as_ref() == Some(&announcement.endpoint)) {
+        let is_primary = group.is_some_and(|group| group.primary.as_ref() == Some(&announcement.endpoint));
+        if is_primary || !departures::may_remove(core, now, &announcement.service, &announcement.endpoint) {
             continue;
         }
         core.announcements.received.remove(&announcement.endpoint);
@@ -123,7 +133,9 @@
         Some(last) if last.announcement.role == announcement.role => last.role_since,
         _ => now,
     };
-    let mut received = ReceivedAnnouncement { announcement, received_at: now, role_since, proposed };
+    let position = (announcement.timeline, announcement.position);
+    let highest = last.map_or(position, |last| last.highest.max(position));
+    let mut received = ReceivedAnnouncement { announcement, received_at: now, role_since, proposed, highest };
     let can_propose =
         core.log.applied >= received.proposed && core.replication.has_committed_own_term(&core.log);
     if can_propose && !has_current_entry(core, &received.announcement) {
--- a/crates/cumincart-core/src/control/catalogue.rs
+++ b/crates/cumincart-core/src/control/catalogue.rs
@@ -2,9 +2,9 @@
 //! behind.
 
 use {
-    super::{configuration, operators::Outcomes},
+    super::{commit_holders, configuration, operators::Outcomes},
     cumincart_protocol::{
-        catalogue::{Catalogue, EndpointEntry, Group, TermStart},
+        catalogue::{Catalogue, CommitHolders, EndpointEntry, Group, TermStart},
         change::{Action, Change, Outcome, VersionedDocument},
         heartbeat::{CatalogueChange, CatalogueDelta, CatalogueUpdate},
         name::{EndpointName, ServiceName},
@@ -246,6 +246,10 @@
             let (delta, outcome) = apply_change(catalogue, outcomes, document, change);
             (delta, Some(outcome))
         }
+        Command::SetCommitReplicas { service, replicas } => {
+            commit_holders::apply_setting(catalogue, service, *replicas);
+            (CatalogueChange::Nothing, None)
+        }
         Command::PutEndpoint(service, entry) => (put_endpoint(catalogue, service, entry), None),
         Command::RemoveEndpoint(service, endpoint) => (remove_endpoint(catalogue, service, endpoint), None),
         Command::BeginTerm { service, term, primary } => {
@@ -377,6 +381,7 @@
         writable: false,
         endpoints: SortedVec::new(),
         term_starts: Vec::new(),
+        commit_holders: CommitHolders::default(),
     }
 }
 
--- a/crates/cumincart-core/src/control/choice.rs
+++ b/crates/cumincart-core/src/control/choice.rs
@@ -1,8 +1,8 @@
-//! Selection of the primary of a term: the replica with the highest log position among a majority of the
-//! group.
+//! Selection of the primary of a term: the replica with the highest log position among those that must be asked, a
+//! majority of the group or, with synchronous replicas, all that may hold acknowledged commits.
 
 use {
-    super::{Core, detection, service_state},
+    super::{Core, commit_holders, detection, service_state},
     crate::timing::ANNOUNCEMENT_INTERVAL_MS,
     cumincart_protocol::{
         announcement::{Announcement, Role},
@@ -99,9 +99,8 @@
     announcements: &[&Announcement],
     fenced_at: Instant,
 ) -> Choice {
-    let has_majority = announcements.len() > group.endpoints.len() / 2;
-    if !has_majority && !may_choose_from_minority(core, now, group, fenced_at) {
-        return Choice::Wait("less than a majority of the group has announced itself");
+    if let Some(reason) = too_few_answers(core, now, group, announcements, fenced_at) {
+        return Choice::Wait(reason);
     }
     if awaits_stragglers(core, now, group, announcements, fenced_at) {
         return Choice::Wait("endpoints that were heard lately have not announced themselves");
@@ -116,13 +115,35 @@
     Choice::Endpoint(in_service.unwrap_or(best).endpoint.clone())
 }
 
-/// Returns whether less than a majority is enough. With asynchronous replication, waiting longer for
-/// endpoints that do not answer does not guarantee that any acknowledged write is found, and extends the
-/// outage.
-fn may_choose_from_minority(core: &Core, now: Instant, group: &Group, fenced_at: Instant) -> bool {
-    let limits = core.catalogue.lists.interactive.services.get(&group.service);
-    limits.is_some_and(|limits| limits.synchronous_replicas == 0)
-        && now.saturating_since(fenced_at) >= Duration::from_millis(MAJORITY_WAIT_MS)
+/// Returns why the endpoints that have announced themselves are too few to choose among; `None` if they are enough.
+///
+/// Where commits wait for replicas, those that have answered must hold every acknowledged commit. With asynchronous
+/// replication, waiting longer than for a majority, or for endpoints that do not answer, does not guarantee that any
+/// acknowledged write is found, and extends the outage.
+fn too_few_answers(
+    core: &Core,
+    now: Instant,
+    group: &Group,
+    announcements: &[&Announcement],
+    fenced_at: Instant,
+) -> Option<&'static str> {
+    if group.commit_holders.replicas > 0 {
+        let joining = core.presences.joining(group);
+        let is_permitted = commit_holders::permit_promotion(
+            group,
+            &core.announcements,
+            announcements,
+            joining,
+            last_timeline(group),
+        );
+        return (!is_permitted)
+            .then_some("endpoints that may hold acknowledged commits have not announced themselves");
+    }
+    let has_majority = announcements.len() > group.endpoints.len() / 2;
+    let has_waited = now.saturating_since(fenced_at) >= Duration::from_millis(MAJORITY_WAIT_MS);
+    let is_known = core.catalogue.lists.interactive.services.contains(&group.service);
+    let is_enough = has_majority || (is_known && has_waited);
+    (!is_enough).then_some("less than a majority of the group has announced itself")
 }
 
 fn best_in_service<'a>(
@@ -167,6 +188,11 @@
     announcement.role == Role::Primary && announcement.timeline == last_timeline(group)
 }
 
+/// Returns whether an endpoint is on the timeline of the group's last term.
+pub fn is_on_last_timeline(group: &Group, announcement: &Announcement) -> bool {
+    announcement.timeline == last_timeline(group)
+}
+
 fn last_timeline(group: &Group) -> Timeline {
     group.term_starts.last().map(|start| start.timeline).unwrap_or_default()
 }
--- a/crates/cumincart-core/src/control/commit.rs
+++ b/crates/cumincart-core/src/control/commit.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Core, Effect, catalogue, delivery, members, operators, push, read_index, reconfiguration, runs,
-        snapshot, usage,
+        Core, Effect, catalogue, commit_holders, delivery, members, operators, push, read_index,
+        reconfiguration, runs, snapshot, usage,
     },
     cumincart_protocol::{
         heartbeat::CatalogueDelta,
@@ -74,8 +74,10 @@
     let Some(record) = core.log.get(index) else { return };
     let from = core.catalogue.revision;
     core.recent_deltas.forget_updates();
+    let lists_before = Arc::clone(&core.catalogue.lists);
     let catalogue = Arc::make_mut(&mut core.catalogue);
     let (change, outcome) = catalogue::apply(catalogue, &mut core.outcomes, &mut core.document, record);
+    commit_holders::update(catalogue, &lists_before);
     let (command, term) = (record.command.clone(), record.term);
     let to = core.catalogue.revision;
     core.pushes.record(now, to, push::urgency(&command, &change));
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -2,10 +2,10 @@
 //! message of each and the endpoints' entries in the catalogue.
 
 use {
-    super::{Core, Effect, election, failover, replicate},
+    super::{Core, Effect, departures, election, failover, replicate},
     cumincart_protocol::{
         announcement::Presence,
-        catalogue::{Catalogue, EndpointEntry},
+        catalogue::{Catalogue, EndpointEntry, Group},
         lists::Lists,
         name::{EndpointName, ServiceName},
         number::LogIndex,
@@ -77,6 +77,17 @@
         self.received.get(endpoint).map(|received| &received.presence)
     }
 
+    /// Returns the number of endpoints of a group's service that are present, but not in the group yet.
+    pub fn joining(&self, group: &Group) -> usize {
+        let is_joining = |received: &&ReceivedPresence| {
+            let presence = &received.presence;
+            presence.service == group.service
+                && !presence.ended
+                && !group.endpoints.contains(&presence.endpoint)
+        };
+        self.received.iter().filter(is_joining).count()
+    }
+
     /// Returns whether a later run under another name announces itself at the endpoint's address, which shows
     /// that the endpoint's own run has ended. Only runs of configured services count.
     pub fn has_newer_run_at_address(&self, lists: &Lists, entry: &EndpointEntry) -> bool {
@@ -262,17 +273,36 @@
 pub(super) fn is_in_force(core: &Core, endpoint: &EndpointName) -> bool {
     failover::is_established_leader(core)
         && core.presences.received.get(endpoint).is_none_or(|received| {
-            core.log.applied >= received.proposed && due_command(core, &received.presence).is_none()
+            let due = due_command(core, &received.presence);
+            let is_held =
+                matches!(due, Some(Command::RemoveEndpoint(..))) && is_held_leaving(core, &received.presence);
+            core.log.applied >= received.proposed && (due.is_none() || is_held)
         })
 }
 
+/// Returns whether an endpoint that has ended is still in its group, because it may hold commits, and gets no requests.
+fn is_held_leaving(core: &Core, presence: &Presence) -> bool {
+    let is_synchronous =
+        core.catalogue.group(&presence.service).is_some_and(|group| group.commit_holders.replicas > 0);
+    let known = known_entry(&core.catalogue, &presence.service, &presence.endpoint);
+    is_synchronous && known.is_some_and(|entry| entry.leaving)
+}
+
 /// Updates the endpoint's entry to match its last presence message.
 fn sync_entry(core: &mut Core, now: Instant, endpoint: &EndpointName, out: &mut Vec<Effect>) {
     let Some(received) = core.presences.received.get(endpoint) else { return };
     if core.log.applied < received.proposed {
         return;
     }
-    let Some(command) = due_command(core, &received.presence) else { return };
+    let Some(mut command) = due_command(core, &received.presence) else { return };
+    if let Command::RemoveEndpoint(service, endpoint) = &command {
+        let (service, endpoint) = (service.clone(), endpoint.clone());
+        if !departures::may_remove(core, now, &service, &endpoint) {
+            let known = known_entry(&core.catalogue, &service, &endpoint).filter(|entry| !entry.leaving);
+            let Some(entry) = known.cloned() else { return };
+            command = Command::PutEndpoint(service, EndpointEntry { leaving: true, ..entry });
+        }
+    }
     out.push(Effect::Log(describe(&command)));
     let index = replicate::propose(core, now, command, out);
     if let Some(received) = core.presences.received.get_mut(endpoint) {
@@ -346,6 +376,9 @@
         expired.extend(silent.map(|entry| (group.service.clone(), entry.name.clone())));
     }
     for (service, endpoint) in expired {
+        if !departures::may_remove(core, now, &service, &endpoint) {
+            continue;
+        }
         out.push(Effect::Log(format!("{service}: endpoint {endpoint} is silent and was removed").into()));
         core.presences.remove(&endpoint);
         replicate::propose(core, now, Command::RemoveEndpoint(service, endpoint), out);
--- a/crates/cumincart-core/tests/entry_data_path/fixture.rs
+++ b/crates/cumincart-core/tests/entry_data_path/fixture.rs
@@ -367,6 +367,7 @@
             .map(|(name, domain)| endpoint(name, domain))
             .collect(),
         term_starts: vec![TermStart { term: Term(1), timeline: Timeline(1), position: LogPosition(0) }],
+        commit_holders: Default::default(),
     };
     Catalogue {
         revision: Revision(1),
--- a/crates/cumincart-core/tests/interactive/primary_guarantee.rs
+++ b/crates/cumincart-core/tests/interactive/primary_guarantee.rs
@@ -64,6 +64,7 @@
         writable,
         endpoints: Default::default(),
         term_starts: Vec::new(),
+        commit_holders: Default::default(),
     };
     let limits = ServiceLimits { service: "ledger".into(), connection_limit: 30, synchronous_replicas };
     let interactive =
--- a/crates/cumincart-core/tests/interactive/routing.rs
+++ b/crates/cumincart-core/tests/interactive/routing.rs
@@ -40,6 +40,7 @@
             .into_iter()
             .collect(),
         term_starts: Vec::new(),
+        commit_holders: Default::default(),
     }
 }
 
--- a/crates/cumincart-core/tests/limits_permits.rs
+++ b/crates/cumincart-core/tests/limits_permits.rs
@@ -52,6 +52,7 @@
         writable: false,
         endpoints: (0..DOMAINS).map(endpoint).collect(),
         term_starts: Vec::new(),
+        commit_holders: Default::default(),
     });
     fleet.catalogue = Arc::new(catalogue);
     fleet.add_many(INSTANCES, DOMAINS);
--- a/crates/cumincart-core/tests/malformed_peers.rs
+++ b/crates/cumincart-core/tests/malformed_peers.rs
@@ -272,6 +272,7 @@
         writable: true,
         endpoints: std::iter::once(endpoint).collect(),
         term_starts: Vec::new(),
+        commit_holders: Default::default(),
     };
     let groups = std::iter::once(group).collect();
     Arc::new(Catalogue { revision: Revision(1), lists: Arc::new(lists), groups, ..Catalogue::default() })
--- a/crates/cumincart-fleet/examples/capacity.rs
+++ b/crates/cumincart-fleet/examples/capacity.rs
@@ -86,6 +86,7 @@
         primary: Some(endpoint_name(number, 0).into()),
         writable: true,
         endpoints: endpoints.collect(),
+        commit_holders: Default::default(),
         term_starts: vec![cumincart_protocol::catalogue::TermStart {
             term: Term(1),
             timeline: Timeline(1),
--- a/crates/cumincart-protocol/src/catalogue.rs
+++ b/crates/cumincart-protocol/src/catalogue.rs
@@ -43,6 +43,25 @@
     pub endpoints: SortedVec<EndpointEntry>,
     /// The log positions at which the terms began, oldest first.
     pub term_starts: Vec<TermStart>,
+    /// Which endpoints may hold acknowledged commits. Kept by control instances; entry instances don't use it.
+    #[serde(default, skip_serializing_if = "CommitHolders::is_default")]
+    pub commit_holders: CommitHolders,
+}
+
+/// Which endpoints of a group with synchronous replicas hold each acknowledged commit: the primary, and a number of
+/// replicas. The default stands for a group without synchronous replicas.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CommitHolders {
+    /// The last primary that may have acknowledged commits, if it is known.
+    pub primary: Option<EndpointName>,
+    /// The smallest number of replicas that hold any of these commits; 0 if commits are acknowledged by the primary alone.
+    pub replicas: u32,
+}
+
+impl CommitHolders {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 impl Keyed for Group {
--- a/crates/cumincart-protocol/src/replication.rs
+++ b/crates/cumincart-protocol/src/replication.rs
@@ -65,6 +65,13 @@
     RemoveRun(InstanceIncarnation),
     /// Changes the members of the control group. Takes effect as soon as it is appended, before it is committed.
     Members(Members),
+    /// Sets the number of replicas that hold each commit of a group, once all its earlier commits are on as many.
+    SetCommitReplicas {
+        /// The group's service.
+        service: ServiceName,
+        /// The number of replicas; 0 if commits are acknowledged by the primary alone.
+        replicas: u32,
+    },
     /// Fixes the counts of an accounting window before they are reported.
     FixUsage(Box<FixedUsage>),
 }
