Answer what a planned stop takes, by the time until the kill

Clients' statements were taken 3.0 to 3.2 s after SIGTERM and cut 5.2 s after it, while their database was at work.

Cause: fixed times that knew neither a statement's limit nor grace_s.

Change: all times derive from grace_s. A statement is taken in the first half of it, and later if its limit ends in time; else it is refused before it is sent. At 7/8 what still runs is answered with what is certain. The same for exchanges of other instances, pinned transactions, commits and the own interface. Sessions are opened as long as a statement can be served.

--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -28,7 +28,10 @@
 
 use {
     self::pool::{ConnectionState, Owner},
-    crate::endpoint_command::{CommandError, CommandId, CommandOutput, ConnectionId, EndpointCommand},
+    crate::{
+        endpoint_command::{CommandError, CommandId, CommandOutput, ConnectionId, EndpointCommand},
+        interactive::planned_stop::StopSchedule,
+    },
     cumincart_protocol::{
         heartbeat::{Heartbeat, HeartbeatAnswer},
         name::{DomainName, EndpointName, InstanceName},
@@ -151,6 +154,10 @@
     pub retry_budget: retry::RetryBudget,
     /// The progress of a planned stop.
     pub drain: drain::DrainState,
+    /// The times of a planned stop.
+    pub stop_schedule: StopSchedule,
+    /// Until when a planned stop answers everything; none while no stop was requested.
+    pub answer_by: Option<Instant>,
     /// When this instance or its failure domain went out of service; none while both are in service.
     pub out_of_service_since: Option<Instant>,
     /// When the next maintenance run of the pool is due.
@@ -180,6 +187,8 @@
             replica_choice: routing::policy::two_choices_local,
             retry_budget: retry::RetryBudget::default(),
             drain: drain::DrainState::default(),
+            stop_schedule: StopSchedule::of_grace(drain::KILL_AFTER),
+            answer_by: None,
             out_of_service_since: None,
             next_maintenance_at: Instant::ZERO,
             counters: counters::Counters::default(),
--- a/crates/cumincart-core/src/entry/drain.rs
+++ b/crates/cumincart-core/src/entry/drain.rs
@@ -2,7 +2,10 @@
 //! and releases its shares, permits and connections.
 
 use {
-    super::{Core, Effect, heartbeat, permits, request::Kind},
+    super::{
+        Core, Effect, heartbeat, permits,
+        request::{self, Kind},
+    },
     cumincart_protocol::{
         refusal::{Refusal, RefusalCode},
         time::Instant,
@@ -15,6 +18,9 @@
 /// that a load balancer may need to notice.
 pub const GRACE_MS: u64 = 2_000;
 
+/// The time after which operators may kill an instance that they have asked to stop.
+pub const KILL_AFTER: Duration = Duration::from_secs(40);
+
 /// How long new requests are still accepted after the instance or its failure domain was taken out of
 /// service, in milliseconds.
 pub const OUT_GRACE_MS: u64 = 1_000;
@@ -61,9 +67,34 @@
         return;
     }
     core.drain = DrainState::Grace { until: now + Duration::from_millis(GRACE_MS) };
+    let answer_by = now + core.stop_schedule.answer_by();
+    core.answer_by = Some(answer_by);
+    for pending in core.requests.iter_mut() {
+        pending.deadline = pending.deadline.min(answer_by);
+    }
+    for transaction in core.transactions.iter_mut() {
+        transaction.deadline = transaction.deadline.min(answer_by);
+        if let Some(operation) = &mut transaction.active_operation {
+            operation.deadline = operation.deadline.min(answer_by);
+        }
+    }
     out.push(Effect::Log("planned stop: not ready any more".into()));
 }
 
+/// Returns a deadline, or the time at which a planned stop answers everything if that is earlier.
+pub fn limit(core: &Core, deadline: Instant) -> Instant {
+    core.answer_by.map_or(deadline, |answer_by| answer_by.min(deadline))
+}
+
+/// Answers the requests that were forwarded and have no answer when a planned stop has no time left.
+fn abandon_forwards(core: &mut Core, out: &mut Vec<Effect>) {
+    for forward in std::mem::take(&mut core.forwards).into_items() {
+        let message = "the instance stops and has no answer of the one that holds the transaction";
+        let refusal = Refusal::unknown(RefusalCode::OutOfService, message);
+        request::answer(core, forward.ticket, Err(refusal), out);
+    }
+}
+
 /// Returns the refusal for a request that arrives now; none if it is accepted. Requests within open
 /// transactions are always accepted.
 pub fn refusal(core: &Core, now: Instant, kind: Kind) -> Option<Refusal> {
@@ -105,6 +136,9 @@
 
 /// Moves a planned stop to its next state when its condition is met.
 pub fn advance(core: &mut Core, now: Instant, out: &mut Vec<Effect>) {
+    if core.answer_by.is_some_and(|answer_by| answer_by <= now) {
+        abandon_forwards(core, out);
+    }
     match core.drain {
         DrainState::Serving | DrainState::Stopped => {}
         DrainState::Grace { until } if now < until => {}
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -9,13 +9,13 @@
         metrics::Metrics,
         relay::{self, PinnedSlot},
         state::State,
-        stop,
     },
     cumincart_core::{
         entry::{self, Input, Settings, control_group, membership},
         interactive::{
             command::Rows,
             open_transaction,
+            planned_stop::StopSchedule,
             primary_guarantee::{self, PrimaryGuarantee},
             routing::Locality,
         },
@@ -35,14 +35,14 @@
     slog::{Logger, info},
     std::{
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
     },
     tokio::{
         sync::{mpsc, watch},
-        time::{MissedTickBehavior, interval, sleep, timeout_at},
+        time::{MissedTickBehavior, interval, sleep, sleep_until, timeout_at},
     },
 };
 
@@ -64,6 +64,8 @@
     pub driver: Driver,
     /// Whether requests that begin to run are counted for usage reports.
     pub counts_usage: bool,
+    /// The times of a planned stop.
+    pub stop_schedule: StopSchedule,
     /// The logger.
     pub logger: Logger,
 }
@@ -75,10 +77,10 @@
     Serving,
     /// The instance is not ready, but sessions continue.
     Unready,
-    /// Idle sessions are being closed, and new ones are refused.
+    /// Idle sessions are being closed.
     Closing,
-    /// All sessions are closed, those with open transactions included.
-    Ending,
+    /// Nothing is taken any more, because nothing was left or the time is over.
+    Leaving,
     /// The process may end.
     Stopped,
 }
@@ -95,6 +97,9 @@
     /// Closed when the engine's task has ended.
     ended: watch::Receiver<()>,
     phase: watch::Sender<StopPhase>,
+    schedule: StopSchedule,
+    /// When a planned stop was requested.
+    stop_requested_at: OnceLock<Instant>,
     sessions: watch::Sender<usize>,
     name: InstanceName,
     locality: Locality,
@@ -146,6 +151,8 @@
             changes: watch::Sender::new(0),
             ended,
             phase: watch::Sender::new(StopPhase::Serving),
+            schedule: options.stop_schedule,
+            stop_requested_at: OnceLock::new(),
             sessions: watch::Sender::new(0),
         };
         let engine = Self { shared: Arc::new(shared) };
@@ -185,14 +192,51 @@
         knows_databases && freshness.is_fresh(now) && *self.shared.phase.borrow() == StopPhase::Serving
     }
 
-    /// Returns whether new sessions are refused, because a planned stop is closing sessions.
-    pub(crate) fn refuses_sessions(&self) -> bool {
-        *self.shared.phase.borrow() >= StopPhase::Closing
+    /// Returns the time since a planned stop was requested; `None` if none was.
+    fn stopping_for(&self) -> Option<Duration> {
+        self.shared.stop_requested_at.get().map(|requested_at| self.now().saturating_since(*requested_at))
     }
 
-    /// Returns whether other instances should relay their exchanges elsewhere, because of a planned stop.
-    pub(crate) fn refuses_relays(&self) -> bool {
-        *self.shared.phase.borrow() >= StopPhase::Unready
+    /// Returns whether a statement with this time limit, or a session for it, is refused, because a planned stop may end
+    /// before the statement does.
+    pub(crate) fn refuses(&self, limit: Duration) -> bool {
+        let is_late = |elapsed| elapsed > self.shared.schedule.takes_until(limit);
+        *self.shared.phase.borrow() >= StopPhase::Leaving || self.stopping_for().is_some_and(is_late)
+    }
+
+    /// Returns whether a planned stop was requested, so that other instances should begin transactions and get tokens
+    /// elsewhere.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.shared.stop_requested_at.get().is_some()
+    }
+
+    /// Waits until a planned stop has no time left for what still runs. Without a stop it waits for good.
+    pub(crate) async fn out_of_time(&self) {
+        self.stop_reaches(self.shared.schedule.answer_by()).await;
+    }
+
+    /// Waits until a planned stop has lasted this long. Without a stop it waits for good.
+    pub(crate) async fn stop_reaches(&self, span: Duration) {
+        let mut phase = self.phase();
+        // An error means that the engine is gone, and its sessions with it.
+        let _ = phase.wait_for(|phase| *phase >= StopPhase::Unready).await;
+        let Some(requested_at) = self.shared.stop_requested_at.get() else {
+            return std::future::pending().await;
+        };
+        sleep_until(self.deadline(*requested_at + span)).await;
+    }
+
+    /// Returns the times of a planned stop.
+    pub(crate) fn stop_schedule(&self) -> StopSchedule {
+        self.shared.schedule
+    }
+
+    /// Returns until when a slot may stay pinned to another instance's transaction whose statements have this time limit.
+    fn pinned_until(&self, slot: &PinnedSlot) -> Instant {
+        let requested_at = self.shared.stop_requested_at.get();
+        let stop_ends =
+            requested_at.map(|requested_at| *requested_at + self.shared.schedule.takes_until(slot.limit));
+        stop_ends.map_or(slot.until, |ends| ends.min(slot.until))
     }
 
     /// Ejects an instance for [`relay::EJECTION_TIME`].
@@ -206,13 +250,12 @@
         self.shared.pinned_slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Rolls back the transactions on expired pinned slots, or on all pinned slots at the end of a planned stop.
+    /// Rolls back the transactions on expired pinned slots, and on those for which a planned stop has no time left.
     fn roll_back_expired_pinned(&self, now: Instant) {
-        let is_over = *self.shared.phase.borrow() >= StopPhase::Ending;
         let expired: Vec<PinnedSlot> = {
             let mut pinned = self.pinned_slots();
             let (expired, remaining): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut *pinned).into_items().partition(|slot| is_over || slot.until <= now);
+                std::mem::take(&mut *pinned).into_items().partition(|slot| self.pinned_until(slot) <= now);
             *pinned = remaining.into_iter().collect();
             expired
         };
@@ -221,11 +264,6 @@
         }
     }
 
-    /// Returns whether new operations are refused, because a planned stop could interrupt them.
-    pub(crate) fn refuses_operations(&self) -> bool {
-        *self.shared.phase.borrow() >= StopPhase::Ending
-    }
-
     /// Returns a receiver of the phase of a planned stop.
     pub fn phase(&self) -> watch::Receiver<StopPhase> {
         self.shared.phase.subscribe()
@@ -235,17 +273,17 @@
     /// of this one, have ended, or the stop timeout has passed.
     pub async fn stop(&self) {
         info!(self.shared.logger, "planned stop: not ready any more");
-        let started = tokio::time::Instant::now();
+        let schedule = self.shared.schedule;
+        let requested_at = *self.shared.stop_requested_at.get_or_init(|| self.now());
         self.shared.phase.send_replace(StopPhase::Unready);
-        sleep(stop::UNREADY_DURATION).await;
+        sleep(schedule.unready_until()).await;
         self.shared.phase.send_replace(StopPhase::Closing);
-        let all_ended = self.all_ended();
-        tokio::pin!(all_ended);
-        if timeout_at(started + stop::TRANSACTION_TIMEOUT, &mut all_ended).await.is_err() {
-            self.shared.phase.send_replace(StopPhase::Ending);
-            // On timeout the remaining sessions end with the process.
-            let _ = timeout_at(started + stop::STOP_TIMEOUT, all_ended).await;
-        }
+        let end = self.deadline(requested_at + schedule.end_by());
+        // On timeout the remaining sessions end with the process.
+        let _ = timeout_at(end, self.all_ended()).await;
+        self.shared.phase.send_replace(StopPhase::Leaving);
+        // What came at the last moment is refused.
+        let _ = timeout_at(end, self.all_ended()).await;
         self.leave().await;
         self.shared.phase.send_replace(StopPhase::Stopped);
         info!(self.shared.logger, "stopped"; "sessions" => *self.shared.sessions.borrow());
--- a/crates/cumincart-session/src/lib.rs
+++ b/crates/cumincart-session/src/lib.rs
@@ -14,6 +14,5 @@
 mod slot;
 mod slot_request;
 mod state;
-pub mod stop;
-mod tokens;
+pub mod tokens;
 mod transaction;
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -23,7 +23,10 @@
     cumincart_runtime::link::{LinkError, server::ReceivedMessage},
     rand::RngExt,
     slog::warn,
-    std::time::Duration,
+    std::{
+        sync::atomic::{AtomicBool, Ordering},
+        time::Duration,
+    },
     tokio::sync::mpsc,
 };
 
@@ -186,6 +189,8 @@
     key: PinnedSlotKey,
     slot: Slot,
     pub(crate) until: Instant,
+    /// The time limit of the transaction's last statement.
+    pub(crate) limit: Duration,
 }
 
 impl Keyed for PinnedSlot {
@@ -211,7 +216,11 @@
             PeerBody::Relay(request) => {
                 tokio::spawn(async move {
                     engine.count_session(true);
-                    let answer = serve_relay(&engine, from, *request).await;
+                    let is_sent = AtomicBool::new(false);
+                    let answer = tokio::select! {
+                        answer = serve_relay(&engine, from, *request, &is_sent) => answer,
+                        () = engine.out_of_time() => interrupted(&is_sent),
+                    };
                     engine.count_session(false);
                     reply.send(PeerBody::RelayAnswer(Box::new(answer)));
                 });
@@ -233,11 +242,27 @@
     }
 }
 
-async fn serve_relay(engine: &Engine, from: InstanceName, mut request: RelayRequest) -> RelayAnswer {
+/// Returns the answer to an exchange for which a planned stop has no time left.
+fn interrupted(is_sent: &AtomicBool) -> RelayAnswer {
+    match is_sent.load(Ordering::Relaxed) {
+        true => RelayAnswer::Failed(LinkFailure::Broken),
+        false => RelayAnswer::NotKept,
+    }
+}
+
+/// Serves an exchange. Sets `is_sent` before its commands are sent.
+async fn serve_relay(
+    engine: &Engine,
+    from: InstanceName,
+    mut request: RelayRequest,
+    is_sent: &AtomicBool,
+) -> RelayAnswer {
     if request.accepts_point {
         let point = engine.sampled_point(&request.service, &request.endpoint);
         return point.map_or(RelayAnswer::NotServed, RelayAnswer::Point);
     }
+    let limit = Duration::from_millis(request.answer_within_ms);
+    let is_refused = engine.refuses(limit) && !is_rollback(&request.commands);
     let key = PinnedSlotKey { from, number: request.kept };
     let deadline = tokio::time::Instant::now() + Duration::from_millis(request.answer_within_ms);
     let session = SessionState::with_values(request.values.clone());
@@ -251,6 +276,10 @@
         let pinned = engine.pinned_slots().remove(&key);
         let Some(pinned) = pinned else { return RelayAnswer::NotKept };
         let mut slot = pinned.slot;
+        if is_refused {
+            tokio::spawn(slot.roll_back());
+            return RelayAnswer::NotKept;
+        }
         if engine.is_out_of_service(&request.service, &request.endpoint) {
             // Closing the connection rolls back.
             slot.close();
@@ -269,11 +298,12 @@
         tokio::spawn(slot.roll_back());
         return RelayAnswer::NotKept;
     }
+    is_sent.store(true, Ordering::Relaxed);
     match slot.exchange(request.commands, deadline).await {
         Ok(replies) => {
             let state = replies.last().map_or(TransactionState::Idle, |reply| reply.state);
             if request.kept != 0 && state != TransactionState::Idle {
-                pin(engine, key, slot);
+                pin(engine, key, slot, limit);
             }
             RelayAnswer::Replies(replies)
         }
@@ -306,7 +336,9 @@
     session: &SessionState,
     deadline: tokio::time::Instant,
 ) -> Result<Slot, RelayAnswer> {
-    if engine.refuses_relays() {
+    let limit = Duration::from_millis(request.answer_within_ms);
+    let begins_transaction = request.kept != 0 && engine.is_stopping();
+    if engine.refuses(limit) || begins_transaction {
         return Err(RelayAnswer::NotServed);
     }
     let now = engine.now();
@@ -361,11 +393,11 @@
 }
 
 /// Pins the slot for the next statement of the transaction.
-fn pin(engine: &Engine, key: PinnedSlotKey, mut slot: Slot) {
+fn pin(engine: &Engine, key: PinnedSlotKey, mut slot: Slot, limit: Duration) {
     slot.suspend();
     let idle_ms = engine.lock().core.freshness.catalogue.lists.interactive.idle_transaction_ms;
     let timeout =
         if idle_ms == 0 { PINNED_TIMEOUT_DEFAULT } else { Duration::from_millis(idle_ms) + PINNED_GRACE };
     let until = engine.now() + timeout;
-    engine.pinned_slots().insert(PinnedSlot { key, slot, until });
+    engine.pinned_slots().insert(PinnedSlot { key, slot, until, limit });
 }
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -8,7 +8,6 @@
         metrics::{Outcome, StatementLabels, TokenRefusalLabels},
         slot::{ConnectFailure, Slot},
         slot_request::{SlotError, SlotRequest},
-        stop,
         transaction::{Transaction, TransactionPhase, unconfirmed_commit},
     },
     cumincart_core::interactive::{
@@ -30,7 +29,6 @@
     sha2::{Digest, Sha256},
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
 };
 
 /// The part of a statement's timeout within which it must get a slot, in thousandths. The rest is left for running it
@@ -54,6 +52,9 @@
 /// Why a statement was not sent whose preparing the endpoint refused.
 pub(crate) const PREPARE_REFUSED: &str = "the statement could not be prepared";
 
+/// Why a statement is refused during a planned stop.
+pub(crate) const STOPPING: &str = "this instance is stopping";
+
 /// The answer to a client's statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -103,6 +104,19 @@
     pub(crate) key_digest: Option<[u8; 32]>,
     pub(crate) state: SessionState,
     pub(crate) phase: TransactionPhase,
+    /// How far the current statement has come.
+    pub(crate) progress: Progress,
+    /// Whether it was opened while a planned stop closes idle sessions.
+    is_opened_late: bool,
+}
+
+/// How far a statement has come.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Progress {
+    /// Its kind, once that is known.
+    pub(crate) kind: Option<StatementKind>,
+    /// Whether it may have been sent to an endpoint.
+    pub(crate) is_sent: bool,
 }
 
 impl Session {
@@ -115,15 +129,12 @@
             key_digest: key.map(|key| Sha256::digest(key.as_bytes()).into()),
             state: SessionState::default(),
             phase: TransactionPhase::None,
+            progress: Progress::default(),
+            is_opened_late: *engine.phase().borrow() >= StopPhase::Closing,
         };
         engine.count_session(true);
         engine.await_first_lease().await;
-        let found = if engine.refuses_sessions() {
-            Err(Failure::new(FailureCode::Busy, "this instance is stopping"))
-        } else {
-            session.authorise(engine.now()).map(|_| ())
-        };
-        if let Err(failure) = found {
+        if let Err(failure) = session.authorise(engine.now()) {
             if let Some(suppressed) = engine.decisions().try_log_failure(engine.now()) {
                 info!(engine.logger(), "session refused";
                     "database" => database, "why" => &*failure.text, "lines_left_out" => suppressed);
@@ -136,13 +147,8 @@
     /// Returns an operation with the database and the organisation from the lists in force, or why the session may not
     /// run one.
     fn authorise(&self, now: Instant) -> Result<Operation, Failure> {
-        // Read before locking: the phase is not part of the locked state.
-        let is_stopping = self.engine.refuses_operations();
         let state = self.engine.lock();
         let freshness = &state.core.freshness;
-        if is_stopping {
-            return Err(Failure::new(FailureCode::Busy, "this instance is stopping"));
-        }
         if !freshness.is_fresh(now) {
             return Err(Failure::new(FailureCode::Busy, "this instance has no lease on the lists"));
         }
@@ -157,7 +163,12 @@
             let refused = || Failure::new(FailureCode::Unauthorised, "the key is not known");
             known.ok_or_else(refused)?.name.clone()
         };
-        Ok(Operation { database: database.clone(), organisation, arrived_at: now })
+        let operation = Operation { database: database.clone(), organisation, arrived_at: now };
+        drop(state);
+        if self.engine.refuses(operation.timeout()) {
+            return Err(Failure::new(FailureCode::Busy, STOPPING));
+        }
+        Ok(operation)
     }
 
     /// Begins an operation: authorises it and takes a token of its organisation's rate.
@@ -180,11 +191,29 @@
     /// Runs a statement.
     pub async fn run(&mut self, statement: Statement) -> Answer {
         let arrived_at = self.engine.now();
-        let answer = self.run_action(&statement, arrived_at).await;
+        self.progress = Progress::default();
+        let engine = self.engine.clone();
+        let is_in_transaction = self.is_in_transaction();
+        let answer = tokio::select! {
+            answer = self.run_action(&statement, arrived_at) => answer,
+            () = engine.out_of_time() => self.interrupt(&statement, is_in_transaction),
+        };
         self.log_outcome(&statement, arrived_at, &answer);
         answer
     }
 
+    /// Answers a statement for which a planned stop has no time left. The connection that it ran on is closed.
+    fn interrupt(&mut self, statement: &Statement, is_in_transaction: bool) -> Answer {
+        let ends_transaction = matches!(statement.action, Action::Commit | Action::Rollback);
+        self.phase = match is_in_transaction && !ends_transaction {
+            true => TransactionPhase::Failed,
+            false => TransactionPhase::None,
+        };
+        let sent = if self.progress.is_sent { LinkFailure::Broken } else { LinkFailure::NotSent };
+        let kind = self.progress.kind.unwrap_or(StatementKind::Read);
+        self.refuse(failure::code_for_link_failure(kind, sent), STOPPING)
+    }
+
     async fn run_action(&mut self, statement: &Statement, arrived_at: Instant) -> Answer {
         match &statement.action {
             Action::Set { .. } | Action::Prepare { .. } | Action::Deallocate { .. } => {
@@ -254,6 +283,7 @@
             Err(failure) => return self.fail(failure),
         };
         let kind = if access == Access::Read { StatementKind::Read } else { StatementKind::Write };
+        self.progress.kind = Some(kind);
         let attempts = if access == Access::Read { READ_ATTEMPTS } else { WRITE_ATTEMPTS };
         let mut tried: Vec<EndpointName> = Vec::new();
         let mut last = Failure::new(FailureCode::Busy, "no endpoint can serve the statement now");
@@ -321,6 +351,7 @@
             }
             _ => ReadGuard::None,
         };
+        self.progress.is_sent = true;
         match self.exchange_guarded(&mut slot, statement, name, guard, deadline).await {
             Ok(mut replies) => {
                 let reply = replies.pop();
@@ -336,6 +367,7 @@
                 let failed = Failure::new(failure::code_for_link_failure(kind, failure), text);
                 let may_repeat = kind == StatementKind::Read && failure != LinkFailure::TimedOut;
                 if may_repeat || failure.is_not_sent() {
+                    self.progress.is_sent = false;
                     return Attempt::Retry(failed);
                 }
                 Attempt::Answered(self.fail(failed))
@@ -518,18 +550,21 @@
 
     /// Waits until a planned stop requires this session to be closed. Called between two statements only.
     pub async fn close_requested(&self) {
-        let mut phase = self.engine.phase();
-        let (from, spread) = match self.phase {
-            TransactionPhase::Pending(_) | TransactionPhase::Open(_) => (StopPhase::Ending, Duration::ZERO),
-            TransactionPhase::None | TransactionPhase::Failed => (StopPhase::Closing, stop::CLOSE_SPREAD),
-        };
-        // An error means that the engine is gone.
-        let _ = phase.wait_for(|phase| *phase >= from).await;
-        if spread > Duration::ZERO {
-            let pause_ms = rand::rng().random_range(0..u64::try_from(spread.as_millis()).unwrap_or(1));
-            let pause = Duration::from_millis(pause_ms);
-            // On timeout this session closes before the phase in which all remaining sessions are closed.
-            let _ = timeout(pause, phase.wait_for(|phase| *phase >= StopPhase::Ending)).await;
+        let schedule = self.engine.stop_schedule();
+        match &self.phase {
+            // The statements that come too late are refused until then.
+            TransactionPhase::Pending(_) | TransactionPhase::Open(_) => {
+                self.engine.stop_reaches(schedule.answer_by()).await;
+            }
+            // Its client is about to send the statement that it was opened for.
+            TransactionPhase::None if self.is_opened_late => {
+                self.engine.stop_reaches(schedule.answer_by()).await;
+            }
+            TransactionPhase::None | TransactionPhase::Failed => {
+                let spread_ms = u64::try_from(schedule.close_spread().as_millis()).unwrap_or(1).max(1);
+                let pause = Duration::from_millis(rand::rng().random_range(0..spread_ms));
+                self.engine.stop_reaches(schedule.unready_until() + pause).await;
+            }
         }
     }
 
--- a/crates/cumincart-session/src/tokens.rs
+++ b/crates/cumincart-session/src/tokens.rs
@@ -216,7 +216,7 @@
     /// Grants or refuses a token of this instance's own share to another instance.
     pub(crate) async fn grant_token(&self, request: &TokenRequest) -> TokenAnswer {
         let now = self.now();
-        if self.refuses_relays() || !self.lock().core.freshness.is_fresh(now) {
+        if self.is_stopping() || !self.lock().core.freshness.is_fresh(now) {
             return TokenAnswer::NotServed;
         }
         if request.loan {
--- a/crates/cumincart-session/src/transaction.rs
+++ b/crates/cumincart-session/src/transaction.rs
@@ -4,8 +4,8 @@
 use {
     crate::{
         session::{
-            Answer, Failure, Operation, PREPARE_REFUSED, Session, connect_failure, link_failure_text,
-            slot_failure, start_by, statement_commands,
+            Answer, Failure, Operation, PREPARE_REFUSED, STOPPING, Session, connect_failure,
+            link_failure_text, slot_failure, start_by, statement_commands,
         },
         slot::Slot,
         slot_request::SlotRequest,
@@ -62,9 +62,15 @@
             self.abort_transaction().await;
             return self.refuse(FailureCode::UnknownStatement, "no statement has this name");
         };
+        self.progress.kind = Some(StatementKind::InTransaction);
         let Some(mut transaction) = self.take_transaction() else {
             return self.refuse(FailureCode::Malformed, "no transaction is open");
         };
+        if self.engine.refuses(transaction.operation.timeout()) {
+            self.phase = TransactionPhase::Failed;
+            roll_back_later(transaction);
+            return self.refuse(FailureCode::Aborted, STOPPING);
+        }
         transaction.wrote |= access == Access::Write;
         if let Err(failure) = self.check_open_transaction(&transaction) {
             self.phase = TransactionPhase::Failed;
@@ -105,6 +111,11 @@
         let Some(mut transaction) = self.take_transaction() else {
             return self.refuse(FailureCode::Malformed, "no transaction is open");
         };
+        self.progress.kind = Some(StatementKind::Commit { wrote: transaction.wrote });
+        if self.engine.refuses(transaction.operation.timeout()) {
+            roll_back_later(transaction);
+            return self.refuse(FailureCode::Aborted, STOPPING);
+        }
         if let Err(failure) = self.check_open_transaction(&transaction) {
             roll_back_later(transaction);
             return self.fail(failure);
@@ -118,6 +129,7 @@
             return self.fail(interruption(Obstacle::PrimaryReplaced));
         }
         let kind = StatementKind::Commit { wrote: transaction.wrote };
+        self.progress.is_sent = true;
         match self.forward(&mut transaction, statement, kind, arrived_at).await {
             Ok(_) if transaction.wrote && self.commit_term(&transaction) != term => {
                 self.fail(unconfirmed_commit())
