Hold the first election without a first member that is lost

Callers saw nothing served, for good: one of three control instances was lost 0.15 s after the first start, and the others never elected a leader.

Cause: until all first members' disks are recorded a quorum was all of them.

--- a/crates/cumincart-control/src/daemon.rs
+++ b/crates/cumincart-control/src/daemon.rs
@@ -137,6 +137,7 @@
             endpoints: EndpointOperations::postgresql(options.endpoint_login),
             usage: None,
             losses_borne: None,
+            is_first_start_certain: false,
             logger: options.logger,
         },
         folder,
--- a/crates/cumincart-control/src/engine.rs
+++ b/crates/cumincart-control/src/engine.rs
@@ -72,6 +72,8 @@
     /// How many control instances may be lost at once, which decides the number of voters. `None`: as many as the first
     /// members of the settings bear.
     pub losses_borne: Option<usize>,
+    /// Whether an instance that has lost its disk never starts as one of the first members again.
+    pub is_first_start_certain: bool,
     /// The logger of the instance.
     pub logger: Logger,
 }
@@ -332,6 +334,7 @@
         if let Some(losses) = options.losses_borne {
             core.voters_target = control::members::voters_for(losses);
         }
+        core.is_first_start_certain = options.is_first_start_certain;
         core.probes.is_enabled = options.endpoints.probe.is_some();
         if core.probes.is_enabled {
             core.failover.policy.is_dead = detection::probe_finds_dead;
--- a/crates/cumincart-core/src/control.rs
+++ b/crates/cumincart-core/src/control.rs
@@ -245,6 +245,9 @@
     pub usage: usage::Usage,
     /// The earliest time for the next join request.
     pub next_join_at: Instant,
+    /// Whether an instance that has lost its disk never starts as one of the first members again, because it is told that
+    /// the group has started before.
+    pub is_first_start_certain: bool,
     /// The number of voters that the group needs. Other instances stand by as learners.
     pub voters_target: usize,
     /// The members that have said that they are about to stop; kept by the leader.
@@ -286,6 +289,7 @@
             permits: permits::Ledger::default(),
             usage: usage::Usage::open(snapshot.usage),
             next_join_at: Instant::ZERO,
+            is_first_start_certain: false,
             voters_target,
             leaving: Vec::new(),
             planned_stop: None,
--- a/crates/cumincart-core/src/control/election.rs
+++ b/crates/cumincart-core/src/control/election.rs
@@ -40,6 +40,10 @@
 /// are lost while links are still being opened, as after a restart of all instances.
 pub const VOTE_RETRY_MS: u64 = 50;
 
+/// How long the first election waits for all first members before a majority may decide it, in milliseconds. All of them
+/// start within less.
+pub const FIRST_MEMBERS_WAIT_MS: u64 = 2_000;
+
 /// How long a leader stays leader without hearing from a quorum, in milliseconds.
 pub const CHECK_QUORUM_MS: u64 = 600;
 
@@ -68,6 +72,8 @@
     timeout_at: Option<Instant>,
     /// Until when competing candidates are ordered; `None` while a leader is known. See [`precedence`].
     contention_until: Option<Instant>,
+    /// When this instance first stood for election since its start.
+    stood_at: Option<Instant>,
     /// When a candidate repeats its requests.
     retry_at: Instant,
     /// The last term that this instance campaigned in, and when it sent its vote requests.
@@ -85,6 +91,7 @@
             leader_heard_at: None,
             timeout_at: None,
             contention_until: None,
+            stood_at: None,
             retry_at: Instant::ZERO,
             campaign: None,
             response_time: ResponseTime::default(),
@@ -240,7 +247,7 @@
         return;
     }
     add_vote(votes, from);
-    if has_vote_quorum(core) {
+    if has_vote_quorum(core, now) {
         campaign(core, now, out);
     }
 }
@@ -262,7 +269,7 @@
         return;
     }
     add_vote(votes, from);
-    if has_vote_quorum(core) {
+    if has_vote_quorum(core, now) {
         become_leader(core, now, out);
     }
 }
@@ -301,8 +308,9 @@
         return;
     }
     core.election.leader = None;
+    core.election.stood_at.get_or_insert(now);
     core.election.role = Role::PreCandidate(vec![core.settings.member.clone()]);
-    if has_vote_quorum(core) {
+    if has_vote_quorum(core, now) {
         campaign(core, now, out);
         return;
     }
@@ -341,7 +349,7 @@
     core.election.role = Role::Candidate(vec![own]);
     core.election.campaign = Some((term, now));
     reset_timeout(core, now);
-    if has_vote_quorum(core) {
+    if has_vote_quorum(core, now) {
         become_leader(core, now, out);
         return;
     }
@@ -420,9 +428,21 @@
     }
 }
 
-fn has_vote_quorum(core: &Core) -> bool {
+fn has_vote_quorum(core: &Core, now: Instant) -> bool {
     let (Role::PreCandidate(votes) | Role::Candidate(votes)) = &core.election.role else { return false };
-    members::is_quorum(core.log.members(), |member| is_in_votes(votes, &member.instance, &member.disk))
+    let members = core.log.members();
+    let granted = |member: &Member| is_in_votes(votes, &member.instance, &member.disk);
+    members::is_quorum(members, granted)
+        || (may_begin_without_all(core, now) && members::is_majority(&members.voters, granted))
+}
+
+/// Returns whether the first election may be decided by a majority of the first members, since the others have not voted
+/// for a while. One of them that comes back without its disk can't vote in their name, so at most one majority of them
+/// ever forms a group.
+fn may_begin_without_all(core: &Core, now: Instant) -> bool {
+    let wait = Duration::from_millis(FIRST_MEMBERS_WAIT_MS);
+    let has_waited = core.election.stood_at.is_some_and(|stood_at| now.saturating_since(stood_at) >= wait);
+    core.is_first_start_certain && !members::is_bound(core.log.members()) && has_waited
 }
 
 fn is_in_votes(votes: &[Member], instance: &InstanceName, disk: &DiskId) -> bool {
--- a/crates/cumincart-core/src/control/members.rs
+++ b/crates/cumincart-core/src/control/members.rs
@@ -59,14 +59,17 @@
 /// of the voters a majority of the earlier ones as well.
 pub fn is_quorum(members: &Members, granted: impl Fn(&Member) -> bool) -> bool {
     let has_majority = |voters: &SortedVec<Member>| {
-        let count = voters.iter().filter(|member| granted(member)).count();
-        let needed = if is_bound(members) { voters.len() / 2 + 1 } else { voters.len() };
-        count >= needed
+        if is_bound(members) { is_majority(voters, &granted) } else { voters.iter().all(&granted) }
     };
     let is_outgoing_granted = members.outgoing.is_empty() || has_majority(&members.outgoing);
     !members.voters.is_empty() && has_majority(&members.voters) && is_outgoing_granted
 }
 
+/// Returns whether `granted` holds for a majority of the voters.
+pub fn is_majority(voters: &SortedVec<Member>, granted: impl Fn(&Member) -> bool) -> bool {
+    voters.iter().filter(|member| granted(member)).count() > voters.len() / 2
+}
+
 /// Returns whether the disks of all voters are recorded.
 pub fn is_bound(members: &Members) -> bool {
     all_voters(members).all(|member| member.disk.is_bound())
@@ -248,12 +251,15 @@
     })
 }
 
-/// Records the disks of the voters once all of them have voted. The caller sends the record to the followers.
+/// Records the disks of the voters that have voted in the first election, which are all of them or a majority. The caller
+/// sends the record to the followers.
 pub fn record_voter_disks(core: &mut Core, disks: &[Member], out: &mut Vec<Effect>) {
     if is_bound(core.log.members()) {
         return;
     }
     let mut bound = core.log.members().clone();
+    // A first member that has not voted is not counted until it has joined with its disk.
+    bound.voters.retain(|voter| disks.iter().any(|member| member.instance == voter.instance));
     bound.voters =
         bound.voters.iter().map(|voter| with_recorded_disk(voter, disks)).collect::<SortedVec<_>>();
     replicate::append(core, Command::Members(bound), out);
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -356,6 +356,7 @@
         endpoints: endpoint_operations(group),
         usage: usage_calls.map(usage_reporting),
         losses_borne: None,
+        is_first_start_certain: false,
         logger: logger(),
     };
     (ControlEngine::spawn(options, data_folder, stored, received), links)
