Don't deny an earlier attempt that may have run

Callers of the own interface were told "not run" for a write that was committed: its first attempt was lost in the commit, the retry that a repeatable route allows found no endpoint, and the refusal spoke of the retry only.

Change: a request remembers that an attempt may have run; a later "not run" becomes "unknown". Measured: verdicts, the new test for both kinds of loss.

--- a/crates/cumincart-core/src/entry/outcome.rs
+++ b/crates/cumincart-core/src/entry/outcome.rs
@@ -314,6 +314,8 @@
     if !may_retry || !core.retry_budget.try_withdraw() {
         return request::finish(core, ticket, Err(retry::refusal(error)), out);
     }
+    let is_write = pending.kind == Kind::Run && route.access == Access::Write;
+    pending.may_have_run |= is_write && retry::verdict(error) == Verdict::Unknown;
     pending.tried.push(attempt.endpoint.clone());
     let retry_at = retry::next_attempt_at(&mut core.random, now, pending.attempts);
     core.counters.retries += 1;
--- a/crates/cumincart-core/src/entry/request.rs
+++ b/crates/cumincart-core/src/entry/request.rs
@@ -17,6 +17,7 @@
         request::{Call, CallerRequest, CallerResult, Operation},
         sorted::Keyed,
         time::Instant,
+        verdict::Verdict,
     },
     std::time::Duration,
 };
@@ -38,6 +39,8 @@
     pub stage: Stage,
     /// The number of attempts that were sent.
     pub attempts: u32,
+    /// Whether an earlier attempt of a write may have been committed.
+    pub may_have_run: bool,
     /// The endpoints of failed attempts, and stalled ones that a read was moved off. None is chosen again as a
     /// replica; the primary may be.
     pub tried: Vec<EndpointName>,
@@ -140,6 +143,7 @@
         deadline,
         stage: Stage::AwaitingToken,
         attempts: 0,
+        may_have_run: false,
         tried: Vec::new(),
         needs_primary: false,
     };
@@ -294,11 +298,15 @@
     }
 }
 
-/// Removes a pending request and answers it.
+/// Removes a pending request and answers it. A refusal of the last attempt says nothing of an earlier one that may have run.
 pub fn finish(core: &mut Core, ticket: Ticket, result: CallerResult, out: &mut Vec<Effect>) {
-    if core.requests.remove(&ticket).is_none() {
+    let Some(pending) = core.requests.remove(&ticket) else {
         return;
-    }
+    };
+    let result = result.map_err(|refusal| match refusal.verdict {
+        Verdict::NotRun if pending.may_have_run => Refusal { verdict: Verdict::Unknown, ..refusal },
+        _ => refusal,
+    });
     answer(core, ticket, result, out);
 }
 
--- a/crates/cumincart-core/tests/entry_data_path/verdicts.rs
+++ b/crates/cumincart-core/tests/entry_data_path/verdicts.rs
@@ -51,6 +51,27 @@
     assert!(entry.result(ticket).expect("answered").is_ok());
 }
 
+/// Guards against "not run" for a repeatable write whose first attempt was lost in its commit: the next one found no endpoint.
+#[test]
+fn a_refused_retry_does_not_deny_an_earlier_attempt() {
+    for (error, expected) in
+        [(CommandError::LostInCommit, Verdict::Unknown), (CommandError::LostBeforeCommit, Verdict::NotRun)]
+    {
+        let mut entry = Entry::open();
+        let ticket = entry.send(run("save"));
+        let sent = entry.take_last_sent();
+        entry.update_catalogue(|catalogue| {
+            let group = catalogue.groups.get_mut(&"pbx".into()).expect("it is there");
+            group.writable = false;
+            group.primary = None;
+        });
+        entry.complete(&sent, Err(error));
+        entry.advance_ms(20_000);
+        let refusal = entry.result(ticket).expect("answered").clone().expect_err("refused");
+        assert_eq!(refusal.verdict, expected);
+    }
+}
+
 #[test_case("save", CommandError::LostBeforeCommit, 2; "not run")]
 #[test_case("save", CommandError::LostInCommit, 2; "repeatable")]
 #[test_case("record", CommandError::LostBeforeCommit, 2; "not repeatable but not run")]
