Open no term of a kept timeline without its primary's position

Commits counted as lost that weren't: a primary was confirmed on its timeline by a leader that had just been elected and had no announcement of it, so that the term started where the timeline had.

Change: the leader asks again until it knows the position.

--- a/crates/cumincart-core/src/control/promotion.rs
+++ b/crates/cumincart-core/src/control/promotion.rs
@@ -92,6 +92,7 @@
         return;
     }
     match result {
+        Ok(state) if lacks_position(core, promotion, state) => retry_later(core, now, promotion),
         Ok(state) => open_term(core, now, promotion, *state, out),
         Err(PromotionError::NotReached) => {
             failover::log(
@@ -134,6 +135,21 @@
     out.push(Effect::Promote(promotion));
 }
 
+/// Returns whether an endpoint that already was the primary has not announced its position to this leader, which has not led
+/// for long. The start of its term would be taken for the start of its timeline, and all commits since for lost.
+fn lacks_position(core: &Core, promotion: &Promotion, state: &PromotedState) -> bool {
+    let last = core.catalogue.group(&promotion.service).and_then(|group| group.term_starts.last());
+    let keeps_timeline = last.is_some_and(|last| last.timeline == state.timeline);
+    keeps_timeline && core.announcements.get(&promotion.endpoint).is_none()
+}
+
+/// Requests the promotion again after a while.
+fn retry_later(core: &mut Core, now: Instant, promotion: &Promotion) {
+    let request = &mut failover::change_entry(core, now, &promotion.service).promotion_request;
+    request.requested_at = None;
+    request.retry_at = now + Duration::from_millis(PROMOTION_RETRY_MS);
+}
+
 fn on_unknown_result(core: &mut Core, now: Instant, promotion: &Promotion, out: &mut Vec<Effect>) {
     let request = &mut failover::change_entry(core, now, &promotion.service).promotion_request;
     request.requested_at = None;
