--- a/crates/cumincart-core/tests/control_commit_holders.rs
+++ b/crates/cumincart-core/tests/control_commit_holders.rs
@@ -188,6 +188,27 @@
     }
 }
 
+/// Guards against the answer of a replica that has come back under its name without its log, and the only other copy.
+#[test]
+fn a_replica_that_has_lost_its_log_does_not_count() {
+    let mut world = World::start(13, 3, 1);
+    world.run_ms(3_000);
+    world.databases[2].lag_ms = u64::MAX;
+    world.run_ms(3_000);
+    world.crash(1);
+    world.lose_log(1);
+    world.databases[1].lag_ms = u64::MAX;
+    world.restart(1);
+    world.run_ms(2_000);
+    world.crash(0);
+    world.run_ms(8_000);
+    assert_eq!(world.promotions, 0);
+    world.restart(0);
+    world.run_ms(5_000);
+    assert!(world.is_writable(), "{:?}", world.group());
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against a group that keeps an endpoint for good, and waits for it at each later failure.
 #[test]
 fn a_replica_that_has_left_or_is_gone_is_removed_once_others_have_its_log() {
--- a/crates/cumincart-core/tests/support/synchronous_group.rs
+++ b/crates/cumincart-core/tests/support/synchronous_group.rs
@@ -246,6 +246,11 @@
         self.databases[index].is_running = false;
     }
 
+    /// Takes the log of a database that is down.
+    pub fn lose_log(&mut self, index: usize) {
+        self.databases[index].log.clear();
+    }
+
     /// Starts a database again, with its log.
     pub fn restart(&mut self, index: usize) {
         let now_ms = self.now_ms;
