--- a/crates/cumincart-runtime/src/signal.rs
+++ b/crates/cumincart-runtime/src/signal.rs
@@ -44,9 +44,13 @@
     }
 }
 
-/// Waits for an interrupt or a termination signal. For programs that wait for nothing else meanwhile.
+/// Waits for an interrupt or a termination signal, for programs that read no settings again. A hangup ends them, as usual.
 pub async fn stop_requested() -> io::Result<()> {
-    let mut signals = Signals::open()?;
-    while signals.next().await != Request::Stop {}
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
     Ok(())
 }
