Stop schedule: one module for both kinds of entry instance, each time once

It lay among the parts for interactive sessions, though the own interface's drain uses it too. The time until which a limit is taken was computed in two places, and two arms of a match waited for the same moment. No behaviour changes.

--- a/crates/cumincart-core/src/entry.rs
+++ b/crates/cumincart-core/src/entry.rs
@@ -30,7 +30,7 @@
     self::pool::{ConnectionState, Owner},
     crate::{
         endpoint_command::{CommandError, CommandId, CommandOutput, ConnectionId, EndpointCommand},
-        interactive::planned_stop::StopSchedule,
+        stop_schedule::StopSchedule,
     },
     cumincart_protocol::{
         heartbeat::{Heartbeat, HeartbeatAnswer},
--- a/crates/cumincart-core/src/entry/drain.rs
+++ b/crates/cumincart-core/src/entry/drain.rs
@@ -82,7 +82,7 @@
 }
 
 /// Returns a deadline, or the time at which a planned stop answers everything if that is earlier.
-pub fn limit(core: &Core, deadline: Instant) -> Instant {
+pub fn cap_deadline(core: &Core, deadline: Instant) -> Instant {
     core.answer_by.map_or(deadline, |answer_by| answer_by.min(deadline))
 }
 
--- a/crates/cumincart-core/src/entry/request.rs
+++ b/crates/cumincart-core/src/entry/request.rs
@@ -134,7 +134,7 @@
         return answer(core, ticket, Err(refusal), out);
     }
     core.retry_budget.deposit();
-    let deadline = drain::limit(core, deadline(now, &request, admitted.route.deadline_ms));
+    let deadline = drain::cap_deadline(core, deadline(now, &request, admitted.route.deadline_ms));
     let pending = Pending {
         ticket,
         request,
--- a/crates/cumincart-core/src/entry/transaction.rs
+++ b/crates/cumincart-core/src/entry/transaction.rs
@@ -129,7 +129,7 @@
         organisation: admitted.organisation.clone(),
         key_digest: pending.request.key_digest,
         claim: request::claim(admitted, &pending.request),
-        deadline: drain::limit(core, now + Duration::from_millis(TRANSACTION_MAX_MS)),
+        deadline: drain::cap_deadline(core, now + Duration::from_millis(TRANSACTION_MAX_MS)),
         idle_until: now + Duration::from_millis(TRANSACTION_IDLE_MS),
         active_operation: None,
     };
--- a/crates/cumincart-core/src/entry/transaction/operation.rs
+++ b/crates/cumincart-core/src/entry/transaction/operation.rs
@@ -69,7 +69,7 @@
         let message = "this route's requests may not be repeated: begin the transaction with a request id";
         return Err(Refusal::not_run(RefusalCode::RequestIdMissing, message));
     }
-    let deadline = drain::limit(core, request::deadline(now, request, route.deadline_ms));
+    let deadline = drain::cap_deadline(core, request::deadline(now, request, route.deadline_ms));
     if let Some(organisation) = &admitted.organisation {
         // The transaction holds a connection, so its statement doesn't wait for a token. If there is none, it
         // is refused with the time after which to retry.
@@ -119,7 +119,7 @@
         return end::roll_back(core, now, id.number, out);
     }
     let claim = transaction.and_then(|transaction| transaction.claim.clone());
-    let deadline = drain::limit(core, request::deadline(now, &request, DEFAULT_DEADLINE_MS));
+    let deadline = drain::cap_deadline(core, request::deadline(now, &request, DEFAULT_DEADLINE_MS));
     let action = TransactionAction::Commit;
     let operation = ActiveOperation { ticket: Some(ticket), action, session: request.session, deadline };
     execute(core, now, id.number, operation, EndpointCommand::Commit(claim), out);
@@ -140,7 +140,7 @@
     if let Err(refusal) = check_end(core, now, &request, id) {
         return request::answer(core, ticket, Err(refusal), out);
     }
-    let deadline = drain::limit(core, request::deadline(now, &request, DEFAULT_DEADLINE_MS));
+    let deadline = drain::cap_deadline(core, request::deadline(now, &request, DEFAULT_DEADLINE_MS));
     let action = TransactionAction::Rollback;
     let operation = ActiveOperation { ticket: Some(ticket), action, session: request.session, deadline };
     execute(core, now, id.number, operation, EndpointCommand::Rollback, out);
--- a/crates/cumincart-core/src/interactive.rs
+++ b/crates/cumincart-core/src/interactive.rs
@@ -10,7 +10,6 @@
 pub mod held_statements;
 pub mod open_transaction;
 pub mod ownership;
-pub mod planned_stop;
 pub mod pool;
 pub mod positions;
 pub mod primary_guarantee;
--- a/crates/cumincart-core/src/lib.rs
+++ b/crates/cumincart-core/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod endpoint_command;
 pub mod entry;
 pub mod interactive;
+pub mod stop_schedule;
 pub mod timing;
--- a/crates/cumincart-core/tests/entry_data_path/path.rs
+++ b/crates/cumincart-core/tests/entry_data_path/path.rs
@@ -3,7 +3,7 @@
 use {
     crate::fixture::{Entry, OTHER_KEY, call, name, primary, replica, run, run_once, succeeded},
     cumincart_core::{
-        endpoint_command::EndpointCommand, entry::drain, interactive::planned_stop::StopSchedule,
+        endpoint_command::EndpointCommand, entry::drain, stop_schedule::StopSchedule,
         timing::FRESHNESS_LEASE_MS,
     },
     cumincart_protocol::{
--- a/crates/cumincart-core/tests/interactive.rs
+++ b/crates/cumincart-core/tests/interactive.rs
@@ -10,8 +10,6 @@
 mod held_statements;
 #[path = "interactive/ownership.rs"]
 mod ownership;
-#[path = "interactive/planned_stop.rs"]
-mod planned_stop;
 #[path = "interactive/pool.rs"]
 mod pool;
 #[path = "interactive/positions.rs"]
--- a/crates/cumincart-core/tests/interactive/planned_stop.rs
+++ b/crates/cumincart-core/tests/stop_schedule.rs
@@ -1,6 +1,6 @@
 //! The times of a planned stop, for every time until the kill, time limit and moment.
 
-use {cumincart_core::interactive::planned_stop::StopSchedule, std::time::Duration};
+use {cumincart_core::stop_schedule::StopSchedule, std::time::Duration};
 
 /// Guards against times that fit one deployment only.
 #[test]
--- a/crates/cumincart-session/src/engine.rs
+++ b/crates/cumincart-session/src/engine.rs
@@ -15,10 +15,10 @@
         interactive::{
             command::Rows,
             open_transaction,
-            planned_stop::StopSchedule,
             primary_guarantee::{self, PrimaryGuarantee},
             routing::Locality,
         },
+        stop_schedule::StopSchedule,
     },
     cumincart_entry::control_link::{self, ControlLinks},
     cumincart_protocol::{
@@ -192,16 +192,18 @@
         knows_databases && freshness.is_fresh(now) && *self.shared.phase.borrow() == StopPhase::Serving
     }
 
-    /// Returns the time since a planned stop was requested; `None` if none was.
-    fn stopping_for(&self) -> Option<Duration> {
-        self.shared.stop_requested_at.get().map(|requested_at| self.now().saturating_since(*requested_at))
+    /// Returns until when a planned stop takes statements with this time limit; `None` if no stop was requested.
+    fn takes_until(&self, limit: Duration) -> Option<Instant> {
+        let requested_at = self.shared.stop_requested_at.get()?;
+        Some(*requested_at + self.shared.schedule.takes_until(limit))
     }
 
     /// Returns whether a statement with this time limit, or a session for it, is refused, because a planned stop may end
     /// before the statement does.
     pub(crate) fn refuses(&self, limit: Duration) -> bool {
-        let is_late = |elapsed| elapsed > self.shared.schedule.takes_until(limit);
-        *self.shared.phase.borrow() >= StopPhase::Leaving || self.stopping_for().is_some_and(is_late)
+        let takes_until = self.takes_until(limit);
+        *self.shared.phase.borrow() >= StopPhase::Leaving
+            || takes_until.is_some_and(|until| until < self.now())
     }
 
     /// Returns whether a planned stop was requested, so that other instances should begin transactions and get tokens
@@ -233,10 +235,7 @@
 
     /// Returns until when a slot may stay pinned to another instance's transaction whose statements have this time limit.
     fn pinned_until(&self, slot: &PinnedSlot) -> Instant {
-        let requested_at = self.shared.stop_requested_at.get();
-        let stop_ends =
-            requested_at.map(|requested_at| *requested_at + self.shared.schedule.takes_until(slot.limit));
-        stop_ends.map_or(slot.until, |ends| ends.min(slot.until))
+        self.takes_until(slot.limit).map_or(slot.until, |takes_until| takes_until.min(slot.until))
     }
 
     /// Ejects an instance for [`relay::EJECTION_TIME`].
--- a/crates/cumincart-session/src/relay.rs
+++ b/crates/cumincart-session/src/relay.rs
@@ -244,10 +244,10 @@
 
 /// Returns the answer to an exchange for which a planned stop has no time left.
 fn interrupted(is_sent: &AtomicBool) -> RelayAnswer {
-    match is_sent.load(Ordering::Relaxed) {
-        true => RelayAnswer::Failed(LinkFailure::Broken),
-        false => RelayAnswer::NotKept,
+    if is_sent.load(Ordering::Relaxed) {
+        return RelayAnswer::Failed(LinkFailure::Broken);
     }
+    RelayAnswer::NotKept
 }
 
 /// Serves an exchange. Sets `is_sent` before its commands are sent.
@@ -264,7 +264,7 @@
     let limit = Duration::from_millis(request.answer_within_ms);
     let is_refused = engine.refuses(limit) && !is_rollback(&request.commands);
     let key = PinnedSlotKey { from, number: request.kept };
-    let deadline = tokio::time::Instant::now() + Duration::from_millis(request.answer_within_ms);
+    let deadline = tokio::time::Instant::now() + limit;
     let session = SessionState::with_values(request.values.clone());
     let begins = request.commands.iter().any(|command| matches!(command, Command::Begin { .. }));
     let mut slot = if request.kept == 0 || begins {
--- a/crates/cumincart-session/src/session.rs
+++ b/crates/cumincart-session/src/session.rs
@@ -205,10 +205,8 @@
     /// Answers a statement for which a planned stop has no time left. The connection that it ran on is closed.
     fn interrupt(&mut self, statement: &Statement, is_in_transaction: bool) -> Answer {
         let ends_transaction = matches!(statement.action, Action::Commit | Action::Rollback);
-        self.phase = match is_in_transaction && !ends_transaction {
-            true => TransactionPhase::Failed,
-            false => TransactionPhase::None,
-        };
+        let is_failed = is_in_transaction && !ends_transaction;
+        self.phase = if is_failed { TransactionPhase::Failed } else { TransactionPhase::None };
         let sent = if self.progress.is_sent { LinkFailure::Broken } else { LinkFailure::NotSent };
         let kind = self.progress.kind.unwrap_or(StatementKind::Read);
         self.refuse(failure::code_for_link_failure(kind, sent), STOPPING)
@@ -550,22 +548,16 @@
 
     /// Waits until a planned stop requires this session to be closed. Called between two statements only.
     pub async fn close_requested(&self) {
-        let schedule = self.engine.stop_schedule();
-        match &self.phase {
-            // The statements that come too late are refused until then.
-            TransactionPhase::Pending(_) | TransactionPhase::Open(_) => {
-                self.engine.stop_reaches(schedule.answer_by()).await;
-            }
-            // Its client is about to send the statement that it was opened for.
-            TransactionPhase::None if self.is_opened_late => {
-                self.engine.stop_reaches(schedule.answer_by()).await;
-            }
-            TransactionPhase::None | TransactionPhase::Failed => {
-                let spread_ms = u64::try_from(schedule.close_spread().as_millis()).unwrap_or(1).max(1);
-                let pause = Duration::from_millis(rand::rng().random_range(0..spread_ms));
-                self.engine.stop_reaches(schedule.unready_until() + pause).await;
-            }
+        // A late session is about to get the statement that it was opened for.
+        let is_about_to_run = self.is_opened_late && matches!(self.phase, TransactionPhase::None);
+        if self.is_in_transaction() || is_about_to_run {
+            // Statements that come too late are refused until then.
+            return self.engine.out_of_time().await;
         }
+        let schedule = self.engine.stop_schedule();
+        let spread_ms = u64::try_from(schedule.close_spread().as_millis()).unwrap_or(1).max(1);
+        let pause = Duration::from_millis(rand::rng().random_range(0..spread_ms));
+        self.engine.stop_reaches(schedule.unready_until() + pause).await;
     }
 
     pub(crate) fn transaction_state(&self) -> TransactionState {
--- a/crates/cumincart-session/tests/planned_stop.rs
+++ b/crates/cumincart-session/tests/planned_stop.rs
@@ -9,7 +9,7 @@
 mod group;
 
 use {
-    cumincart_core::interactive::{failure::FailureCode, planned_stop::StopSchedule},
+    cumincart_core::{interactive::failure::FailureCode, stop_schedule::StopSchedule},
     cumincart_session::session::Session,
     fleet::{BOUNDED_DATABASE, Fleet, GRACE, KEYS, PRIMARY_DATABASE, begin, commit, read, write},
     std::time::{Duration, Instant},
--- a/crates/cumincart-session/tests/transactions/fleet.rs
+++ b/crates/cumincart-session/tests/transactions/fleet.rs
@@ -9,10 +9,8 @@
     cumincart_core::{
         control::{self, UsageAnswer, UsageCall, usage::Policy},
         entry,
-        interactive::{
-            planned_stop::StopSchedule,
-            statement::{Action as StatementAction, Statement},
-        },
+        interactive::statement::{Action as StatementAction, Statement},
+        stop_schedule::StopSchedule,
     },
     cumincart_protocol::{
         announcement::Presence,
