Promotions: one check of a kept timeline, one loop over the answers

Whether a promotion keeps the timeline was worked out twice, a retry was set in two places, the former primary's answer was looked up twice, and the removal of an endpoint that is held was nested three deep. No behaviour changes; all tests of the core pass.

--- a/crates/cumincart-core/src/control/commit_holders.rs
+++ b/crates/cumincart-core/src/control/commit_holders.rs
@@ -10,7 +10,7 @@
         announcement::Announcement,
         catalogue::{Catalogue, CommitHolders, EndpointEntry, Group},
         lists::Lists,
-        name::ServiceName,
+        name::{EndpointName, ServiceName},
         number::Timeline,
         replication::Command,
         sorted::{Keyed, SortedVec},
@@ -127,24 +127,21 @@
     last_timeline: Timeline,
 ) -> bool {
     let holders = &group.commit_holders;
-    let has_answered = |entry: &EndpointEntry| {
-        answers.iter().any(|answer| answer.endpoint == entry.name && announcements.is_whole(answer))
-    };
-    let is_former = |entry: &EndpointEntry| Some(&entry.name) == holders.primary.as_ref();
-    let former = group.endpoints.iter().find(|entry| is_former(entry) && has_answered(entry));
+    let whole: Vec<&Announcement> =
+        answers.iter().copied().filter(|answer| announcements.is_whole(answer)).collect();
+    let is_former = |endpoint: &EndpointName| Some(endpoint) == holders.primary.as_ref();
     // On a later timeline it may have been rolled back to what another endpoint had.
-    let has_former = former.is_some_and(|former| {
-        answers.iter().any(|answer| answer.endpoint == former.name && answer.timeline == last_timeline)
-    });
-    if has_former {
+    if whole.iter().any(|answer| is_former(&answer.endpoint) && answer.timeline == last_timeline) {
         return true;
     }
+    let has_answered = |entry: &EndpointEntry| whole.iter().any(|answer| answer.endpoint == entry.name);
     // The log of an endpoint that has ended is transferred to the next one at its address.
     let is_covered = |entry: &EndpointEntry| {
         let mut others = group.endpoints.iter().filter(|other| other.name != entry.name);
         entry.leaving && others.any(|other| other.address == entry.address && has_answered(other))
     };
-    let is_missing = |entry: &&EndpointEntry| !is_former(entry) && !has_answered(entry) && !is_covered(entry);
+    let is_missing =
+        |entry: &&EndpointEntry| !is_former(&entry.name) && !has_answered(entry) && !is_covered(entry);
     let missing = group.endpoints.iter().filter(is_missing).count() + joining;
     let replicas = holders.replicas as usize;
     // Any endpoint may be the primary that acknowledged the commits, if none is recorded.
--- a/crates/cumincart-core/src/control/presence.rs
+++ b/crates/cumincart-core/src/control/presence.rs
@@ -294,15 +294,15 @@
     if core.log.applied < received.proposed {
         return;
     }
-    let Some(mut command) = due_command(core, &received.presence) else { return };
-    if let Command::RemoveEndpoint(service, endpoint) = &command {
-        let (service, endpoint) = (service.clone(), endpoint.clone());
-        if !departures::may_remove(core, now, &service, &endpoint) {
-            let known = known_entry(&core.catalogue, &service, &endpoint).filter(|entry| !entry.leaving);
-            let Some(entry) = known.cloned() else { return };
-            command = Command::PutEndpoint(service, EndpointEntry { leaving: true, ..entry });
+    let command = match due_command(core, &received.presence) {
+        Some(Command::RemoveEndpoint(service, endpoint))
+            if !departures::may_remove(core, now, &service, &endpoint) =>
+        {
+            leave_command(core, service, &endpoint)
         }
-    }
+        command => command,
+    };
+    let Some(command) = command else { return };
     out.push(Effect::Log(describe(&command)));
     let index = replicate::propose(core, now, command, out);
     if let Some(received) = core.presences.received.get_mut(endpoint) {
@@ -324,6 +324,13 @@
     (!is_removed).then(|| Command::RemoveEndpoint(service.clone(), endpoint.clone()))
 }
 
+/// Returns the command that shows an endpoint as leaving; `None` if it is shown so.
+fn leave_command(core: &Core, service: ServiceName, endpoint: &EndpointName) -> Option<Command> {
+    let entry = known_entry(&core.catalogue, &service, endpoint).filter(|entry| !entry.leaving)?;
+    let entry = EndpointEntry { leaving: true, ..entry.clone() };
+    Some(Command::PutEndpoint(service, entry))
+}
+
 fn describe(command: &Command) -> Arc<str> {
     match command {
         Command::PutEndpoint(service, entry) => format!(
--- a/crates/cumincart-core/src/control/promotion.rs
+++ b/crates/cumincart-core/src/control/promotion.rs
@@ -92,7 +92,6 @@
         return;
     }
     match result {
-        Ok(state) if lacks_position(core, promotion, state) => retry_later(core, now, promotion),
         Ok(state) => open_term(core, now, promotion, *state, out),
         Err(PromotionError::NotReached) => {
             failover::log(
@@ -135,25 +134,16 @@
     out.push(Effect::Promote(promotion));
 }
 
-/// Returns whether an endpoint that already was the primary has not announced its position to this leader, which has not led
-/// for long. The start of its term would be taken for the start of its timeline, and all commits since for lost.
-fn lacks_position(core: &Core, promotion: &Promotion, state: &PromotedState) -> bool {
-    let last = core.catalogue.group(&promotion.service).and_then(|group| group.term_starts.last());
-    let keeps_timeline = last.is_some_and(|last| last.timeline == state.timeline);
-    keeps_timeline && core.announcements.get(&promotion.endpoint).is_none()
-}
-
 /// Requests the promotion again after a while.
-fn retry_later(core: &mut Core, now: Instant, promotion: &Promotion) {
+fn retry_later<'a>(core: &'a mut Core, now: Instant, promotion: &Promotion) -> &'a mut PromotionRequest {
     let request = &mut failover::change_entry(core, now, &promotion.service).promotion_request;
     request.requested_at = None;
     request.retry_at = now + Duration::from_millis(PROMOTION_RETRY_MS);
+    request
 }
 
 fn on_unknown_result(core: &mut Core, now: Instant, promotion: &Promotion, out: &mut Vec<Effect>) {
-    let request = &mut failover::change_entry(core, now, &promotion.service).promotion_request;
-    request.requested_at = None;
-    request.retry_at = now + Duration::from_millis(PROMOTION_RETRY_MS);
+    let request = retry_later(core, now, promotion);
     request.unknown_results += 1;
     let gives_up = request.unknown_results >= PROMOTION_ATTEMPTS;
     if gives_up && detection::is_silent(core, now, &promotion.endpoint) {
@@ -177,8 +167,17 @@
     let last = core.catalogue.group(service).and_then(|group| group.term_starts.last());
     // An endpoint that already was the primary continues on its timeline, so nothing in its log is lost.
     let keeps_timeline = last.is_some_and(|last| last.timeline == state.timeline);
-    let position = core.announcements.get(&promotion.endpoint).map(|received| received.announcement.position);
-    let start = if keeps_timeline { state.start.max(position.unwrap_or_default()) } else { state.start };
+    let start = if keeps_timeline {
+        // A leader that has not led for long may not know the position. With the start of the timeline as the start of the
+        // term, all commits since would count as lost.
+        let Some(received) = core.announcements.get(&promotion.endpoint) else {
+            retry_later(core, now, promotion);
+            return;
+        };
+        state.start.max(received.announcement.position)
+    } else {
+        state.start
+    };
     let command = Command::OpenTerm {
         service: service.clone(),
         term: promotion.term,
